--- /dev/null
+++ b/features/environment.py
@@ -0,0 +1,36 @@
+"""Fixtures shared by all features."""
+
+import behave
+
+from standins import site
+
+SITE_BY_TAG = {
+    "site_zurichsee": site.SiteOptions(pools=("allocator", "boathouse")),
+    "site_tasmania": site.SiteOptions(
+        example="tasmania-south",
+        zones=("hobart", "huon", "derwent-valley", "tasman"),
+        pools=("bakery-desk", "kiln-archive", "clay-supply"),
+    ),
+}
+
+
+@behave.fixture
+def running_site(context, options):
+    """Starts a deployment and ends it after the feature or scenario."""
+    context.site = site.Site(options)
+    try:
+        yield context.site.start()
+    finally:
+        context.site.stop()
+
+
+def before_tag(context, tag):
+    """Starts the deployment that a tag names."""
+    if tag in SITE_BY_TAG:
+        behave.use_fixture(running_site, context, SITE_BY_TAG[tag])
+
+
+def before_scenario(context, scenario):
+    """Gives each scenario its own collections."""
+    context.answers = []
+    context.answer_by_name = {}
--- /dev/null
+++ b/features/steps/requests.py
@@ -0,0 +1,80 @@
+"""Steps of callers."""
+
+import json
+
+from behave import given, then, when
+
+from standins import site
+
+
+@when('the caller asks route "{route}" at instance {number:d} for "{query}"')
+def ask(context, route, number, query):
+    """Sends a request to one instance."""
+    context.answer = context.site.ask(number, route, query)
+
+
+@when('the caller asks route "{route}" at instances {first:d} to {last:d} for "{query}"')
+def ask_each(context, route, first, last, query):
+    """Sends the same request to several instances."""
+    numbers = range(first, last + 1)
+    context.answers = [context.site.ask(number, route, query) for number in numbers]
+
+
+@when('the caller sends {body} to route "{route}" at instance {number:d}')
+def send_body(context, body, route, number):
+    """Sends a body as it is written."""
+    url = f"{context.site.url(number)}/v1/query/{route}"
+    context.answer = json.loads(site.send("POST", url, body))
+
+
+@given('a ticket for route "{route}" from instance {number:d}')
+def take_ticket(context, route, number):
+    """Asks for a ticket."""
+    context.ticket = context.site.ticket(number, route)
+
+
+@then('the outcome is "{outcome}"')
+def check_outcome(context, outcome):
+    """Checks the last answer's outcome."""
+    assert context.answer["outcome"] == outcome, context.answer
+
+
+@then('the reason is "{reason}" and the outcome "{outcome}"')
+def check_reason(context, reason, outcome):
+    """Checks the last answer's outcome and reason."""
+    found = (context.answer["outcome"], context.answer["reason"])
+    assert found == (outcome, reason), context.answer
+
+
+@then("all {count:d} shards are covered from one snapshot")
+def check_coverage(context, count):
+    """Checks coverage, and the snapshot that each result names."""
+    coverage = context.answer["coverage"]
+    assert coverage["complete"], context.answer
+    assert len(coverage["covered"]) == count, coverage
+    for _, _, text in context.answer["results"]:
+        assert f"snapshot {context.answer['snapshot']} " in text, context.answer
+
+
+@then("{count:d} results come best first")
+def check_results(context, count):
+    """Checks the number of results and their order."""
+    scores = [score for _, score, _ in context.answer["results"]]
+    assert len(scores) == count, scores
+    assert scores == sorted(scores, reverse=True), scores
+
+
+@then("all answers have the same results")
+def check_equal(context):
+    """Checks that several answers agree."""
+    results = [answer["results"] for answer in context.answers]
+    assert all(found == results[0] for found in results), results
+
+
+@then('the instance {number:d} has counted a refusal "{reason}"')
+def check_counter(context, number, reason):
+    """Checks that the refusal's counter is above zero."""
+    text = site.fetch(f"{context.site.url(number)}/metrics")
+    lines = [line for line in text.splitlines() if f'reason="{reason}"' in line]
+    values = [float(line.rsplit(" ", 1)[1]) for line in lines if "refusals" in line]
+    assert values and max(values) > 0, lines
--- /dev/null
+++ b/monsoonhoist/__main__.py
@@ -0,0 +1,5 @@
+"""Entry point for ``python -m monsoonhoist``."""
+
+from monsoonhoist import cli
+
+cli.main()
--- /dev/null
+++ b/monsoonhoist/cli.py
@@ -0,0 +1,153 @@
+"""Command line: thin commands over the library."""
+
+import datetime
+import pathlib
+import sys
+from typing import Annotated
+
+import msgspec
+import typer
+
+import monsoonhoist
+from monsoonhoist import client, errors, settings
+from monsoonhoist.core import data
+from monsoonhoist.node import process
+from monsoonhoist.tables import review
+
+EXIT_FINDINGS = 1
+EXIT_USAGE = 2
+EXIT_NOT_ANSWERED = 3
+EXIT_UNREACHABLE = 4
+
+app = typer.Typer(
+    name="monsoonhoist",
+    no_args_is_help=True,
+    add_completion=False,
+    pretty_exceptions_enable=False,
+    help="Query tier that fans each query out to very many shards.",
+)
+
+SettingsPath = Annotated[pathlib.Path, typer.Argument(help="INI file with the settings.")]
+Url = Annotated[str, typer.Option("--url", help="Address of an instance, http://HOST:PORT.")]
+
+
+@app.callback(invoke_without_command=True)
+def show_version(
+    version: Annotated[bool, typer.Option("--version", help="Show the version.")] = False,
+) -> None:
+    """Shows the version if asked for."""
+    if version:
+        typer.echo(monsoonhoist.__version__)
+        raise typer.Exit
+
+
+@app.command()
+def serve(
+    path: SettingsPath,
+    log_level: Annotated[str, typer.Option(help="debug, info, warning or error.")] = "info",
+    trace: Annotated[
+        pathlib.Path | None, typer.Option(help="File for a trace of kernel events.")
+    ] = None,
+) -> None:
+    """Run one instance until SIGTERM.
+
+    Example: monsoonhoist serve zurichsee-1.ini
+    """
+    try:
+        config = settings.load(path)
+    except errors.SettingsError as error:
+        _show_findings(error.findings)
+        raise typer.Exit(EXIT_FINDINGS) from error
+    process.run(config, log_level, None)
+
+
+@app.command()
+def check(
+    settings_path: Annotated[
+        pathlib.Path | None, typer.Option("--settings", help="INI file with settings.")
+    ] = None,
+    routes: Annotated[
+        pathlib.Path | None, typer.Option(help="INI file with the table of routes.")
+    ] = None,
+    pool: Annotated[
+        list[str] | None, typer.Option(help="NAME=FILE of a pool; may be repeated.")
+    ] = None,
+) -> None:
+    """Check settings and tables and show every finding.
+
+    Example: monsoonhoist check --routes routes.ini --pool allocator=allocator.ini
+    """
+    findings: list[data.Finding] = []
+    if settings_path is not None:
+        try:
+            settings.load(settings_path)
+        except errors.SettingsError as error:
+            findings.extend(error.findings)
+    findings.extend(review.review_files(routes, tuple(pool or ())))
+    _show_findings(findings)
+    if findings:
+        raise typer.Exit(EXIT_FINDINGS)
+    typer.echo("no findings")
+
+
+@app.command()
+def query(
+    route: Annotated[str, typer.Argument(help="Name of the route.")],
+    text: Annotated[str, typer.Argument(help="The question.")],
+    url: Url = "http://127.0.0.1:8101",
+    limit: Annotated[int, typer.Option(help="Number of results.")] = 10,
+    deadline_ms: Annotated[int, typer.Option(help="Deadline; 0 for the route's.")] = 0,
+    ticket: Annotated[
+        bool, typer.Option(help="Ask for a ticket first, for non-repeatable routes.")
+    ] = False,
+    json: Annotated[bool, typer.Option("--json", help="Show the answer as JSON.")] = False,
+) -> None:
+    """Send one request and show the answer; exit code 3 unless it is whole.
+
+    Example: monsoonhoist query slot-finder "coxed four, 07:30" --url http://127.0.0.1:8101
+    """
+    request = data.Request(query=text, limit=limit, deadline_ms=deadline_ms)
+    caller = client.Client(url)
+    try:
+        if ticket:
+            issued = caller.ticket(data.RouteId(route))
+            request = msgspec.structs.replace(request, ticket=issued)
+        answer = caller.ask(data.RouteId(route), request)
+    except client.ClientError as error:
+        typer.echo(str(error), err=True)
+        raise typer.Exit(EXIT_UNREACHABLE) from error
+    typer.echo(msgspec.json.encode(answer).decode() if json else client.render(answer))
+    if answer.outcome is not data.Outcome.ANSWERED:
+        raise typer.Exit(EXIT_NOT_ANSWERED)
+
+
+@app.command()
+def status(
+    urls: Annotated[list[str], typer.Argument(help="Addresses of instances.")],
+    json: Annotated[bool, typer.Option("--json", help="Show JSON lines.")] = False,
+    wait_seconds: Annotated[
+        float, typer.Option(help="Wait until all instances agree on the tables.")
+    ] = 0.0,
+) -> None:
+    """Show revisions in force, instances and pools; exit code 1 unless all agree.
+
+    Example: monsoonhoist status http://127.0.0.1:8101 http://127.0.0.1:8102
+    """
+    try:
+        report = client.agreement(urls, datetime.timedelta(seconds=wait_seconds))
+    except client.ClientError as error:
+        typer.echo(str(error), err=True)
+        raise typer.Exit(EXIT_UNREACHABLE) from error
+    typer.echo(report.json_lines() if json else report.render())
+    if not report.agrees:
+        raise typer.Exit(EXIT_FINDINGS)
+
+
+def _show_findings(findings: list[data.Finding] | tuple[data.Finding, ...]) -> None:
+    for finding in findings:
+        typer.echo(finding.describe(), err=True)
+
+
+def main() -> None:
+    """Runs the command line."""
+    app(args=sys.argv[1:], prog_name="monsoonhoist")
--- /dev/null
+++ b/monsoonhoist/core/__init__.py
@@ -0,0 +1,1 @@
+"""Records and decisions of the query tier, without I/O."""
--- /dev/null
+++ b/monsoonhoist/core/entry.py
@@ -0,0 +1,375 @@
+"""Kernel of the entry: admits queries, fans them out and concludes them."""
+
+import heapq
+
+import msgspec
+
+from monsoonhoist.core import (
+    budget,
+    clock,
+    data,
+    events,
+    hashing,
+    messages,
+    outcome,
+    query,
+    snapshots,
+)
+from monsoonhoist.policy import admission, ownership
+from monsoonhoist.tables import store
+
+RERUNS_MAX = 2
+ATTEMPTS_MAX = 4
+# Share of the deadline after which a silent owner's stand-by is asked.
+OWNER_PATIENCE_SHARE = 0.4
+# Share of the deadline kept for sending the answer back to the caller.
+ANSWER_MARGIN_SHARE = 0.05
+MS_PER_SECOND = 1000
+
+_OVERLOAD_REASONS = (
+    data.Refusal.EXPIRED_IN_QUEUE,
+    data.Refusal.QUEUE_FULL,
+    data.Refusal.SHED,
+)
+
+
+class EntryKernel:
+    """Decides on all queries of one entry, without I/O.
+
+    Args:
+        myself: This instance.
+        time_source: The clock.
+        owner_policy: Chooses owners.
+        admission_class: Policy class; one object is made for each pool.
+    """
+
+    def __init__(
+        self,
+        myself: data.InstanceId,
+        time_source: clock.Clock,
+        owner_policy: ownership.Ownership,
+        admission_class: type[admission.Admission],
+    ):
+        self._myself = myself
+        self._clock = time_source
+        self._ownership = owner_policy
+        self._admission_class = admission_class
+        self._tables = store.Tables({}, {})
+        self._instances: tuple[data.InstanceId, ...] = (myself,)
+        self._services_by_pool: dict[data.PoolId, tuple[data.ServiceId, ...]] = {}
+        self._admission_by_pool: dict[data.PoolId, admission.Admission] = {}
+        self._knowledge_by_pool: dict[data.PoolId, snapshots.PoolKnowledge] = {}
+        self._bucket_by_route: dict[data.RouteId, budget.TokenBucket] = {}
+        self._query_by_id: dict[data.QueryId, query.QueryState] = {}
+        self._wakes: list[tuple[float, data.QueryId]] = []
+
+    @property
+    def active_queries(self) -> int:
+        """Number of queries in progress."""
+        return len(self._query_by_id)
+
+    def next_wake(self) -> float | None:
+        """Returns when ``TimeReached`` is due, in monotonic seconds, or None."""
+        while self._wakes and self._wakes[0][1] not in self._query_by_id:
+            heapq.heappop(self._wakes)
+        return self._wakes[0][0] if self._wakes else None
+
+    def handle(self, event: events.EntryEvent) -> list[events.Command]:
+        """Takes an event and returns the commands to carry out, in order."""
+        match event:
+            case events.QueryArrived():
+                return self._start(event)
+            case events.ReplyArrived():
+                return self._take_reply(event)
+            case events.PeerLost():
+                return self._lose_peer(event.instance)
+            case events.BatchUnsent():
+                return self._take_unsent(event)
+            case events.ViewChanged():
+                return self._change_view(event)
+            case events.TimeReached():
+                return self._check_times()
+
+    def _change_view(self, event: events.ViewChanged) -> list[events.Command]:
+        self._tables = event.tables
+        self._instances = event.instances
+        self._services_by_pool = {
+            pool_id: tuple(sorted(pool.servers_by_service))
+            for pool_id, pool in event.tables.pool_by_id.items()
+        }
+        return []
+
+    def _start(self, event: events.QueryArrived) -> list[events.Command]:
+        """Refuses a query or sends its first sub-requests."""
+        route = self._tables.route_by_id.get(event.route)
+        if route is None:
+            detail = f"no route is named {event.route!r}"
+            return _refuse(event, data.Refusal.UNKNOWN_ROUTE, detail)
+        limit_ms = int(route.deadline.total_seconds() * MS_PER_SECOND)
+        if not 0 <= event.request.deadline_ms <= limit_ms:
+            detail = f"deadline_ms must be from 0 to {limit_ms}"
+            return _refuse(event, data.Refusal.DEADLINE_OUT_OF_RANGE, detail)
+        pool = self._tables.pool_by_id.get(route.pool)
+        if pool is None or not pool.servers_by_service:
+            detail = f"the pool {route.pool!r} is not defined"
+            return _refuse(event, data.Refusal.POOL_NOT_DEFINED, detail)
+        if not self._admission(route.pool).admit(route.rank):
+            detail = f"too much {route.rank.value} work for the pool {route.pool!r}"
+            return _refuse(event, data.Refusal.OVERLOAD, detail)
+        state = self._new_state(event, route, pool, event.remaining_ms or limit_ms)
+        self._query_by_id[event.query_id] = state
+        heapq.heappush(self._wakes, (state.deadline, event.query_id))
+        if route.repeatable:
+            heapq.heappush(self._wakes, (state.patience_ends, event.query_id))
+        commands: list[events.Command] = []
+        self._send(state, state.services, 0, commands)
+        return commands
+
+    def _new_state(
+        self, event: events.QueryArrived, route: data.Route, pool: data.Pool, limit_ms: int
+    ) -> query.QueryState:
+        now = self._clock.monotonic()
+        total_ms = min(event.request.deadline_ms or limit_ms, limit_ms)
+        total_seconds = total_ms / MS_PER_SECOND * (1 - ANSWER_MARGIN_SHARE)
+        services = self._services_by_pool[pool.pool_id]
+        snapshot = self._knowledge(pool.pool_id).choice(services)
+        if not route.repeatable:
+            services = (_service_for(event.request, services),)
+            snapshot = data.LATEST_SNAPSHOT
+        spec = data.QuerySpec(
+            query_id=event.query_id,
+            route=route.route_id,
+            pool=pool.pool_id,
+            rank=route.rank,
+            text=event.request.query,
+            limit=event.request.limit,
+            remaining_ms=0,
+            hedge_budget=route.hedge_budget,
+            repeatable=route.repeatable,
+        )
+        return query.QueryState(
+            spec=spec,
+            request=event.request,
+            route=route,
+            pool=pool,
+            services=services,
+            deadline=now + total_seconds,
+            patience_ends=now + total_seconds * OWNER_PATIENCE_SHARE,
+            snapshot=snapshot,
+        )
+
+    def _send(
+        self,
+        state: query.QueryState,
+        services: tuple[data.ServiceId, ...],
+        owner_index: int,
+        commands: list[events.Command],
+    ) -> None:
+        """Sends sub-requests, in one batch for each owner.
+
+        Args:
+            state: The query.
+            services: Shards to ask.
+            owner_index: 0 for owners, 1 for stand-bys.
+            commands: Receives the commands.
+        """
+        attempt_by_service: dict[data.ServiceId, int] = {}
+        services_by_batch: dict[tuple[data.InstanceId, int], list[data.ServiceId]] = {}
+        for service in services:
+            owners = self._ownership.owners(state.pool.pool_id, service, self._instances)
+            owner = owners[min(owner_index, len(owners) - 1)]
+            shard = state.shard_by_service[service]
+            shard.attempts += 1
+            attempt_by_service[service] = shard.attempts
+            shard.pending_by_attempt[shard.attempts] = owner
+            services_by_batch.setdefault((owner, shard.attempts), []).append(service)
+        state.sub_requests += len(services)
+        remaining = state.deadline - self._clock.monotonic()
+        spec = _with_remaining(state.spec, max(0, int(remaining * MS_PER_SECOND)))
+        for (owner, attempt), batch_services in services_by_batch.items():
+            batch = messages.SubBatch(
+                self._myself, spec, state.snapshot, attempt, tuple(batch_services)
+            )
+            commands.append(events.SendMessage(owner, batch))
+
+    def _take_reply(self, event: events.ReplyArrived) -> list[events.Command]:
+        """Takes in a reply, asks again where that helps, and concludes if settled."""
+        state = self._query_by_id.get(event.reply.query_id)
+        if state is None:
+            return []
+        knowledge = self._knowledge(state.pool.pool_id)
+        for part in event.reply.parts:
+            knowledge.learn(part.service, part.holdings)
+        for failure in event.reply.failures:
+            knowledge.learn(failure.service, failure.holdings)
+        if not state.take_reply(event.reply):
+            return []
+        commands: list[events.Command] = []
+        self._note_pressure(state, event.reply, commands)
+        if not state.route.repeatable:
+            self._resend_refused(state, commands)
+        return commands + self._advance(state)
+
+    def _note_pressure(
+        self, state: query.QueryState, reply: messages.SubReply, commands: list[events.Command]
+    ) -> None:
+        total_ms = max(1.0, state.route.deadline.total_seconds() * MS_PER_SECOND)
+        state.pressure = max(state.pressure, reply.queue_delay_ms / total_ms)
+        for failure in reply.failures:
+            commands.append(events.CountRefusal(failure.reason))
+            if failure.reason in _OVERLOAD_REASONS:
+                state.pressure = 1.0
+
+    def _resend_refused(self, state: query.QueryState, commands: list[events.Command]) -> None:
+        """Sends non-repeatable work again after a proof that it did not run."""
+        service = state.services[0]
+        shard = state.shard_by_service[service]
+        refused = shard.failure is not None and not shard.may_have_run
+        if refused and not shard.pending_by_attempt and shard.attempts < ATTEMPTS_MAX:
+            shard.failure = None
+            commands.append(events.CountRetry(data.RetryReason.REFUSED))
+            self._send(state, (service,), 0, commands)
+
+    def _advance(self, state: query.QueryState) -> list[events.Command]:
+        """Concludes a query, or runs it at another snapshot."""
+        if state.route.repeatable:
+            if state.is_covered():
+                return self._finish(state)
+            if state.is_settled() and (commands := self._rerun(state)):
+                return commands
+        return self._finish(state) if state.is_settled() else []
+
+    def _rerun(self, state: query.QueryState) -> list[events.Command]:
+        """Asks shards again at the snapshot that is now known to cover the most."""
+        choice = self._knowledge(state.pool.pool_id).choice(state.services)
+        if choice in (data.LATEST_SNAPSHOT, state.snapshot) or state.reruns >= RERUNS_MAX:
+            return []
+        state.reruns += 1
+        state.snapshot = choice
+        if state.is_covered():
+            return self._finish(state)
+        commands: list[events.Command] = []
+        lacking = state.lacking()
+        commands.extend(events.CountRetry(data.RetryReason.SNAPSHOT) for _ in lacking)
+        self._send(state, lacking, 0, commands)
+        return commands
+
+    def _lose_peer(self, instance: data.InstanceId) -> list[events.Command]:
+        """Turns to the remaining owners for what a lost instance was asked."""
+        commands: list[events.Command] = []
+        for state in list(self._query_by_id.values()):
+            lost = state.drop_pending(instance, may_have_run=True)
+            self._replace_lost(state, instance, lost, commands)
+        return commands
+
+    def _take_unsent(self, event: events.BatchUnsent) -> list[events.Command]:
+        """Turns to the remaining owners for a batch that was not sent."""
+        commands: list[events.Command] = []
+        state = self._query_by_id.get(event.query_id)
+        if state is not None:
+            lost = state.drop_pending(event.instance, may_have_run=False, attempt=event.attempt)
+            self._replace_lost(state, event.instance, lost, commands)
+        return commands
+
+    def _replace_lost(
+        self,
+        state: query.QueryState,
+        instance: data.InstanceId,
+        lost: tuple[data.ServiceId, ...],
+        commands: list[events.Command],
+    ) -> None:
+        """Asks other owners for the shards whose attempts are lost."""
+        if not lost:
+            return
+        commands.extend(events.CountRefusal(data.Refusal.PEER_LOST) for _ in lost)
+        again = tuple(service for service in lost if self._may_ask_again(state, service))
+        if again:
+            commands.extend(events.CountRetry(data.RetryReason.OWNER_LOST) for _ in again)
+            self._send(state, again, self._stand_by_index(instance), commands)
+        commands.extend(self._advance(state))
+
+    def _may_ask_again(self, state: query.QueryState, service: data.ServiceId) -> bool:
+        """Returns whether a shard may be asked once more after a lost attempt."""
+        shard = state.shard_by_service[service]
+        done = state.snapshot in shard.part_by_snapshot or bool(shard.pending_by_attempt)
+        safe = state.route.repeatable or not shard.may_have_run
+        return safe and not done and shard.attempts < ATTEMPTS_MAX
+
+    def _stand_by_index(self, lost: data.InstanceId) -> int:
+        """Returns 1 while the view still holds the lost instance, else 0."""
+        return 1 if lost in self._instances else 0
+
+    def _check_times(self) -> list[events.Command]:
+        """Concludes queries at their deadline and asks stand-bys of silent owners."""
+        now = self._clock.monotonic()
+        commands: list[events.Command] = []
+        while self._wakes and self._wakes[0][0] <= now:
+            _, query_id = heapq.heappop(self._wakes)
+            state = self._query_by_id.get(query_id)
+            if state is None:
+                continue
+            if state.deadline <= now:
+                commands.append(events.CountRefusal(data.Refusal.TIMEOUT))
+                commands.extend(self._finish(state))
+            else:
+                self._ask_stand_bys(state, commands)
+        return commands
+
+    def _ask_stand_bys(self, state: query.QueryState, commands: list[events.Command]) -> None:
+        """Asks the stand-by of each owner that has been silent, within the budget."""
+        bucket = self._bucket(state.route.route_id)
+        bucket.earn(state.route.hedge_budget * len(state.services))
+        silent: list[data.ServiceId] = []
+        for service in state.services:
+            shard = state.shard_by_service[service]
+            if not state.is_open(service) or shard.stand_by_asked:
+                continue
+            if bucket.spend_on_retry():
+                shard.stand_by_asked = True
+                silent.append(service)
+                commands.append(events.CountRetry(data.RetryReason.OWNER_SILENT))
+        if silent:
+            self._send(state, tuple(silent), 1, commands)
+
+    def _finish(self, state: query.QueryState) -> list[events.Command]:
+        """Answers the caller and cancels what is still pending."""
+        del self._query_by_id[state.spec.query_id]
+        state.adopt_best_snapshot()
+        self._admission(state.pool.pool_id).finish(state.route.rank, state.pressure)
+        commands: list[events.Command] = [
+            events.Respond(state.spec.query_id, outcome.conclude(state))
+        ]
+        pending = {
+            owner: None
+            for shard in state.shard_by_service.values()
+            for owner in shard.pending_by_attempt.values()
+        }
+        cancel = messages.Cancel(state.spec.query_id)
+        commands.extend(events.SendMessage(owner, cancel) for owner in pending)
+        return commands
+
+    def _admission(self, pool: data.PoolId) -> admission.Admission:
+        if pool not in self._admission_by_pool:
+            self._admission_by_pool[pool] = self._admission_class()
+        return self._admission_by_pool[pool]
+
+    def _knowledge(self, pool: data.PoolId) -> snapshots.PoolKnowledge:
+        return self._knowledge_by_pool.setdefault(pool, snapshots.PoolKnowledge())
+
+    def _bucket(self, route: data.RouteId) -> budget.TokenBucket:
+        return self._bucket_by_route.setdefault(route, budget.TokenBucket())
+
+
+def _refuse(event: events.QueryArrived, reason: data.Refusal, detail: str) -> list[events.Command]:
+    answer = outcome.not_run(event.request, reason, detail)
+    return [events.CountRefusal(reason), events.Respond(event.query_id, answer)]
+
+
+def _service_for(request: data.Request, services: tuple[data.ServiceId, ...]) -> data.ServiceId:
+    """Returns the shard of non-repeatable work, chosen by hash of its text."""
+    return services[hashing.weight(request.query) % len(services)]
+
+
+def _with_remaining(spec: data.QuerySpec, remaining_ms: int) -> data.QuerySpec:
+    """Returns the query with the time left at sending."""
+    return msgspec.structs.replace(spec, remaining_ms=remaining_ms)
--- /dev/null
+++ b/monsoonhoist/core/events.py
@@ -0,0 +1,174 @@
+"""Events that the kernel takes and commands that it returns.
+
+Both are immutable records. An event and the time at which it is handled determine the
+commands, so that a recorded trace of events can be replayed.
+"""
+
+import msgspec
+
+from monsoonhoist.core import data, messages
+from monsoonhoist.tables import store
+
+
+class ViewChanged(msgspec.Struct, frozen=True, tag="view-changed"):
+    """The tables or the live instances have changed.
+
+    Attributes:
+        tables: Tables in force.
+        instances: Live instances, sorted, this one included.
+    """
+
+    tables: store.Tables
+    instances: tuple[data.InstanceId, ...]
+
+
+class QueryArrived(msgspec.Struct, frozen=True, tag="query-arrived"):
+    """A caller's checked request.
+
+    Attributes:
+        query_id: Name unique over instances and incarnations.
+        route: Route of the request.
+        request: Body of the request.
+        remaining_ms: Time left, if another instance forwarded the request; else 0.
+    """
+
+    query_id: data.QueryId
+    route: data.RouteId
+    request: data.Request
+    remaining_ms: int = 0
+
+
+class ReplyArrived(msgspec.Struct, frozen=True, tag="reply-arrived"):
+    """An owner's reply to this entry."""
+
+    sender: data.InstanceId
+    reply: messages.SubReply
+
+
+class PeerLost(msgspec.Struct, frozen=True, tag="peer-lost"):
+    """The stream to an instance has ended; its replies will not come."""
+
+    instance: data.InstanceId
+
+
+class BatchUnsent(msgspec.Struct, frozen=True, tag="batch-unsent"):
+    """No byte of a batch was handed to its owner, for lack of a stream.
+
+    Attributes:
+        instance: The owner.
+        query_id: The query.
+        attempt: Number of the entry's attempt.
+    """
+
+    instance: data.InstanceId
+    query_id: data.QueryId
+    attempt: int
+
+
+class BatchArrived(msgspec.Struct, frozen=True, tag="batch-arrived"):
+    """Sub-requests for this owner."""
+
+    batch: messages.SubBatch
+
+
+class CancelArrived(msgspec.Struct, frozen=True, tag="cancel-arrived"):
+    """A query needs no more work from this owner."""
+
+    query_id: data.QueryId
+
+
+class CallReplied(msgspec.Struct, frozen=True, tag="call-replied"):
+    """A backend server's results.
+
+    Attributes:
+        call_id: The call.
+        snapshot: Snapshot of the results.
+        keys: Keys that the shard has in the snapshot.
+        holdings: All snapshots that the server holds.
+        results: The results.
+        draining: Whether the server says that it is leaving.
+    """
+
+    call_id: int
+    snapshot: data.Snapshot
+    keys: data.KeyRange
+    holdings: tuple[data.Holding, ...]
+    results: tuple[data.Result, ...]
+    draining: bool
+
+
+class CallFailed(msgspec.Struct, frozen=True, tag="call-failed"):
+    """A call without results.
+
+    Attributes:
+        call_id: The call.
+        reason: Why there are no results.
+        may_have_run: False only where it is proved that nothing ran.
+        holdings: Snapshots held, where the server named them.
+    """
+
+    call_id: int
+    reason: data.Refusal
+    may_have_run: bool
+    holdings: tuple[data.Holding, ...] = ()
+
+
+class TimeReached(msgspec.Struct, frozen=True, tag="time-reached"):
+    """The time asked for by ``next_wake`` has come."""
+
+
+EntryEvent = ViewChanged | QueryArrived | ReplyArrived | PeerLost | BatchUnsent | TimeReached
+OwnerEvent = ViewChanged | BatchArrived | CancelArrived | CallReplied | CallFailed | TimeReached
+
+
+class SendMessage(msgspec.Struct, frozen=True, tag="send-message"):
+    """Sends a message to an instance, which may be this one."""
+
+    instance: data.InstanceId
+    message: messages.SubBatch | messages.SubReply | messages.Cancel
+
+
+class Respond(msgspec.Struct, frozen=True, tag="respond"):
+    """Answers a caller's request."""
+
+    query_id: data.QueryId
+    answer: data.Answer
+
+
+class StartCall(msgspec.Struct, frozen=True, tag="start-call"):
+    """Calls a backend server.
+
+    Attributes:
+        call_id: Name of the call, unique within the owner.
+        server: Server to call.
+        query: The query.
+        snapshot: Snapshot to answer from.
+        deadline: End of the call, in monotonic seconds.
+    """
+
+    call_id: int
+    server: data.Server
+    query: data.QuerySpec
+    snapshot: data.Snapshot
+    deadline: float
+
+
+class CancelCall(msgspec.Struct, frozen=True, tag="cancel-call"):
+    """Tells a backend server that a call's results are not needed."""
+
+    call_id: int
+
+
+class CountRefusal(msgspec.Struct, frozen=True, tag="count-refusal"):
+    """Counts a refused or lost request, sub-request or call."""
+
+    reason: data.Refusal
+
+
+class CountRetry(msgspec.Struct, frozen=True, tag="count-retry"):
+    """Counts a sub-request that is sent again."""
+
+    reason: data.RetryReason
+
+
+Command = SendMessage | Respond | StartCall | CancelCall | CountRefusal | CountRetry
--- /dev/null
+++ b/monsoonhoist/core/kernel.py
@@ -0,0 +1,60 @@
+"""Kernel of an instance: both roles over one set of policies."""
+
+import dataclasses
+
+from monsoonhoist.core import clock, data, entry, owner, tickets
+from monsoonhoist.policy import registry
+
+
+@dataclasses.dataclass(frozen=True)
+class PolicyNames:
+    """Names of the policies to use, one for each kind."""
+
+    ownership: str = "rendezvous"
+    balance: str = "least-loaded"
+    hedge: str = "quantile"
+    admission: str = "window"
+    order: str = "ranked"
+
+
+@dataclasses.dataclass(frozen=True)
+class Kernel:
+    """Decisions of one instance.
+
+    Attributes:
+        entry: Decisions on callers' queries.
+        owner: Decisions on backend servers.
+        tickets: Tickets of non-repeatable requests.
+    """
+
+    entry: entry.EntryKernel
+    owner: owner.OwnerKernel
+    tickets: tickets.TicketBook
+
+
+def make_kernel(
+    myself: data.InstanceId,
+    incarnation: data.Incarnation,
+    zone: data.ZoneId,
+    time_source: clock.Clock,
+    names: PolicyNames,
+) -> Kernel:
+    """Returns a kernel with the named policies.
+
+    Raises:
+        UnknownPolicyError: If no plug-in has registered a name.
+    """
+    registry.load()
+    owner_policy = registry.find(registry.Kind.OWNERSHIP, names.ownership)(myself)
+    policies = owner.Policies(
+        ownership=owner_policy,
+        balance=registry.find(registry.Kind.BALANCE, names.balance)(),
+        make_order=registry.find(registry.Kind.ORDER, names.order),
+        make_hedge=registry.find(registry.Kind.HEDGE, names.hedge),
+    )
+    admission_class = registry.find(registry.Kind.ADMISSION, names.admission)
+    return Kernel(
+        entry=entry.EntryKernel(myself, time_source, owner_policy, admission_class),
+        owner=owner.OwnerKernel(myself, zone, time_source, policies),
+        tickets=tickets.TicketBook(myself, incarnation, time_source),
+    )
--- /dev/null
+++ b/monsoonhoist/core/membership.py
@@ -0,0 +1,170 @@
+"""Instances of the deployment, as one instance sees them.
+
+Three sources are joined: the platform's instance list, which lags; what instances
+state of themselves, which newer statements of the same instance overrule; and which
+streams are up. No agreement between instances is needed.
+"""
+
+from collections.abc import Iterable
+
+import msgspec
+
+from monsoonhoist.core import data, hashing
+
+
+class ListedInstance(msgspec.Struct, frozen=True):
+    """One row of the platform's instance list.
+
+    Attributes:
+        instance: Name of the instance.
+        host: IP number.
+        peer_port: TCP port of instance streams.
+        zone: Availability zone.
+        state: ``live`` or ``leaving``.
+    """
+
+    instance: data.InstanceId
+    host: str
+    peer_port: int
+    zone: data.ZoneId
+    state: data.MemberState
+
+
+class Membership:
+    """Joined view of the instances.
+
+    Attributes:
+        myself: What this instance states of itself.
+    """
+
+    def __init__(self, myself: data.Member):
+        self.myself = myself
+        self._member_by_id: dict[data.InstanceId, data.Member] = {}
+        self._listed_by_id: dict[data.InstanceId, ListedInstance] = {}
+        self._down: set[data.InstanceId] = set()
+
+    def set_listed(self, rows: Iterable[ListedInstance]) -> None:
+        """Takes over a reading of the platform's instance list.
+
+        An unlisted instance whose stream is down is forgotten.
+        """
+        self._listed_by_id = {row.instance: row for row in rows}
+        for instance in list(self._member_by_id):
+            if instance not in self._listed_by_id and instance in self._down:
+                del self._member_by_id[instance]
+                self._down.discard(instance)
+
+    def merge(self, members: Iterable[data.Member]) -> tuple[data.Member, ...]:
+        """Takes in statements; returns those that were news."""
+        news = []
+        for member in members:
+            if member.instance == self.myself.instance:
+                continue
+            known = self._member_by_id.get(member.instance)
+            if known is None or _order(member) > _order(known):
+                self._member_by_id[member.instance] = member
+                news.append(member)
+                if known is None or member.incarnation > known.incarnation:
+                    self._down.discard(member.instance)
+        return tuple(news)
+
+    def note_stream(self, instance: data.InstanceId, is_up: bool) -> None:
+        """Takes note of whether the stream to an instance is up."""
+        if is_up:
+            self._down.discard(instance)
+        else:
+            self._down.add(instance)
+
+    def leave(self) -> data.Member:
+        """States that this instance is leaving, and returns the statement."""
+        self.myself = msgspec.structs.replace(
+            self.myself, version=self.myself.version + 1, state=data.MemberState.LEAVING
+        )
+        return self.myself
+
+    def state_of(self, instance: data.InstanceId) -> data.MemberState:
+        """Returns an instance's state in this view."""
+        if instance == self.myself.instance:
+            return self.myself.state
+        if instance in self._down:
+            return data.MemberState.GONE
+        member = self._member_by_id.get(instance)
+        if member is not None:
+            return member.state
+        listed = self._listed_by_id.get(instance)
+        return listed.state if listed is not None else data.MemberState.GONE
+
+    def known(self) -> tuple[data.Member, ...]:
+        """Returns all other instances that are listed or have stated themselves."""
+        member_by_id = {
+            row.instance: data.Member(
+                row.instance,
+                data.Incarnation(0),
+                0,
+                row.state,
+                row.host,
+                row.peer_port,
+                row.zone,
+            )
+            for row in self._listed_by_id.values()
+            if row.instance != self.myself.instance
+        }
+        member_by_id.update(self._member_by_id)
+        return tuple(member_by_id[instance] for instance in sorted(member_by_id))
+
+    def live(self) -> tuple[data.InstanceId, ...]:
+        """Returns the instances that may own shards, sorted.
+
+        A leaving instance keeps itself in its view only if it knows no other.
+        """
+        others = [
+            member.instance
+            for member in self.known()
+            if self.state_of(member.instance) is data.MemberState.LIVE
+        ]
+        if self.myself.state is data.MemberState.LIVE or not others:
+            others.append(self.myself.instance)
+        return tuple(sorted(others))
+
+    def is_watcher(self, watchers_per_zone: int) -> bool:
+        """Returns whether this instance is to watch the configuration service.
+
+        In each availability zone these are the live instances with the largest weight.
+        """
+        zone = self.myself.zone
+        zone_by_id = {member.instance: member.zone for member in self.known()}
+        zone_by_id[self.myself.instance] = zone
+        candidates = [instance for instance in self.live() if zone_by_id.get(instance) == zone]
+        candidates.sort(key=_watch_weight, reverse=True)
+        return self.myself.instance in candidates[:watchers_per_zone]
+
+    def neighbours(self, degree: int) -> tuple[data.Member, ...]:
+        """Returns the instances to keep a stream to, at most ``degree``.
+
+        Half are the next ones on a ring by hash, which keeps the graph connected; the
+        others are those with the largest pairwise weight, which keeps it shallow.
+        """
+        others = self.known()
+        if len(others) <= degree:
+            return others
+        mine = _ring_position(self.myself.instance)
+        ring = sorted(others, key=lambda member: (_ring_position(member.instance) - mine) % 2**64)
+        ring_count = degree // 2
+        chosen = ring[:ring_count]
+        rest = sorted(ring[ring_count:], key=self._pair_weight, reverse=True)
+        return tuple(chosen + rest[: degree - ring_count])
+
+    def _pair_weight(self, member: data.Member) -> int:
+        return hashing.weight(*sorted((self.myself.instance, member.instance)))
+
+
+def _ring_position(instance: data.InstanceId) -> int:
+    return hashing.weight(instance)
+
+
+def _watch_weight(instance: data.InstanceId) -> int:
+    return hashing.weight("watch", instance)
+
+
+def _order(member: data.Member) -> tuple[int, int]:
+    return (member.incarnation, member.version)
--- /dev/null
+++ b/monsoonhoist/core/messages.py
@@ -0,0 +1,171 @@
+"""Messages between instances, and their codec.
+
+Each frame holds one message, encoded as MessagePack. Decoding checks every field
+against the message's record.
+"""
+
+import msgpack
+import msgspec
+
+from monsoonhoist import errors
+from monsoonhoist.core import data
+
+
+class Hello(msgspec.Struct, frozen=True, array_like=True, tag="hello"):
+    """First message of a stream, in each direction.
+
+    Attributes:
+        deployment: Name of the deployment; streams of another one are refused.
+        member: What the sender states of itself.
+    """
+
+    deployment: str
+    member: data.Member
+
+
+class Beat(msgspec.Struct, frozen=True, array_like=True, tag="beat"):
+    """Heartbeat of the side that opened the stream.
+
+    Attributes:
+        sequence: Counter of the stream.
+        tables_digest: Digest of all table revisions in force at the sender.
+    """
+
+    sequence: int
+    tables_digest: bytes
+
+
+class BeatReply(msgspec.Struct, frozen=True, array_like=True, tag="beat-reply"):
+    """Reply to ``Beat`` on the same stream."""
+
+    sequence: int
+
+
+class SubBatch(msgspec.Struct, frozen=True, array_like=True, tag="sub"):
+    """Sub-requests of one query to one owner.
+
+    Attributes:
+        origin: Instance that merges the answer.
+        query: The query.
+        snapshot: Snapshot to answer from; ``LATEST_SNAPSHOT`` lets servers choose.
+        attempt: Number of the entry's attempt.
+        services: Shards to ask.
+    """
+
+    origin: data.InstanceId
+    query: data.QuerySpec
+    snapshot: data.Snapshot
+    attempt: int
+    services: tuple[data.ServiceId, ...]
+
+
+class SubReply(msgspec.Struct, frozen=True, array_like=True, tag="reply"):
+    """What some shards answered, merged by the owner.
+
+    Attributes:
+        query_id: The query.
+        parts: Shards that answered.
+        failures: Shards that gave nothing.
+        results_by_snapshot: Best results of the parts, for each snapshot.
+        queue_delay_ms: Longest wait of these sub-requests in the owner's queues.
+        calls: Calls to backend servers made for these shards.
+    """
+
+    query_id: data.QueryId
+    parts: tuple[data.Part, ...]
+    failures: tuple[data.Failure, ...]
+    results_by_snapshot: dict[data.Snapshot, tuple[data.Result, ...]]
+    queue_delay_ms: int
+    calls: int
+
+
+class Cancel(msgspec.Struct, frozen=True, array_like=True, tag="cancel"):
+    """Tells an owner that a query needs no more work."""
+
+    query_id: data.QueryId
+
+
+class Members(msgspec.Struct, frozen=True, array_like=True, tag="members"):
+    """Statements about instances, passed on when they are new."""
+
+    members: tuple[data.Member, ...]
+
+
+class Revision(msgspec.Struct, frozen=True, array_like=True):
+    """Revision of one table key, with the digest that orders equal numbers."""
+
+    key: data.TableKey
+    number: int
+    digest: bytes
+
+
+class Revisions(msgspec.Struct, frozen=True, array_like=True, tag="revisions"):
+    """All table revisions in force at the sender."""
+
+    revisions: tuple[Revision, ...]
+
+
+class WantTables(msgspec.Struct, frozen=True, array_like=True, tag="want"):
+    """Asks for the values of some table keys."""
+
+    keys: tuple[data.TableKey, ...]
+
+
+class TableValue(msgspec.Struct, frozen=True, array_like=True, tag="table"):
+    """Value of one table key."""
+
+    key: data.TableKey
+    number: int
+    text: str
+
+
+class TicketUse(msgspec.Struct, frozen=True, array_like=True, tag="ticket-use"):
+    """Forwards a non-repeatable request to the ticket's holder."""
+
+    origin: data.InstanceId
+    forward_id: str
+    route: data.RouteId
+    request: data.Request
+    remaining_ms: int
+
+
+class TicketAnswer(msgspec.Struct, frozen=True, array_like=True, tag="ticket-answer"):
+    """Answer of a ticket's holder."""
+
+    forward_id: str
+    answer: data.Answer
+
+
+Message = (
+    Hello
+    | Beat
+    | BeatReply
+    | SubBatch
+    | SubReply
+    | Cancel
+    | Members
+    | Revisions
+    | WantTables
+    | TableValue
+    | TicketUse
+    | TicketAnswer
+)
+
+
+def encode(message: Message) -> bytes:
+    """Returns the message as MessagePack."""
+    builtins = msgspec.to_builtins(message, builtin_types=(bytes,), str_keys=False)
+    return msgpack.packb(builtins)
+
+
+def decode(body: bytes) -> Message:
+    """Returns the message held in ``body``.
+
+    Raises:
+        ProtocolError: If the bytes are not exactly one well-formed message.
+    """
+    try:
+        builtins = msgpack.unpackb(body, strict_map_key=False, use_list=True)
+        return msgspec.convert(builtins, type=Message)
+    except (ValueError, msgpack.UnpackException, msgspec.ValidationError, RecursionError) as error:
+        raise errors.ProtocolError(f"malformed message: {error}") from error
--- /dev/null
+++ b/monsoonhoist/core/outcome.py
@@ -0,0 +1,77 @@
+"""Conclusion of a query: from its state to the caller's answer."""
+
+import collections
+
+from monsoonhoist.core import data, query
+
+
+def conclude(state: query.QueryState) -> data.Answer:
+    """Returns the answer that a query's state allows.
+
+    ``not_run`` is given only if every attempt is proved not to have run.
+    """
+    covered = state.coverage()
+    if covered.covered and covered.complete:
+        return _answer(state, covered, data.Outcome.ANSWERED, None, "")
+    reason = _reason(state)
+    if covered.covered and covered.share >= state.route.minimum_coverage:
+        detail = f"{len(covered.missing)} shards are missing"
+        return _answer(state, covered, data.Outcome.PARTIAL, reason, detail)
+    if not _may_have_run(state):
+        return _answer(state, covered, data.Outcome.NOT_RUN, reason, "no shard ran the request")
+    if not state.route.repeatable:
+        detail = "the request may have run; do not send it again without looking"
+        return _answer(state, covered, data.Outcome.UNKNOWN, reason, detail)
+    detail = f"covered {covered.share:.4f} of the keys, less than the route's minimum"
+    return _answer(state, covered, data.Outcome.FAILED, reason, detail)
+
+
+def not_run(request: data.Request, reason: data.Refusal, detail: str) -> data.Answer:
+    """Returns the answer to a request that was refused before anything ran."""
+    return data.Answer(request.request_id, data.Outcome.NOT_RUN, reason, detail)
+
+
+def unknown(request: data.Request, reason: data.Refusal, detail: str) -> data.Answer:
+    """Returns the answer to a request that may have run."""
+    return data.Answer(request.request_id, data.Outcome.UNKNOWN, reason, detail)
+
+
+def _answer(
+    state: query.QueryState,
+    covered: data.Coverage,
+    outcome: data.Outcome,
+    reason: data.Refusal | None,
+    detail: str,
+) -> data.Answer:
+    shown = outcome in (data.Outcome.ANSWERED, data.Outcome.PARTIAL)
+    return data.Answer(
+        request_id=state.request.request_id,
+        outcome=outcome,
+        reason=reason,
+        detail=detail,
+        snapshot=state.snapshot if shown else data.LATEST_SNAPSHOT,
+        coverage=covered,
+        results=state.results() if shown else (),
+        sub_requests=state.sub_requests,
+    )
+
+
+def _may_have_run(state: query.QueryState) -> bool:
+    """Returns whether any attempt has run, or has not been proved not to run."""
+    return any(
+        shard.may_have_run or shard.pending_by_attempt for shard in state.shard_by_service.values()
+    )
+
+
+def _reason(state: query.QueryState) -> data.Refusal:
+    """Returns the commonest reason among shards without a part."""
+    reasons: list[data.Refusal] = []
+    for service in state.lacking():
+        shard = state.shard_by_service[service]
+        if shard.pending_by_attempt or shard.failure is None:
+            reasons.append(data.Refusal.TIMEOUT)
+        else:
+            reasons.append(shard.failure.reason)
+    if not reasons:
+        return data.Refusal.SNAPSHOT_GONE
+    return collections.Counter(reasons).most_common(1)[0][0]
--- /dev/null
+++ b/monsoonhoist/core/owner.py
@@ -0,0 +1,458 @@
+"""Kernel of the owner: queues, calls, hedges and retries at backend servers."""
+
+import dataclasses
+import heapq
+import itertools
+from collections.abc import Callable
+
+from monsoonhoist.core import budget, clock, data, events, merge, messages, server, shard
+from monsoonhoist.policy import balance, hedge, order, ownership
+from monsoonhoist.tables import store
+
+QUEUE_MAX = 512
+CALLS_MAX = 4
+# Share of its remaining time that a sub-request waits for a closed server to open.
+REOPEN_WAIT_SHARE = 0.25
+MS_PER_SECOND = 1000
+
+ShardKey = tuple[data.PoolId, data.ServiceId]
+# Reasons that speak against the server's health rather than for its being busy.
+_UNHEALTHY = (
+    data.Refusal.CONNECT_FAILED,
+    data.Refusal.CONNECTION_LOST,
+    data.Refusal.BACKEND_ERROR,
+    data.Refusal.TIMEOUT,
+)
+
+
+@dataclasses.dataclass(frozen=True)
+class Policies:
+    """Policies of an owner.
+
+    Attributes:
+        ownership: Chooses owners; gives the share of limits.
+        balance: Chooses between servers.
+        make_order: Makes the queue of a shard.
+        make_hedge: Makes the hedge policy of a shard.
+    """
+
+    ownership: ownership.Ownership
+    balance: balance.Balance
+    make_order: Callable[[], order.Order[shard.SubRequest]]
+    make_hedge: Callable[[], hedge.Hedge]
+
+
+class OwnerKernel:
+    """Decides on all calls to backend servers from one instance, without I/O.
+
+    Args:
+        myself: This instance.
+        zone: Availability zone of this instance.
+        time_source: The clock.
+        policies: Policies to decide by.
+    """
+
+    def __init__(
+        self,
+        myself: data.InstanceId,
+        zone: data.ZoneId,
+        time_source: clock.Clock,
+        policies: Policies,
+    ):
+        self._myself = myself
+        self._zone = zone
+        self._clock = time_source
+        self._policies = policies
+        self._tables = store.Tables({}, {})
+        self._share = 1.0
+        self._shard_by_key: dict[ShardKey, shard.ShardState] = {}
+        self._subs_by_query: dict[data.QueryId, list[shard.SubRequest]] = {}
+        self._call_by_id: dict[int, shard.Call] = {}
+        self._bucket_by_route: dict[data.RouteId, budget.TokenBucket] = {}
+        self._call_ids = itertools.count(1)
+        self._wakes: list[tuple[float, int, Callable[[list[events.Command]], None]]] = []
+        self._wake_ids = itertools.count()
+        self._replies = ReplyCollector()
+
+    @property
+    def active_calls(self) -> int:
+        """Number of calls in flight."""
+        return len(self._call_by_id)
+
+    @property
+    def active_queries(self) -> int:
+        """Number of queries with sub-requests here."""
+        return len(self._subs_by_query)
+
+    def next_wake(self) -> float | None:
+        """Returns when ``TimeReached`` is due, in monotonic seconds, or None."""
+        return self._wakes[0][0] if self._wakes else None
+
+    def handle(self, event: events.OwnerEvent) -> list[events.Command]:
+        """Takes an event and returns the commands to carry out, in order."""
+        commands: list[events.Command] = []
+        match event:
+            case events.BatchArrived():
+                self._take_batch(event.batch, commands)
+            case events.CallReplied():
+                self._take_results(event, commands)
+            case events.CallFailed():
+                self._take_failure(event, commands)
+            case events.CancelArrived():
+                self._cancel(event.query_id, commands)
+            case events.ViewChanged():
+                self._change_view(event, commands)
+            case events.TimeReached():
+                self._check_times(commands)
+        commands.extend(self._replies.flush())
+        return commands
+
+    def _change_view(self, event: events.ViewChanged, commands: list[events.Command]) -> None:
+        self._tables = event.tables
+        self._share = self._policies.ownership.share(len(event.instances))
+        for key, state in self._shard_by_key.items():
+            pool = self._tables.pool_by_id.get(key[0])
+            servers = pool.servers_by_service.get(key[1], ()) if pool else ()
+            state.update(servers, self._share)
+            self._pump(state, commands)
+
+    def _take_batch(self, batch: messages.SubBatch, commands: list[events.Command]) -> None:
+        now = self._clock.monotonic()
+        deadline = now + batch.query.remaining_ms / MS_PER_SECOND
+        for service in batch.services:
+            sub = shard.SubRequest(
+                batch.origin,
+                batch.query,
+                service,
+                batch.attempt,
+                batch.snapshot,
+                deadline,
+                now,
+            )
+            self._accept(sub, commands)
+
+    def _accept(self, sub: shard.SubRequest, commands: list[events.Command]) -> None:
+        """Queues a sub-request, or refuses it."""
+        state = self._shard(sub.query.pool, sub.service)
+        if state is None:
+            self._refuse(sub, data.Refusal.SERVICE_NOT_DEFINED, commands)
+            return
+        if state.waiting >= QUEUE_MAX:
+            self._refuse(sub, data.Refusal.QUEUE_FULL, commands)
+            return
+        self._bucket(sub.query.route).earn(sub.query.hedge_budget)
+        self._subs_by_query.setdefault(sub.query.query_id, []).append(sub)
+        self._wake_at(sub.deadline, lambda out: self._expire(state, sub, out))
+        state.push(sub)
+        self._pump(state, commands)
+
+    def _pump(self, state: shard.ShardState, commands: list[events.Command]) -> None:
+        """Starts calls while servers have room and sub-requests wait."""
+        now = self._clock.monotonic()
+        deferred: list[shard.SubRequest] = []
+        while any(server_state.has_room(now) for server_state in state.server_by_id.values()):
+            sub = state.pop()
+            if sub is None:
+                break
+            candidates = state.candidates(sub, now)
+            if candidates:
+                self._call(state, sub, candidates, commands)
+            elif state.has_untried(sub, now):
+                deferred.append(sub)
+            else:
+                self._give_up(state, sub, data.Refusal.NO_SERVER, commands)
+        for sub in deferred:
+            state.push(sub)
+        self._refuse_without_server(state, now, commands)
+
+    def _refuse_without_server(
+        self, state: shard.ShardState, now: float, commands: list[events.Command]
+    ) -> None:
+        """Refuses waiting work when every server is closed, unless one opens soon."""
+        if not state.waiting or state.is_any_open(now):
+            return
+        opens_at = state.opens_at()
+        kept: list[shard.SubRequest] = []
+        while (sub := state.pop()) is not None:
+            if opens_at - now <= (sub.deadline - now) * REOPEN_WAIT_SHARE:
+                kept.append(sub)
+            else:
+                self._give_up(state, sub, data.Refusal.NO_SERVER, commands)
+        for sub in kept:
+            state.push(sub)
+        if kept:
+            self._wake_at(opens_at, lambda out: self._pump(state, out))
+
+    def _call(
+        self,
+        state: shard.ShardState,
+        sub: shard.SubRequest,
+        candidates: list[server.ServerState],
+        commands: list[events.Command],
+    ) -> None:
+        """Starts a call at the best candidate and plans its hedge."""
+        now = self._clock.monotonic()
+        chosen = self._choose(candidates)
+        call = shard.Call(next(self._call_ids), sub, chosen, now)
+        if not sub.calls:
+            sub.queue_delay_seconds = now - sub.arrived
+        sub.calls += 1
+        sub.tried.append(chosen.server.server_id)
+        sub.call_by_id[call.call_id] = call
+        chosen.outstanding += 1
+        self._call_by_id[call.call_id] = call
+        commands.append(
+            events.StartCall(call.call_id, chosen.server, sub.query, sub.snapshot, sub.deadline)
+        )
+        delay = state.hedge.delay_seconds(sub.query.hedge_budget)
+        if delay is not None and sub.calls == 1:
+            self._wake_at(now + delay, lambda out: self._hedge(state, sub, out))
+
+    def _choose(self, candidates: list[server.ServerState]) -> server.ServerState:
+        state_by_id = {state.server.server_id: state for state in candidates}
+        chosen = self._policies.balance.choose(
+            [
+                balance.Candidate(
+                    server=state.server,
+                    outstanding=state.outstanding,
+                    limit=state.limit,
+                    latency_seconds=state.latency_seconds,
+                    same_zone=state.server.zone == self._zone,
+                )
+                for state in candidates
+            ]
+        )
+        return state_by_id[chosen.server.server_id]
+
+    def _hedge(
+        self, state: shard.ShardState, sub: shard.SubRequest, commands: list[events.Command]
+    ) -> None:
+        """Calls a second server if the first is late and the budget allows."""
+        if sub.closed or sub.waiting or not sub.call_by_id or not sub.query.repeatable:
+            return
+        candidates = state.candidates(sub, self._clock.monotonic())
+        if candidates and self._bucket(sub.query.route).spend_on_hedge():
+            commands.append(events.CountRetry(data.RetryReason.HEDGE))
+            self._call(state, sub, candidates, commands)
+
+    def _take_results(self, event: events.CallReplied, commands: list[events.Command]) -> None:
+        call = self._end_call(event.call_id)
+        if call is None:
+            return
+        now = self._clock.monotonic()
+        state = self._shard_by_key[(call.sub.query.pool, call.sub.service)]
+        latency = now - call.started
+        call.server.note_success(latency)
+        call.server.learn(event.holdings)
+        state.hedge.record(latency)
+        if event.draining:
+            call.server.note_draining(now)
+        if not call.sub.closed:
+            part = data.Part(
+                call.sub.service,
+                call.sub.attempt,
+                event.snapshot,
+                event.keys,
+                state.holdings(),
+            )
+            self._replies.add_part(call.sub, part, event.results)
+            self._close(state, call.sub, commands)
+        self._pump(state, commands)
+
+    def _take_failure(self, event: events.CallFailed, commands: list[events.Command]) -> None:
+        call = self._end_call(event.call_id)
+        if call is None:
+            return
+        now = self._clock.monotonic()
+        sub = call.sub
+        state = self._shard_by_key[(sub.query.pool, sub.service)]
+        self._note_failure(call, event, now)
+        if not call.cancelled:
+            commands.append(events.CountRefusal(event.reason))
+        sub.may_have_run = sub.may_have_run or event.may_have_run
+        sub.last_failure = event.reason
+        if not sub.closed and not sub.call_by_id and not sub.waiting:
+            self._retry(state, sub, event, commands)
+        self._pump(state, commands)
+
+    def _note_failure(self, call: shard.Call, event: events.CallFailed, now: float) -> None:
+        call.server.learn(event.holdings)
+        if event.reason in _UNHEALTHY:
+            call.server.note_failure(now)
+        elif event.reason in (data.Refusal.SHED, data.Refusal.CONNECTIONS):
+            call.server.note_shed(now)
+        elif event.reason is data.Refusal.DRAINING:
+            call.server.note_draining(now)
+
+    def _retry(
+        self,
+        state: shard.ShardState,
+        sub: shard.SubRequest,
+        event: events.CallFailed,
+        commands: list[events.Command],
+    ) -> None:
+        """Queues a sub-request again after a failed call, or gives up."""
+        now = self._clock.monotonic()
+        safe = sub.query.repeatable or not sub.may_have_run
+        reason = data.RetryReason.LOST if event.may_have_run else data.RetryReason.REFUSED
+        useful = sub.calls < CALLS_MAX and now < sub.deadline and state.has_untried(sub, now)
+        if safe and useful and self._may_spend(sub, event):
+            commands.append(events.CountRetry(reason))
+            state.push(sub)
+        else:
+            self._give_up(state, sub, event.reason, commands)
+
+    def _may_spend(self, sub: shard.SubRequest, event: events.CallFailed) -> bool:
+        """Returns whether the budget allows a retry; a refusal cost no work and is free."""
+        return not event.may_have_run or self._bucket(sub.query.route).spend_on_retry()
+
+    def _expire(
+        self, state: shard.ShardState, sub: shard.SubRequest, commands: list[events.Command]
+    ) -> None:
+        """Ends a sub-request at its deadline."""
+        if sub.closed:
+            return
+        if sub.call_by_id:
+            sub.may_have_run = True
+            self._give_up(state, sub, data.Refusal.TIMEOUT, commands)
+        else:
+            self._give_up(state, sub, data.Refusal.EXPIRED_IN_QUEUE, commands)
+
+    def _cancel(self, query_id: data.QueryId, commands: list[events.Command]) -> None:
+        """Drops a query's sub-requests; calls of non-repeatable work go on."""
+        for sub in list(self._subs_by_query.get(query_id, ())):
+            state = self._shard_by_key[(sub.query.pool, sub.service)]
+            state.withdraw(sub)
+            self._close(state, sub, commands)
+
+    def _give_up(
+        self,
+        state: shard.ShardState,
+        sub: shard.SubRequest,
+        reason: data.Refusal,
+        commands: list[events.Command],
+    ) -> None:
+        """Answers the origin that a sub-request has no results."""
+        state.withdraw(sub)
+        if sub.last_failure is not None and reason is data.Refusal.NO_SERVER:
+            reason = sub.last_failure
+        failure = data.Failure(sub.service, sub.attempt, reason, sub.may_have_run, state.holdings())
+        self._replies.add_failure(sub, failure)
+        self._close(state, sub, commands)
+
+    def _refuse(
+        self, sub: shard.SubRequest, reason: data.Refusal, commands: list[events.Command]
+    ) -> None:
+        """Answers the origin that a sub-request was not accepted."""
+        commands.append(events.CountRefusal(reason))
+        failure = data.Failure(sub.service, sub.attempt, reason, False)
+        self._replies.add_failure(sub, failure)
+
+    def _close(
+        self, state: shard.ShardState, sub: shard.SubRequest, commands: list[events.Command]
+    ) -> None:
+        """Forgets a sub-request and cancels the calls that are left."""
+        sub.closed = True
+        subs = self._subs_by_query[sub.query.query_id]
+        subs.remove(sub)
+        if not subs:
+            del self._subs_by_query[sub.query.query_id]
+        for call in sub.call_by_id.values():
+            if sub.query.repeatable and not call.cancelled:
+                call.cancelled = True
+                commands.append(events.CancelCall(call.call_id))
+
+    def _end_call(self, call_id: int) -> shard.Call | None:
+        call = self._call_by_id.pop(call_id, None)
+        if call is not None:
+            call.server.outstanding -= 1
+            del call.sub.call_by_id[call_id]
+        return call
+
+    def _check_times(self, commands: list[events.Command]) -> None:
+        now = self._clock.monotonic()
+        while self._wakes and self._wakes[0][0] <= now:
+            _, _, action = heapq.heappop(self._wakes)
+            action(commands)
+
+    def _wake_at(self, instant: float, action: Callable[[list[events.Command]], None]) -> None:
+        heapq.heappush(self._wakes, (instant, next(self._wake_ids), action))
+
+    def _shard(self, pool_id: data.PoolId, service: data.ServiceId) -> shard.ShardState | None:
+        """Returns a shard's state, made on first use, or None if no table defines it."""
+        state = self._shard_by_key.get((pool_id, service))
+        if state is not None:
+            return state if state.server_by_id else None
+        pool = self._tables.pool_by_id.get(pool_id)
+        servers = pool.servers_by_service.get(service) if pool else None
+        if servers is None:
+            return None
+        state = shard.ShardState(
+            pool_id, service, self._policies.make_order(), self._policies.make_hedge()
+        )
+        state.update(servers, self._share)
+        self._shard_by_key[(pool_id, service)] = state
+        return state
+
+    def _bucket(self, route: data.RouteId) -> budget.TokenBucket:
+        return self._bucket_by_route.setdefault(route, budget.TokenBucket())
+
+
+class ReplyCollector:
+    """Gathers what one event yields, so that each query gets one message for it."""
+
+    def __init__(self) -> None:
+        self._pending_by_key: dict[tuple[data.InstanceId, data.QueryId], PendingReply] = {}
+
+    def add_part(
+        self, sub: shard.SubRequest, part: data.Part, results: tuple[data.Result, ...]
+    ) -> None:
+        """Adds a shard's results."""
+        pending = self._pending(sub)
+        pending.parts.append(part)
+        merged = pending.results_by_snapshot.get(part.snapshot, ()) + results
+        pending.results_by_snapshot[part.snapshot] = merge.best(merged, sub.query.limit)
+
+    def add_failure(self, sub: shard.SubRequest, failure: data.Failure) -> None:
+        """Adds a shard's failure."""
+        self._pending(sub).failures.append(failure)
+
+    def flush(self) -> list[events.Command]:
+        """Returns the messages to send and forgets them."""
+        commands = [
+            events.SendMessage(origin, pending.message(query_id))
+            for (origin, query_id), pending in self._pending_by_key.items()
+        ]
+        self._pending_by_key.clear()
+        return commands
+
+    def _pending(self, sub: shard.SubRequest) -> "PendingReply":
+        key = (sub.origin, sub.query.query_id)
+        pending = self._pending_by_key.setdefault(key, PendingReply())
+        pending.calls += sub.calls
+        pending.queue_delay_seconds = max(pending.queue_delay_seconds, sub.queue_delay_seconds)
+        return pending
+
+
+@dataclasses.dataclass
+class PendingReply:
+    """A reply that is being put together; the fields are those of ``SubReply``."""
+
+    parts: list[data.Part] = dataclasses.field(default_factory=list)
+    failures: list[data.Failure] = dataclasses.field(default_factory=list)
+    results_by_snapshot: dict[data.Snapshot, tuple[data.Result, ...]] = dataclasses.field(
+        default_factory=dict
+    )
+    queue_delay_seconds: float = 0.0
+    calls: int = 0
+
+    def message(self, query_id: data.QueryId) -> messages.SubReply:
+        """Returns the finished reply."""
+        return messages.SubReply(
+            query_id,
+            tuple(self.parts),
+            tuple(self.failures),
+            self.results_by_snapshot,
+            round(self.queue_delay_seconds * MS_PER_SECOND),
+            self.calls,
+        )
--- /dev/null
+++ b/monsoonhoist/core/query.py
@@ -0,0 +1,200 @@
+"""State of one query at its entry."""
+
+import dataclasses
+
+from monsoonhoist.core import coverage, data, merge, messages
+
+
+@dataclasses.dataclass
+class ShardProgress:
+    """What one shard has given so far.
+
+    Attributes:
+        part_by_snapshot: Parts received, by snapshot.
+        pending_by_attempt: Instance asked, for each attempt without a reply.
+        failure: The last failure, None before any.
+        may_have_run: Whether any attempt may have run.
+        attempts: Attempts made.
+        stand_by_asked: Whether the stand-by was asked because the owner was silent.
+    """
+
+    part_by_snapshot: dict[data.Snapshot, data.Part] = dataclasses.field(default_factory=dict)
+    pending_by_attempt: dict[int, data.InstanceId] = dataclasses.field(default_factory=dict)
+    failure: data.Failure | None = None
+    may_have_run: bool = False
+    attempts: int = 0
+    stand_by_asked: bool = False
+
+
+class QueryState:
+    """A query in progress at its entry.
+
+    Attributes:
+        spec: The query as sent to owners.
+        request: The caller's request.
+        route: Its route.
+        pool: Its pool as of the query's start.
+        services: Shards that are asked.
+        deadline: End of the query, in monotonic seconds.
+        patience_ends: When silent owners are given up, in monotonic seconds.
+        snapshot: Snapshot asked for.
+        reruns: How often another snapshot was chosen.
+        shard_by_service: Progress of each shard.
+        sub_requests: Sub-requests sent to owners.
+        pressure: See ``policy.admission``.
+    """
+
+    def __init__(
+        self,
+        spec: data.QuerySpec,
+        request: data.Request,
+        route: data.Route,
+        pool: data.Pool,
+        services: tuple[data.ServiceId, ...],
+        deadline: float,
+        patience_ends: float,
+        snapshot: data.Snapshot,
+    ):
+        self.spec = spec
+        self.request = request
+        self.route = route
+        self.pool = pool
+        self.services = services
+        self.deadline = deadline
+        self.patience_ends = patience_ends
+        self.snapshot = snapshot
+        self.reruns = 0
+        self.shard_by_service = {service: ShardProgress() for service in services}
+        self.sub_requests = 0
+        self.pressure = 0.0
+        self._results_by_snapshot: dict[data.Snapshot, tuple[data.Result, ...]] = {}
+        self._covered_keys_by_snapshot: dict[data.Snapshot, int] = {}
+
+    def take_reply(self, reply: messages.SubReply) -> int:
+        """Takes in an owner's reply.
+
+        Returns:
+            The number of parts and failures that were expected; others are late or
+            duplicates and change nothing but the results, which are merged by key.
+        """
+        expected = 0
+        for part in reply.parts:
+            shard = self.shard_by_service.get(part.service)
+            if shard is None or part.attempt not in shard.pending_by_attempt:
+                continue
+            del shard.pending_by_attempt[part.attempt]
+            shard.may_have_run = True
+            self._add_part(shard, part)
+            expected += 1
+        for failure in reply.failures:
+            shard = self.shard_by_service.get(failure.service)
+            if shard is None or failure.attempt not in shard.pending_by_attempt:
+                continue
+            del shard.pending_by_attempt[failure.attempt]
+            shard.failure = failure
+            shard.may_have_run = shard.may_have_run or failure.may_have_run
+            expected += 1
+        if expected:
+            self._merge(reply.results_by_snapshot)
+        return expected
+
+    def drop_pending(
+        self, instance: data.InstanceId, may_have_run: bool, attempt: int | None = None
+    ) -> tuple[data.ServiceId, ...]:
+        """Fails the attempts that an instance was asked for.
+
+        Args:
+            instance: The lost instance.
+            may_have_run: Whether the attempts may have run there.
+            attempt: The one attempt to fail; None for all.
+
+        Returns:
+            The shards concerned.
+        """
+        lost: list[data.ServiceId] = []
+        for service, shard in self.shard_by_service.items():
+            numbers = [
+                number
+                for number, asked in shard.pending_by_attempt.items()
+                if asked == instance and attempt in (None, number)
+            ]
+            for number in numbers:
+                del shard.pending_by_attempt[number]
+                reason = data.Refusal.PEER_LOST
+                shard.failure = data.Failure(service, number, reason, may_have_run)
+                shard.may_have_run = shard.may_have_run or may_have_run
+            if numbers:
+                lost.append(service)
+        return tuple(lost)
+
+    def is_open(self, service: data.ServiceId) -> bool:
+        """Returns whether a shard has neither a usable part nor given up."""
+        shard = self.shard_by_service[service]
+        return self.snapshot not in shard.part_by_snapshot and bool(shard.pending_by_attempt)
+
+    def is_settled(self) -> bool:
+        """Returns whether no shard is open."""
+        return not any(self.is_open(service) for service in self.services)
+
+    def is_covered(self) -> bool:
+        """Returns whether the parts received cover the key space."""
+        covered_keys = self._covered_keys_by_snapshot.get(self.snapshot, 0)
+        if not self.snapshot or covered_keys < self.pool.key_space:
+            return False
+        return self.coverage().complete
+
+    def adopt_best_snapshot(self) -> None:
+        """Turns to the snapshot of which the most keys have arrived."""
+        covered = self._covered_keys_by_snapshot
+        if covered:
+            self.snapshot = max(covered, key=lambda snapshot: (covered[snapshot], snapshot))
+
+    def lacking(self) -> tuple[data.ServiceId, ...]:
+        """Returns the shards without a part from the snapshot."""
+        return tuple(
+            service
+            for service in self.services
+            if self.snapshot not in self.shard_by_service[service].part_by_snapshot
+        )
+
+    def coverage(self) -> data.Coverage:
+        """Returns what the parts from the snapshot cover."""
+        keys_by_service = {
+            service: shard.part_by_snapshot[self.snapshot].keys
+            for service, shard in self.shard_by_service.items()
+            if self.snapshot in shard.part_by_snapshot
+        }
+        if not self.route.repeatable:
+            return _single_coverage(keys_by_service, self.services)
+        return coverage.measure(self.pool.key_space, keys_by_service, self.services)
+
+    def results(self) -> tuple[data.Result, ...]:
+        """Returns the best results from the snapshot."""
+        return self._results_by_snapshot.get(self.snapshot, ())
+
+    def _add_part(self, shard: ShardProgress, part: data.Part) -> None:
+        if part.snapshot not in shard.part_by_snapshot:
+            size = part.keys.high - part.keys.low
+            covered = self._covered_keys_by_snapshot.get(part.snapshot, 0)
+            self._covered_keys_by_snapshot[part.snapshot] = covered + size
+        shard.part_by_snapshot[part.snapshot] = part
+
+    def _merge(self, results_by_snapshot: dict[data.Snapshot, tuple[data.Result, ...]]) -> None:
+        for snapshot, results in results_by_snapshot.items():
+            merged = self._results_by_snapshot.get(snapshot, ()) + results
+            self._results_by_snapshot[snapshot] = merge.best(merged, self.spec.limit)
+
+
+def _single_coverage(
+    keys_by_service: dict[data.ServiceId, data.KeyRange], services: tuple[data.ServiceId, ...]
+) -> data.Coverage:
+    """Returns the coverage of work that concerns one shard only."""
+    done = bool(keys_by_service)
+    return data.Coverage(
+        complete=done,
+        share=1.0 if done else 0.0,
+        covered=tuple(keys_by_service),
+        missing=() if done else services,
+        gaps=(),
+        overlaps=(),
+    )
--- /dev/null
+++ b/monsoonhoist/core/shard.py
@@ -0,0 +1,171 @@
+"""State of one shard at its owner: its servers, its queue and its calls."""
+
+import dataclasses
+import math
+
+from monsoonhoist.core import data, server
+from monsoonhoist.policy import hedge, order
+
+
+@dataclasses.dataclass
+class Call:
+    """A call to a backend server.
+
+    Attributes:
+        call_id: Name of the call.
+        sub: Sub-request that it serves.
+        server: Server called.
+        started: Start, in monotonic seconds.
+        cancelled: Whether its results are not needed any more.
+    """
+
+    call_id: int
+    sub: "SubRequest"
+    server: server.ServerState
+    started: float
+    cancelled: bool = False
+
+
+@dataclasses.dataclass
+class SubRequest:
+    """A sub-request at its owner.
+
+    Attributes:
+        origin: Instance that waits for it.
+        query: The query.
+        service: The shard.
+        attempt: Number of the entry's attempt.
+        snapshot: Snapshot asked for.
+        deadline: End, in monotonic seconds.
+        arrived: Arrival, in monotonic seconds.
+        call_by_id: Calls in flight.
+        tried: Servers called so far.
+        calls: Number of calls made.
+        queue_delay_seconds: Wait before the first call.
+        last_failure: Most recent failed call's reason.
+        may_have_run: Whether any call may have run.
+        closed: Whether the origin has been answered.
+        waiting: Whether it stands in the queue.
+    """
+
+    origin: data.InstanceId
+    query: data.QuerySpec
+    service: data.ServiceId
+    attempt: int
+    snapshot: data.Snapshot
+    deadline: float
+    arrived: float
+    call_by_id: dict[int, Call] = dataclasses.field(default_factory=dict)
+    tried: list[data.ServerId] = dataclasses.field(default_factory=list)
+    calls: int = 0
+    queue_delay_seconds: float = 0.0
+    last_failure: data.Refusal | None = None
+    may_have_run: bool = False
+    closed: bool = False
+    waiting: bool = False
+
+
+class ShardState:
+    """A shard at its owner.
+
+    Attributes:
+        pool: Pool of the shard.
+        service: The shard.
+        server_by_id: Its servers.
+        queue: Sub-requests that wait for a server.
+        waiting: Number of sub-requests that wait and are not closed.
+        hedge: Learns the shard's latencies.
+    """
+
+    def __init__(
+        self,
+        pool: data.PoolId,
+        service: data.ServiceId,
+        queue: order.Order[SubRequest],
+        hedge_policy: hedge.Hedge,
+    ):
+        self.pool = pool
+        self.service = service
+        self.server_by_id: dict[data.ServerId, server.ServerState] = {}
+        self.queue = queue
+        self.waiting = 0
+        self.hedge = hedge_policy
+
+    def update(self, servers: tuple[data.Server, ...], share: float) -> None:
+        """Takes over the shard's servers from a newer table."""
+        state_by_id: dict[data.ServerId, server.ServerState] = {}
+        for record in servers:
+            state = self.server_by_id.get(record.server_id)
+            if state is None:
+                state = server.ServerState(record, share)
+            else:
+                state.update(record, share)
+            state_by_id[record.server_id] = state
+        self.server_by_id = state_by_id
+
+    def push(self, sub: SubRequest) -> None:
+        """Adds a sub-request to the queue."""
+        sub.waiting = True
+        self.waiting += 1
+        self.queue.push(sub.query.rank, sub.deadline, sub)
+
+    def pop(self) -> SubRequest | None:
+        """Removes the next sub-request that is still wanted, or returns None."""
+        while (sub := self.queue.pop()) is not None:
+            if sub.waiting:
+                sub.waiting = False
+                self.waiting -= 1
+                return sub
+        return None
+
+    def withdraw(self, sub: SubRequest) -> None:
+        """Takes a sub-request out of the queue."""
+        if sub.waiting:
+            sub.waiting = False
+            self.waiting -= 1
+
+    def holdings(self) -> tuple[data.Holding, ...]:
+        """Returns the snapshots that at least one usable server holds, newest first."""
+        holding_by_snapshot = {
+            holding.snapshot: holding
+            for state in self.server_by_id.values()
+            if not state.server.leaving
+            for holding in state.holdings
+        }
+        return tuple(
+            holding_by_snapshot[snapshot] for snapshot in sorted(holding_by_snapshot, reverse=True)
+        )
+
+    def is_any_open(self, now: float) -> bool:
+        """Returns whether at least one server takes new calls."""
+        return any(state.is_open(now) for state in self.server_by_id.values())
+
+    def opens_at(self) -> float:
+        """Returns when the first closed server may be tried again; infinity for never."""
+        instants = [
+            state.opens_at() for state in self.server_by_id.values() if not state.server.leaving
+        ]
+        return min(instants, default=math.inf)
+
+    def candidates(self, sub: SubRequest, now: float) -> list[server.ServerState]:
+        """Returns the servers with room that a sub-request may be sent to now.
+
+        Servers that hold the snapshot and have not been tried go before others; a server
+        that has been tried is used again only if no untried one may hold the snapshot.
+        """
+        usable = [
+            state
+            for state in self.server_by_id.values()
+            if state.is_open(now) and state.may_hold(sub.snapshot)
+        ]
+        untried = [state for state in usable if state.server.server_id not in sub.tried]
+        return [state for state in untried if state.has_room(now)]
+
+    def has_untried(self, sub: SubRequest, now: float) -> bool:
+        """Returns whether an untried server may still serve a sub-request."""
+        return any(
+            state.is_open(now)
+            and state.may_hold(sub.snapshot)
+            and state.server.server_id not in sub.tried
+            for state in self.server_by_id.values()
+        )
--- /dev/null
+++ b/monsoonhoist/core/snapshots.py
@@ -0,0 +1,55 @@
+"""Choice of the one snapshot that an answer comes from."""
+
+from collections.abc import Iterable, Mapping
+
+from monsoonhoist.core import data
+
+
+def choose(
+    services: Iterable[data.ServiceId],
+    holdings_by_service: Mapping[data.ServiceId, tuple[data.Holding, ...]],
+) -> data.Snapshot:
+    """Chooses the newest snapshot among those that cover the most keys.
+
+    Args:
+        services: Shards of the pool.
+        holdings_by_service: Snapshots that each shard is known to hold.
+
+    Returns:
+        The snapshot, or ``LATEST_SNAPSHOT`` where nothing is known.
+    """
+    keys_by_snapshot: dict[data.Snapshot, int] = {}
+    for service in services:
+        for holding in holdings_by_service.get(service, ()):
+            size = holding.keys.high - holding.keys.low
+            total = keys_by_snapshot.get(holding.snapshot, 0) + size
+            keys_by_snapshot[holding.snapshot] = total
+    if not keys_by_snapshot:
+        return data.LATEST_SNAPSHOT
+    return max(keys_by_snapshot, key=lambda snapshot: (keys_by_snapshot[snapshot], snapshot))
+
+
+class PoolKnowledge:
+    """What replies have told about a pool's snapshots.
+
+    Attributes:
+        holdings_by_service: Snapshots that each shard is known to hold.
+    """
+
+    def __init__(self) -> None:
+        self.holdings_by_service: dict[data.ServiceId, tuple[data.Holding, ...]] = {}
+        self._services: tuple[data.ServiceId, ...] = ()
+        self._choice: data.Snapshot | None = None
+
+    def learn(self, service: data.ServiceId, holdings: tuple[data.Holding, ...]) -> None:
+        """Takes note of the snapshots that a shard holds now."""
+        if holdings and self.holdings_by_service.get(service) != holdings:
+            self.holdings_by_service[service] = holdings
+            self._choice = None
+
+    def choice(self, services: tuple[data.ServiceId, ...]) -> data.Snapshot:
+        """Returns the snapshot to ask for, see ``choose``."""
+        if self._choice is None or services != self._services:
+            self._services = services
+            self._choice = choose(services, self.holdings_by_service)
+        return self._choice
--- /dev/null
+++ b/monsoonhoist/node/__init__.py
@@ -0,0 +1,1 @@
+"""Tasks of one instance; each owns its sockets and its state."""
--- /dev/null
+++ b/monsoonhoist/node/desk.py
@@ -0,0 +1,154 @@
+"""Handling of callers' requests: queries and non-repeatable work with tickets."""
+
+import asyncio
+import itertools
+from collections.abc import Callable
+
+from monsoonhoist.core import clock, data, messages, outcome, tickets
+
+MS_PER_SECOND = 1000
+# Added to the wait for another instance, so that its own answer at the deadline arrives.
+FORWARD_SLACK_SECONDS = 0.05
+
+Ask = Callable[[data.RouteId, data.Request, int], "asyncio.Future[data.Answer]"]
+Send = Callable[[data.InstanceId, messages.Message], bool]
+
+
+class TicketDesk:
+    """Runs non-repeatable requests at the holder of their ticket.
+
+    Args:
+        myself: This instance.
+        time_source: The clock.
+        book: Tickets of this incarnation.
+        ask: Starts a query; its arguments are the route, the request and the time left in
+            milliseconds, 0 for the route's deadline.
+        send: Sends a message to an instance.
+        count_refusal: Counts a refusal made here.
+    """
+
+    def __init__(
+        self,
+        myself: data.InstanceId,
+        time_source: clock.Clock,
+        book: tickets.TicketBook,
+        ask: Ask,
+        send: Send,
+        count_refusal: Callable[[data.Refusal], None],
+    ):
+        self._myself = myself
+        self._clock = time_source
+        self._book = book
+        self._ask = ask
+        self._send = send
+        self._count_refusal = count_refusal
+        self._forward_ids = itertools.count(1)
+        self._forward_by_id: dict[str, asyncio.Future[data.Answer]] = {}
+        self._holder_by_forward: dict[str, data.InstanceId] = {}
+        self._ended_by_ticket: dict[tickets.Ticket, asyncio.Future[data.Answer]] = {}
+
+    @property
+    def active(self) -> int:
+        """Number of requests running here or forwarded."""
+        return len(self._ended_by_ticket) + len(self._forward_by_id)
+
+    def issue(self, route: data.RouteId) -> data.TicketId | None:
+        """Issues a ticket, or returns None if too many are remembered."""
+        ticket = self._book.issue(route)
+        return ticket.encode() if ticket is not None else None
+
+    async def use(
+        self, route: data.RouteId, request: data.Request, remaining_ms: int
+    ) -> data.Answer:
+        """Runs a request by its ticket, here or at the ticket's holder.
+
+        Args:
+            route: Route of the request.
+            request: The request.
+            remaining_ms: Time left, in milliseconds.
+        """
+        answer = await self._use(route, request, remaining_ms)
+        if answer.reason is not None:
+            self._count_refusal(answer.reason)
+        return answer
+
+    async def _use(
+        self, route: data.RouteId, request: data.Request, remaining_ms: int
+    ) -> data.Answer:
+        ticket = tickets.decode(request.ticket)
+        if ticket is None or ticket.route != route:
+            detail = f"the ticket is not one for the route {route!r}"
+            return outcome.not_run(request, data.Refusal.TICKET_MALFORMED, detail)
+        if ticket.instance == self._myself:
+            return await self._hold(ticket, request, remaining_ms)
+        return await self._forward(ticket, request, remaining_ms)
+
+    async def serve(self, sender: data.InstanceId, use: messages.TicketUse) -> None:
+        """Runs a request that another instance forwarded, and sends it the answer."""
+        answer = await self.use(use.route, use.request, use.remaining_ms)
+        self._send(sender, messages.TicketAnswer(use.forward_id, answer))
+
+    def on_answer(self, message: messages.TicketAnswer) -> None:
+        """Takes the answer to a forwarded request; a late one changes nothing."""
+        ended = self._forward_by_id.get(message.forward_id)
+        if ended is not None and not ended.done():
+            ended.set_result(message.answer)
+
+    def on_peer_lost(self, instance: data.InstanceId) -> None:
+        """Ends the waits for a holder whose stream is lost."""
+        for forward_id, holder in self._holder_by_forward.items():
+            ended = self._forward_by_id[forward_id]
+            if holder == instance and not ended.done():
+                ended.cancel()
+
+    async def _hold(
+        self, ticket: tickets.Ticket, request: data.Request, remaining_ms: int
+    ) -> data.Answer:
+        """Runs a request once and lets its repeats wait for the same answer."""
+        decision = self._book.present(ticket, request)
+        if decision.use is tickets.Use.ANSWER:
+            return decision.answer
+        if decision.use is tickets.Use.WAIT:
+            return await self._wait(ticket, request, remaining_ms)
+        ended = asyncio.get_running_loop().create_future()
+        self._ended_by_ticket[ticket] = ended
+        answer = await self._ask(ticket.route, request, remaining_ms)
+        del self._ended_by_ticket[ticket]
+        self._book.finish(ticket, answer)
+        ended.set_result(answer)
+        return answer
+
+    async def _wait(
+        self, ticket: tickets.Ticket, request: data.Request, remaining_ms: int
+    ) -> data.Answer:
+        ended = asyncio.shield(self._ended_by_ticket[ticket])
+        try:
+            return await asyncio.wait_for(ended, remaining_ms / MS_PER_SECOND)
+        except TimeoutError:
+            detail = "the first use of the ticket is still running"
+            return outcome.unknown(request, data.Refusal.TIMEOUT, detail)
+
+    async def _forward(
+        self, ticket: tickets.Ticket, request: data.Request, remaining_ms: int
+    ) -> data.Answer:
+        """Has the holder run the request; without its answer the outcome is unknown."""
+        forward_id = str(next(self._forward_ids))
+        ended: asyncio.Future[data.Answer] = asyncio.get_running_loop().create_future()
+        self._forward_by_id[forward_id] = ended
+        self._holder_by_forward[forward_id] = ticket.instance
+        use = messages.TicketUse(self._myself, forward_id, ticket.route, request, remaining_ms)
+        try:
+            if not self._send(ticket.instance, use):
+                detail = "the instance that holds the ticket cannot be reached"
+                return outcome.unknown(request, data.Refusal.TICKET_HOLDER_GONE, detail)
+            timeout = remaining_ms / MS_PER_SECOND + FORWARD_SLACK_SECONDS
+            return await asyncio.wait_for(ended, timeout)
+        except asyncio.CancelledError:
+            detail = "the stream to the instance that holds the ticket was lost"
+            return outcome.unknown(request, data.Refusal.TICKET_HOLDER_GONE, detail)
+        except TimeoutError:
+            detail = "the instance that holds the ticket did not answer"
+            return outcome.unknown(request, data.Refusal.TIMEOUT, detail)
+        finally:
+            del self._forward_by_id[forward_id]
+            del self._holder_by_forward[forward_id]
--- /dev/null
+++ b/monsoonhoist/node/kernels.py
@@ -0,0 +1,78 @@
+"""Tasks that feed the kernels with events and perform their commands."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Protocol
+
+from monsoonhoist import metrics
+from monsoonhoist.core import events
+from monsoonhoist.node import task
+
+
+class KernelPart(Protocol):
+    """What both kernels have in common."""
+
+    def handle(self, event: object) -> list[events.Command]:
+        """Takes an event and returns the commands to carry out."""
+
+    def next_wake(self) -> float | None:
+        """Returns when ``TimeReached`` is due, in monotonic seconds, or None."""
+
+
+Recorder = Callable[[object, list[events.Command]], None]
+
+
+class KernelTask(task.Task[object]):
+    """Owns a kernel; its inbox takes the kernel's events.
+
+    Args:
+        kernel: The kernel.
+        counters: Metrics, for the kernel's counting commands.
+        perform: Carries out the other commands.
+        recorder: Told of each event and its commands; None for no trace.
+    """
+
+    def __init__(
+        self,
+        kernel: KernelPart,
+        counters: metrics.Metrics,
+        perform: Callable[[events.Command], None],
+        recorder: Recorder | None = None,
+    ):
+        super().__init__()
+        self._kernel = kernel
+        self._counters = counters
+        self._perform = perform
+        self._recorder = recorder
+        self._timer: asyncio.TimerHandle | None = None
+        self._timer_at: float | None = None
+
+    def handle(self, message: object) -> None:
+        """Lets the kernel handle an event and performs its commands."""
+        commands = self._kernel.handle(message)
+        if self._recorder is not None:
+            self._recorder(message, commands)
+        for command in commands:
+            match command:
+                case events.CountRefusal():
+                    self._counters.count_refusal(command.reason)
+                case events.CountRetry():
+                    self._counters.count_retry(command.reason)
+                case _:
+                    self._perform(command)
+        self._set_timer()
+
+    def _set_timer(self) -> None:
+        wake = self._kernel.next_wake()
+        if wake == self._timer_at:
+            return
+        if self._timer is not None:
+            self._timer.cancel()
+        self._timer_at = wake
+        if wake is not None:
+            self._timer = asyncio.get_running_loop().call_at(wake, self._reach)
+
+    def _reach(self) -> None:
+        self._timer_at = None
+        self._timer = None
+        self.tell(events.TimeReached())
--- /dev/null
+++ b/monsoonhoist/node/node.py
@@ -0,0 +1,376 @@
+"""One instance: its tasks and how they are wired."""
+
+import asyncio
+import enum
+import itertools
+import logging
+
+from monsoonhoist import metrics, settings
+from monsoonhoist.core import clock, data, events, kernel, membership, messages, outcome
+from monsoonhoist.node import backends, curl, desk, kernels, pause, peers, platform, tables
+
+READY_CHECK_SECONDS = 0.05
+PEERS_ONLY_READY_SECONDS = 2.0
+MS_PER_SECOND = 1000
+
+_log = logging.getLogger(__name__)
+
+
+class Phase(enum.Enum):
+    """Phase of a process's life."""
+
+    STARTING = "starting"
+    READY = "ready"
+    LEAVING = "leaving"
+    CLOSED = "closed"
+
+
+class Node(peers.PeerListener):
+    """All roles of one instance.
+
+    Args:
+        config: Settings.
+        incarnation: Start of the process, in nanoseconds of wall time.
+        time_source: The clock.
+        recorder: Told of each kernel event; None for no trace.
+
+    Attributes:
+        config: Settings.
+        incarnation: Incarnation.
+        phase: Phase of life.
+        counters: Metrics.
+        members: View of the instances.
+        spread: Tables in force.
+        tickets: Handling of non-repeatable requests.
+    """
+
+    def __init__(
+        self,
+        config: settings.Settings,
+        incarnation: data.Incarnation,
+        time_source: clock.Clock,
+        recorder: kernels.Recorder | None = None,
+    ):
+        self.config = config
+        self.incarnation = incarnation
+        self.phase = Phase.STARTING
+        self.name = data.InstanceId(config.instance.name)
+        self.counters = metrics.Metrics(self.name)
+        self._clock = time_source
+        self._started = time_source.monotonic()
+        zone = data.ZoneId(config.instance.zone)
+        self.members = membership.Membership(
+            data.Member(
+                instance=self.name,
+                incarnation=incarnation,
+                version=0,
+                state=data.MemberState.LIVE,
+                host=str(config.instance.host),
+                peer_port=config.instance.peer_port,
+                zone=zone,
+            )
+        )
+        self._kernel = kernel.make_kernel(
+            self.name, incarnation, zone, time_source, config.policy.names()
+        )
+        self._entry = kernels.KernelTask(self._kernel.entry, self.counters, self._perform, recorder)
+        self._owner = kernels.KernelTask(self._kernel.owner, self.counters, self._perform, recorder)
+        self._driver = curl.CurlDriver(config.timing.backend_idle_ms)
+        self._backends = backends.BackendTask(
+            f"{self.name}.{incarnation}",
+            time_source,
+            self._driver,
+            config.timing.backend_connect_ms,
+            self.counters,
+            self._owner.tell,
+        )
+        self._hub = peers.PeerHub(self._peer_options(), time_source, self.counters, self)
+        self._client = platform.PlatformClient(
+            config.platform.config_url,
+            config.platform.instances_url,
+            self._driver,
+            self.counters,
+        )
+        self.spread = tables.TableSpread(
+            time_source, self.counters, self.send, self._hub.connected, self._refresh_view
+        )
+        self._watcher = tables.ServiceWatcher(
+            tables.TableOptions(watch=config.timing.watch_ms, retry=config.timing.service_retry_ms),
+            self._client,
+            self.spread,
+            self._is_watcher,
+        )
+        self._pauses = pause.PauseWatch(time_source, config.timing.pause_ms, self._on_pause)
+        self.tickets = desk.TicketDesk(
+            self.name,
+            time_source,
+            self._kernel.tickets,
+            self.ask,
+            self.send,
+            self.counters.count_refusal,
+        )
+        self._query_ids = itertools.count(1)
+        self._ended_by_query: dict[data.QueryId, asyncio.Future[data.Answer]] = {}
+        self._background: set[asyncio.Task[None]] = set()
+        self._view: events.ViewChanged | None = None
+
+    def start(self) -> None:
+        """Starts all tasks; the instance becomes ready by itself."""
+        self._entry.start()
+        self._owner.start()
+        self._backends.start()
+        self._pauses.start()
+        instance = self.config.instance
+        self._hub.listen(str(instance.host), instance.peer_port)
+        self._watcher.start()
+        self._spawn(self._poll_instances())
+        self._spawn(self._become_ready())
+        self._refresh_view()
+
+    async def leave(self) -> None:
+        """Leaves without cutting a request, then closes everything.
+
+        Readiness ends first; after the balancer's lag new requests are refused; then all
+        requests in flight are finished, those of other instances included.
+        """
+        _log.info("leaving")
+        self.phase = Phase.LEAVING
+        statement = self.members.leave()
+        for instance in self._hub.connected():
+            self.send(instance, messages.Members((statement,)))
+        self._refresh_view()
+        await asyncio.sleep(self.config.timing.balancer_lag_ms.total_seconds())
+        self.phase = Phase.CLOSED
+        ends = self._clock.monotonic() + self.config.timing.drain_max_ms.total_seconds()
+        while self.active and self._clock.monotonic() < ends:
+            await asyncio.sleep(READY_CHECK_SECONDS)
+        if self.active:
+            _log.error("requests cut at the end of draining", extra={"active": self.active})
+        await self.close()
+
+    async def close(self) -> None:
+        """Closes all sockets and ends all tasks."""
+        self._watcher.stop()
+        self._pauses.stop()
+        for runner in list(self._background):
+            runner.cancel()
+        await self._hub.close()
+        for part in (self._entry, self._owner, self._backends):
+            await part.stop()
+        self._driver.close()
+        _log.info("closed")
+
+    @property
+    def active(self) -> int:
+        """Number of requests and calls in flight."""
+        owner = self._kernel.owner
+        entry = self._kernel.entry
+        waiting = len(self._ended_by_query)
+        return (
+            waiting
+            + entry.active_queries
+            + owner.active_queries
+            + owner.active_calls
+            + (self.tickets.active)
+        )
+
+    @property
+    def view(self) -> events.ViewChanged | None:
+        """Tables and live instances that the kernels decide by."""
+        return self._view
+
+    def connected(self) -> tuple[data.InstanceId, ...]:
+        """Returns the instances whose streams are up."""
+        return self._hub.connected()
+
+    def route(self, route_id: data.RouteId) -> data.Route | None:
+        """Returns a route in force, or None."""
+        return self.spread.store.tables.route_by_id.get(route_id)
+
+    def ask(
+        self, route: data.RouteId, request: data.Request, remaining_ms: int = 0
+    ) -> asyncio.Future[data.Answer]:
+        """Starts a query; the future gets its answer.
+
+        Args:
+            route: Route of the request.
+            request: The request.
+            remaining_ms: Time left, if the request came from another instance; else 0.
+        """
+        query_id = data.QueryId(f"{self.name}.{self.incarnation}.{next(self._query_ids)}")
+        ended: asyncio.Future[data.Answer] = asyncio.get_running_loop().create_future()
+        self._ended_by_query[query_id] = ended
+        self._entry.tell(events.QueryArrived(query_id, route, request, remaining_ms))
+        return ended
+
+    def send(self, instance: data.InstanceId, message: messages.Message) -> bool:
+        """Sends a message to an instance, which may be this one.
+
+        Returns:
+            Whether it was queued; False if no byte of it will be sent.
+        """
+        if instance == self.name:
+            self.on_message(instance, message)
+            return True
+        return self._hub.send(instance, message)
+
+    def on_message(self, sender: data.InstanceId, message: messages.Message) -> None:
+        """Hands a message to the task that it is for."""
+        match message:
+            case messages.SubBatch():
+                self._take_batch(message)
+            case messages.SubReply():
+                self._entry.tell(events.ReplyArrived(sender, message))
+            case messages.Cancel():
+                self._owner.tell(events.CancelArrived(message.query_id))
+            case messages.Beat():
+                self.spread.on_digest(sender, message.tables_digest)
+            case messages.Revisions():
+                self.spread.on_revisions(sender, message)
+            case messages.WantTables():
+                self.spread.on_want(sender, message)
+            case messages.TableValue():
+                self.spread.offer(message, "peer")
+            case messages.Members():
+                self._take_members(sender, message)
+            case messages.TicketUse():
+                self._take_ticket_use(sender, message)
+            case messages.TicketAnswer():
+                self.tickets.on_answer(message)
+
+    def on_stream(self, member: data.Member, is_up: bool) -> None:
+        """Takes note of a stream that has come up or gone down."""
+        self.members.note_stream(member.instance, is_up)
+        if is_up:
+            self._take_members(member.instance, messages.Members((member,)))
+            self.send(member.instance, messages.Members(self.members.known()))
+            self.send(member.instance, self.spread.store.revisions())
+        else:
+            self._entry.tell(events.PeerLost(member.instance))
+            self.tickets.on_peer_lost(member.instance)
+        self._refresh_view()
+
+    def myself(self) -> data.Member:
+        """Returns what this instance states of itself."""
+        return self.members.myself
+
+    def tables_digest(self) -> bytes:
+        """Returns the digest of the tables in force."""
+        return self.spread.summary
+
+    def _perform(self, command: events.Command) -> None:
+        """Carries out a command of a kernel."""
+        match command:
+            case events.SendMessage():
+                self._perform_send(command)
+            case events.Respond():
+                ended = self._ended_by_query.pop(command.query_id, None)
+                if ended is not None and not ended.done():
+                    ended.set_result(command.answer)
+            case events.StartCall() | events.CancelCall():
+                self._backends.tell(command)
+
+    def _perform_send(self, command: events.SendMessage) -> None:
+        message = command.message
+        if self.send(command.instance, message):
+            return
+        if isinstance(message, messages.SubBatch):
+            unsent = events.BatchUnsent(command.instance, message.query.query_id, message.attempt)
+            self._entry.tell(unsent)
+
+    def _take_batch(self, batch: messages.SubBatch) -> None:
+        """Hands on sub-requests; refuses old non-repeatable ones after a pause."""
+        if not batch.query.repeatable and self._pauses.is_suspect():
+            self.counters.count_refusal(data.Refusal.EXPIRED_IN_QUEUE)
+            failures = tuple(
+                data.Failure(service, batch.attempt, data.Refusal.EXPIRED_IN_QUEUE, False)
+                for service in batch.services
+            )
+            reply = messages.SubReply(batch.query.query_id, (), failures, {}, 0, 0)
+            self.send(batch.origin, reply)
+            return
+        self.counters.count_sub_requests(len(batch.services))
+        self._owner.tell(events.BatchArrived(batch))
+
+    def _take_members(self, sender: data.InstanceId, message: messages.Members) -> None:
+        """Merges statements about instances and passes on the news."""
+        news = self.members.merge(message.members)
+        if not news:
+            return
+        for instance in self._hub.connected():
+            if instance != sender:
+                self.send(instance, messages.Members(news))
+        self._refresh_view()
+
+    def _take_ticket_use(self, sender: data.InstanceId, use: messages.TicketUse) -> None:
+        """Runs a forwarded request; refuses it if it may be from before a pause."""
+        if self._pauses.is_suspect():
+            detail = "the holder of the ticket was paused"
+            answer = outcome.not_run(use.request, data.Refusal.EXPIRED_IN_QUEUE, detail)
+            self.send(sender, messages.TicketAnswer(use.forward_id, answer))
+            return
+        self._spawn(self.tickets.serve(sender, use))
+
+    def _refresh_view(self) -> None:
+        """Tells the kernels and the streams of changed tables or instances."""
+        view = events.ViewChanged(self.spread.store.tables, self.members.live())
+        self._hub.set_targets(self.members.neighbours(self.config.spread.neighbours))
+        if view != self._view:
+            self._view = view
+            self._entry.tell(view)
+            self._owner.tell(view)
+
+    def _is_watcher(self) -> bool:
+        """Returns whether this instance should read the configuration service."""
+        if not self._hub.connected():
+            return True
+        return self.members.is_watcher(self.config.spread.watchers_per_zone)
+
+    async def _poll_instances(self) -> None:
+        """Reads the platform's instance list at intervals."""
+        while True:
+            try:
+                self.members.set_listed(await self._client.instances())
+                self._refresh_view()
+            except platform.PlatformError as error:
+                _log.warning("instance list not read", extra={"error": str(error)})
+            await asyncio.sleep(self.config.timing.instances_poll_ms.total_seconds())
+
+    async def _become_ready(self) -> None:
+        """Makes the instance ready once it has the newest tables it can know."""
+        while self.phase is Phase.STARTING:
+            if self._has_newest_tables():
+                self.phase = Phase.READY
+                _log.info("ready")
+                return
+            await asyncio.sleep(READY_CHECK_SECONDS)
+
+    def _has_newest_tables(self) -> bool:
+        if not self.spread.store.tables.route_by_id:
+            return False
+        waited = self._clock.monotonic() - self._started
+        peers_only = bool(self._hub.connected()) and waited >= PEERS_ONLY_READY_SECONDS
+        return self._watcher.has_read or peers_only
+
+    def _on_pause(self, seconds: float) -> None:
+        """Refreshes the views after a pause before new work is taken."""
+        self.counters.count_pause()
+        if self.phase is Phase.READY:
+            self.phase = Phase.STARTING
+            self._watcher.has_read = False
+            self._started = self._clock.monotonic()
+            self._spawn(self._become_ready())
+
+    def _spawn(self, coroutine: object) -> None:
+        runner = asyncio.create_task(coroutine)
+        self._background.add(runner)
+        runner.add_done_callback(self._background.discard)
+
+    def _peer_options(self) -> peers.PeerOptions:
+        return peers.PeerOptions(
+            deployment=self.config.instance.deployment,
+            frame_bytes=self.config.limits.frame_bytes,
+            buffer_bytes=self.config.limits.stream_buffer_bytes,
+            heartbeat=self.config.timing.heartbeat_ms,
+            silence=self.config.timing.silence_ms,
+        )
--- /dev/null
+++ b/monsoonhoist/node/pause.py
@@ -0,0 +1,64 @@
+"""Noticing that the process was stopped and woke late."""
+
+import asyncio
+import datetime
+import logging
+from collections.abc import Callable
+
+from monsoonhoist.core import clock
+
+TICK_SECONDS = 0.05
+SUSPECT_SECONDS = 0.1
+
+_log = logging.getLogger(__name__)
+
+
+class PauseWatch:
+    """Compares the clock with the ticks of the event loop.
+
+    For a moment after a pause, what the sockets hold may be as old as the pause.
+
+    Args:
+        time_source: The clock.
+        limit: Gap between ticks that counts as a pause.
+        on_pause: Called with the gap's seconds when a pause is noticed.
+    """
+
+    def __init__(
+        self,
+        time_source: clock.Clock,
+        limit: datetime.timedelta,
+        on_pause: Callable[[float], None],
+    ):
+        self._clock = time_source
+        self._limit_seconds = limit.total_seconds()
+        self._on_pause = on_pause
+        self._last_tick = time_source.monotonic()
+        self._suspect_until = self._last_tick
+        self._runner: asyncio.Task[None] | None = None
+
+    def start(self) -> None:
+        """Starts ticking."""
+        self._last_tick = self._clock.monotonic()
+        self._runner = asyncio.create_task(self._run(), name="pause watch")
+
+    def stop(self) -> None:
+        """Stops ticking."""
+        if self._runner is not None:
+            self._runner.cancel()
+
+    def is_suspect(self) -> bool:
+        """Returns whether received messages may be from before a pause."""
+        now = self._clock.monotonic()
+        return now - self._last_tick > self._limit_seconds or now < self._suspect_until
+
+    async def _run(self) -> None:
+        while True:
+            await asyncio.sleep(TICK_SECONDS)
+            now = self._clock.monotonic()
+            gap = now - self._last_tick
+            self._last_tick = now
+            if gap > self._limit_seconds:
+                self._suspect_until = now + SUSPECT_SECONDS
+                _log.warning("the process was paused", extra={"seconds": round(gap, 3)})
+                self._on_pause(gap)
--- /dev/null
+++ b/monsoonhoist/node/peers.py
@@ -0,0 +1,299 @@
+"""Streams to and from the other instances.
+
+Each instance opens a stream to every instance that it sends messages to, and sends
+only on streams that it opened. Heartbeats are answered on the same stream; one that
+stays silent is closed, so that a connection that lost its path is noticed.
+"""
+
+import asyncio
+import datetime
+import logging
+
+import msgspec
+from tornado import iostream, tcpclient, tcpserver
+
+from monsoonhoist import errors, metrics
+from monsoonhoist.core import clock, data, messages
+from monsoonhoist.node import streams
+
+RECONNECT_MIN_SECONDS = 0.1
+RECONNECT_MAX_SECONDS = 2.0
+
+_log = logging.getLogger(__name__)
+_STREAM_ERRORS = (iostream.StreamClosedError, iostream.StreamBufferFullError, OSError)
+
+
+class PeerOptions(msgspec.Struct, frozen=True):
+    """Settings of the streams.
+
+    Attributes:
+        deployment: Name that both sides must have.
+        frame_bytes: Longest frame taken.
+        buffer_bytes: Most bytes queued on a stream.
+        heartbeat: Period of heartbeats.
+        silence: Longest time without any byte of an expected answer.
+    """
+
+    deployment: str
+    frame_bytes: int
+    buffer_bytes: int
+    heartbeat: datetime.timedelta
+    silence: datetime.timedelta
+
+
+class PeerListener:
+    """Receives what the streams tell; the node implements it."""
+
+    def on_message(self, sender: data.InstanceId, message: messages.Message) -> None:
+        """Takes a message from an instance."""
+
+    def on_stream(self, member: data.Member, is_up: bool) -> None:
+        """Takes note of a stream to an instance that has come up or gone down."""
+
+    def myself(self) -> data.Member:
+        """Returns what this instance states of itself."""
+
+    def tables_digest(self) -> bytes:
+        """Returns the digest of the tables in force."""
+
+
+class PeerHub:
+    """Owns all streams of an instance.
+
+    Args:
+        options: Settings.
+        time_source: The clock.
+        counters: Metrics.
+        listener: Receives messages and changes.
+    """
+
+    def __init__(
+        self,
+        options: PeerOptions,
+        time_source: clock.Clock,
+        counters: metrics.Metrics,
+        listener: PeerListener,
+    ):
+        self._options = options
+        self._clock = time_source
+        self._counters = counters
+        self._listener = listener
+        self._link_by_id: dict[data.InstanceId, Link] = {}
+        self._server = InboundServer(options, listener)
+
+    def listen(self, host: str, port: int) -> None:
+        """Accepts streams on an address."""
+        self._server.listen(port, address=host)
+
+    def set_targets(self, members: tuple[data.Member, ...]) -> None:
+        """Keeps streams to exactly these instances."""
+        member_by_id = {member.instance: member for member in members}
+        for instance in list(self._link_by_id):
+            link = self._link_by_id[instance]
+            member = member_by_id.get(instance)
+            if member is None or _address(member) != _address(link.member):
+                self._link_by_id.pop(instance).close()
+        for instance, member in member_by_id.items():
+            if instance not in self._link_by_id:
+                link = Link(member, self._options, self._clock, self._counters, self._listener)
+                self._link_by_id[instance] = link
+                link.start()
+
+    def connected(self) -> tuple[data.InstanceId, ...]:
+        """Returns the instances whose streams are up, sorted."""
+        return tuple(sorted(name for name, link in self._link_by_id.items() if link.is_up))
+
+    def send(self, instance: data.InstanceId, message: messages.Message) -> bool:
+        """Sends a message to an instance.
+
+        Returns:
+            Whether the message was queued; False if no byte of it will be sent.
+        """
+        link = self._link_by_id.get(instance)
+        return link is not None and link.send(message)
+
+    async def close(self) -> None:
+        """Closes all streams."""
+        self._server.stop()
+        self._server.close_streams()
+        for link in self._link_by_id.values():
+            link.close()
+        self._link_by_id.clear()
+
+
+class Link:
+    """Stream opened to one instance, opened again whenever it ends.
+
+    Attributes:
+        member: The instance.
+        is_up: Whether messages can be sent.
+    """
+
+    def __init__(
+        self,
+        member: data.Member,
+        options: PeerOptions,
+        time_source: clock.Clock,
+        counters: metrics.Metrics,
+        listener: PeerListener,
+    ):
+        self.member = member
+        self.is_up = False
+        self._options = options
+        self._clock = time_source
+        self._counters = counters
+        self._listener = listener
+        self._stream: streams.MessageStream | None = None
+        self._last_heard = 0.0
+        self._runner: asyncio.Task[None] | None = None
+
+    def start(self) -> None:
+        """Starts opening the stream."""
+        self._runner = asyncio.create_task(self._run(), name=f"link {self.member.instance}")
+
+    def close(self) -> None:
+        """Ends the stream for good."""
+        if self._runner is not None:
+            self._runner.cancel()
+        self._end()
+
+    def send(self, message: messages.Message) -> bool:
+        """Queues a message; returns whether it was queued."""
+        if not self.is_up or self._stream is None:
+            return False
+        try:
+            sent = self._stream.send(message)
+        except _STREAM_ERRORS as error:
+            self._note_lost(error)
+            return False
+        self._counters.count_stream_bytes(sent, type(message).__name__)
+        return True
+
+    async def _run(self) -> None:
+        delay = RECONNECT_MIN_SECONDS
+        while True:
+            try:
+                await self._open()
+                delay = RECONNECT_MIN_SECONDS
+                await asyncio.gather(self._read(), self._beat())
+            except (*_STREAM_ERRORS, errors.ProtocolError, TimeoutError) as error:
+                self._note_lost(error)
+            await asyncio.sleep(delay)
+            delay = min(RECONNECT_MAX_SECONDS, delay * 2)
+
+    async def _open(self) -> None:
+        """Connects and exchanges greetings."""
+        silence = self._options.silence.total_seconds()
+        raw = await tcpclient.TCPClient().connect(
+            self.member.host,
+            self.member.peer_port,
+            max_buffer_size=self._options.buffer_bytes,
+            timeout=self._options.silence,
+        )
+        self._stream = streams.MessageStream(raw, self._options.frame_bytes)
+        self._stream.send(messages.Hello(self._options.deployment, self._listener.myself()))
+        hello = await asyncio.wait_for(self._stream.receive(), silence)
+        _check_hello(hello, self._options.deployment)
+        self._last_heard = self._clock.monotonic()
+        self.member = hello.member
+        self.is_up = True
+        _log.info("stream up", extra={"peer": self.member.instance})
+        self._listener.on_stream(self.member, True)
+
+    async def _read(self) -> None:
+        """Takes in the answers to heartbeats."""
+        while True:
+            message = await self._stream.receive()
+            self._last_heard = self._clock.monotonic()
+            if not isinstance(message, messages.BeatReply):
+                raise errors.ProtocolError(f"{type(message).__name__} on the sending side")
+
+    async def _beat(self) -> None:
+        """Sends heartbeats and ends a stream that stays silent."""
+        period = self._options.heartbeat.total_seconds()
+        sequence = 0
+        while True:
+            before = self._clock.monotonic()
+            await asyncio.sleep(period)
+            now = self._clock.monotonic()
+            # A gap in this process's own time says nothing about the peer.
+            if now - before > 2 * period:
+                self._last_heard = now
+            if now - self._last_heard > self._options.silence.total_seconds():
+                raise TimeoutError("the stream is silent")
+            sequence += 1
+            beat = messages.Beat(sequence, self._listener.tables_digest())
+            self._counters.count_stream_bytes(self._stream.send(beat), "Beat")
+
+    def _note_lost(self, error: Exception) -> None:
+        was_up = self.is_up
+        self._end()
+        if was_up:
+            extra = {"peer": self.member.instance, "error": str(error)}
+            _log.warning("stream lost", extra=extra)
+        self._listener.on_stream(self.member, False)
+
+    def _end(self) -> None:
+        self.is_up = False
+        if self._stream is not None:
+            self._stream.close()
+            self._stream = None
+
+
+class InboundServer(tcpserver.TCPServer):
+    """Accepts streams and reads their messages.
+
+    Args:
+        options: Settings.
+        listener: Receives the messages.
+    """
+
+    def __init__(self, options: PeerOptions, listener: PeerListener):
+        super().__init__(max_buffer_size=options.buffer_bytes)
+        self._options = options
+        self._listener = listener
+        self._streams: set[streams.MessageStream] = set()
+
+    async def handle_stream(self, stream: iostream.IOStream, address: tuple) -> None:
+        """Reads one stream until it ends."""
+        message_stream = streams.MessageStream(stream, self._options.frame_bytes)
+        self._streams.add(message_stream)
+        try:
+            await self._serve(message_stream)
+        except errors.ProtocolError as error:
+            _log.warning("stream refused", extra={"peer": address[0], "error": str(error)})
+        except (*_STREAM_ERRORS, TimeoutError):
+            _log.debug("inbound stream ended", extra={"peer": address[0]})
+        finally:
+            self._streams.discard(message_stream)
+            message_stream.close()
+
+    def close_streams(self) -> None:
+        """Ends all streams."""
+        for stream in list(self._streams):
+            stream.close()
+
+    async def _serve(self, stream: streams.MessageStream) -> None:
+        silence = self._options.silence.total_seconds()
+        hello = await asyncio.wait_for(stream.receive(), silence)
+        _check_hello(hello, self._options.deployment)
+        stream.send(messages.Hello(self._options.deployment, self._listener.myself()))
+        sender = hello.member.instance
+        self._listener.on_message(sender, messages.Members((hello.member,)))
+        while True:
+            message = await stream.receive()
+            if isinstance(message, messages.Beat):
+                stream.send(messages.BeatReply(message.sequence))
+            self._listener.on_message(sender, message)
+
+
+def _check_hello(message: messages.Message, deployment: str) -> None:
+    """Raises ``ProtocolError`` unless the message greets from the same deployment."""
+    if not isinstance(message, messages.Hello):
+        raise errors.ProtocolError("the first message is not a greeting")
+    if message.deployment != deployment:
+        raise errors.ProtocolError(f"greeting from the deployment {message.deployment!r}")
+
+
+def _address(member: data.Member) -> tuple[str, int]:
+    return (member.host, member.peer_port)
--- /dev/null
+++ b/monsoonhoist/node/process.py
@@ -0,0 +1,39 @@
+"""The serving process: from settings to a running instance and its end."""
+
+import asyncio
+import logging
+import signal
+import time
+
+from monsoonhoist import logs, settings
+from monsoonhoist.core import clock, data
+from monsoonhoist.node import kernels, node, web
+
+_log = logging.getLogger(__name__)
+
+
+def run(config: settings.Settings, log_level: str, recorder: kernels.Recorder | None) -> None:
+    """Serves until the process is told to end by SIGTERM or SIGINT."""
+    incarnation = data.Incarnation(time.time_ns())
+    logs.configure(log_level, data.InstanceId(config.instance.name), incarnation)
+    asyncio.run(_serve(config, incarnation, recorder))
+
+
+async def _serve(
+    config: settings.Settings,
+    incarnation: data.Incarnation,
+    recorder: kernels.Recorder | None,
+) -> None:
+    stopping = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopping.set)
+    instance = node.Node(config, incarnation, clock.SystemClock(), recorder)
+    server = web.make_server(instance)
+    server.listen(config.instance.http_port, address=str(config.instance.host))
+    instance.start()
+    _log.info("listening", extra={"http_port": config.instance.http_port})
+    await stopping.wait()
+    await instance.leave()
+    server.stop()
+    await server.close_all_connections()
--- /dev/null
+++ b/monsoonhoist/node/status.py
@@ -0,0 +1,96 @@
+"""Status of an instance, for operators."""
+
+import msgspec
+
+from monsoonhoist.core import data
+from monsoonhoist.node import node
+
+
+class KeyStatus(msgspec.Struct, frozen=True):
+    """A table key in force."""
+
+    key: data.TableKey
+    number: int
+    digest: str
+
+
+class MemberStatus(msgspec.Struct, frozen=True):
+    """Another instance as seen from here."""
+
+    instance: data.InstanceId
+    zone: data.ZoneId
+    state: data.MemberState
+    connected: bool
+
+
+class PoolStatus(msgspec.Struct, frozen=True):
+    """A pool in force."""
+
+    pool: data.PoolId
+    services: int
+    servers: int
+    leaving: int
+
+
+class Status(msgspec.Struct, frozen=True):
+    """Status of one instance.
+
+    Attributes:
+        instance: The instance.
+        incarnation: Its incarnation.
+        phase: Phase of its life.
+        active: Requests and calls in flight.
+        tables_digest: Digest of all revisions in force, equal on agreeing instances.
+        keys: Table keys in force.
+        members: Other instances.
+        pools: Pools in force.
+        findings: Routes whose pool is not defined.
+    """
+
+    instance: data.InstanceId
+    incarnation: data.Incarnation
+    phase: str
+    active: int
+    tables_digest: str
+    keys: tuple[KeyStatus, ...]
+    members: tuple[MemberStatus, ...]
+    pools: tuple[PoolStatus, ...]
+    findings: tuple[str, ...]
+
+
+def describe(owner: "node.Node") -> Status:
+    """Returns the status of a node."""
+    store = owner.spread.store
+    connected = set(owner.connected())
+    return Status(
+        instance=owner.name,
+        incarnation=owner.incarnation,
+        phase=owner.phase.value,
+        active=owner.active,
+        tables_digest=store.summary().hex(),
+        keys=tuple(
+            KeyStatus(revision.key, revision.number, revision.digest.hex())
+            for revision in store.revisions().revisions
+        ),
+        members=tuple(
+            MemberStatus(
+                member.instance,
+                member.zone,
+                owner.members.state_of(member.instance),
+                member.instance in connected,
+            )
+            for member in owner.members.known()
+        ),
+        pools=tuple(_pool_status(pool) for pool in store.tables.pool_by_id.values()),
+        findings=tuple(
+            f"route {route.route_id}: the pool {route.pool!r} is not defined"
+            for route in store.tables.route_by_id.values()
+            if route.pool not in store.tables.pool_by_id
+        ),
+    )
+
+
+def _pool_status(pool: data.Pool) -> PoolStatus:
+    servers = [server for group in pool.servers_by_service.values() for server in group]
+    leaving = sum(server.leaving for server in servers)
+    return PoolStatus(pool.pool_id, len(pool.servers_by_service), len(servers), leaving)
--- /dev/null
+++ b/monsoonhoist/node/web.py
@@ -0,0 +1,250 @@
+"""HTTP interface towards callers, the balancer and operators."""
+
+import logging
+
+import msgspec
+from tornado import httpserver, web
+
+from monsoonhoist import errors, metrics
+from monsoonhoist.core import data, outcome
+from monsoonhoist.node import node, status
+
+MS_PER_SECOND = 1000
+# Larger than any accepted body, so that the handler itself refuses with a reason.
+SERVER_BODY_BYTES = 134_217_728
+IDLE_TIMEOUT_SECONDS = 60
+
+_log = logging.getLogger(__name__)
+
+_STATUS_BY_OUTCOME = {
+    data.Outcome.ANSWERED: 200,
+    data.Outcome.PARTIAL: 200,
+    data.Outcome.NOT_RUN: 503,
+    data.Outcome.FAILED: 502,
+    data.Outcome.UNKNOWN: 504,
+}
+_STATUS_BY_REFUSAL = {
+    data.Refusal.BAD_REQUEST: 400,
+    data.Refusal.DEADLINE_OUT_OF_RANGE: 400,
+    data.Refusal.TICKET_REQUIRED: 400,
+    data.Refusal.TICKET_MALFORMED: 400,
+    data.Refusal.UNKNOWN_ROUTE: 404,
+    data.Refusal.BODY_TOO_LARGE: 413,
+    data.Refusal.OVERLOAD: 429,
+}
+
+
+class TicketReply(msgspec.Struct, frozen=True):
+    """Body of the reply to a request for a ticket."""
+
+    ticket: data.TicketId
+
+
+class Handler(web.RequestHandler):
+    """Base of the handlers."""
+
+    def initialize(self, owner: node.Node) -> None:
+        """Takes the node whose interface this is."""
+        self._node = owner
+
+    def reply(self, status_code: int, body: object) -> None:
+        """Sends a record as JSON."""
+        self.set_status(status_code)
+        self.set_header("Content-Type", "application/json")
+        self.finish(msgspec.json.encode(body))
+
+    def write_error(self, status_code: int, **kwargs: object) -> None:
+        """Sends an error of the framework as an answer record."""
+        answer = data.Answer("", data.Outcome.NOT_RUN, data.Refusal.BAD_REQUEST, self._reason)
+        self.reply(status_code, answer)
+
+
+@web.stream_request_body
+class CallerHandler(Handler):
+    """Base of the handlers for callers; reads the body within its limit."""
+
+    def initialize(self, owner: node.Node) -> None:
+        """Starts with an empty body."""
+        super().initialize(owner)
+        self._body = bytearray()
+
+    def prepare(self) -> None:
+        """Refuses a body that is too large by its own statement."""
+        length = self.request.headers.get("Content-Length", "0")
+        if length.isdecimal() and int(length) > self._node.config.limits.body_bytes:
+            self._refuse_body()
+
+    def data_received(self, chunk: bytes) -> None:
+        """Collects the body; refuses one that grows too large."""
+        if self._finished:
+            return
+        self._body.extend(chunk)
+        if len(self._body) > self._node.config.limits.body_bytes:
+            self._refuse_body()
+
+    def refuse(self, request: data.Request, reason: data.Refusal, detail: str) -> None:
+        """Answers that the request did not run."""
+        self._node.counters.count_refusal(reason)
+        self.answer(None, outcome.not_run(request, reason, detail))
+
+    def answer(self, rank: data.Rank | None, answer: data.Answer) -> None:
+        """Sends and counts an answer."""
+        self._node.counters.count_answer(answer.outcome, rank)
+        status_code = _STATUS_BY_OUTCOME[answer.outcome]
+        if answer.outcome is data.Outcome.NOT_RUN:
+            status_code = _STATUS_BY_REFUSAL.get(answer.reason, status_code)
+        if status_code in (429, 503):
+            self.set_header("Retry-After", "1")
+        if answer.outcome is not data.Outcome.ANSWERED:
+            extra = {
+                "request_id": answer.request_id,
+                "outcome": answer.outcome.value,
+                "reason": answer.reason.value if answer.reason else "",
+            }
+            _log.info("request not answered whole", extra=extra)
+        self.reply(status_code, answer)
+
+    def is_closed(self) -> bool:
+        """Refuses and returns True if no new request may be taken."""
+        if self._node.phase is node.Phase.CLOSED:
+            self.refuse(_NO_REQUEST, data.Refusal.LEAVING, "the instance is leaving")
+            return True
+        if self._node.phase is node.Phase.STARTING:
+            self.refuse(_NO_REQUEST, data.Refusal.NOT_READY, "the instance is not ready")
+            return True
+        return False
+
+    def _refuse_body(self) -> None:
+        limit = self._node.config.limits.body_bytes
+        detail = f"the body is larger than {limit} bytes"
+        self.set_header("Connection", "close")
+        self.refuse(_NO_REQUEST, data.Refusal.BODY_TOO_LARGE, detail)
+
+
+class QueryHandler(CallerHandler):
+    """``POST /v1/query/ROUTE``: runs a request."""
+
+    async def post(self, route: str) -> None:
+        """Answers a caller's request."""
+        if self.is_closed():
+            return
+        try:
+            request = read_request(bytes(self._body), self._node.config.limits.results)
+        except errors.RequestError as error:
+            self.refuse(_NO_REQUEST, error.refusal, str(error))
+            return
+        record = self._node.route(data.RouteId(route))
+        if self._node.active >= self._node.config.limits.callers:
+            self.refuse(request, data.Refusal.OVERLOAD, "too many requests at this instance")
+        elif record is None or record.repeatable:
+            answer = await self._node.ask(data.RouteId(route), request)
+            self.answer(record.rank if record else None, answer)
+        elif not request.ticket:
+            detail = f"the route {route!r} is not repeatable; ask for a ticket first"
+            self.refuse(request, data.Refusal.TICKET_REQUIRED, detail)
+        else:
+            await self._use_ticket(record, request)
+
+    async def _use_ticket(self, route: data.Route, request: data.Request) -> None:
+        limit_ms = int(route.deadline.total_seconds() * MS_PER_SECOND)
+        if not 0 <= request.deadline_ms <= limit_ms:
+            detail = f"deadline_ms must be from 0 to {limit_ms}"
+            self.refuse(request, data.Refusal.DEADLINE_OUT_OF_RANGE, detail)
+            return
+        remaining_ms = request.deadline_ms or limit_ms
+        answer = await self._node.tickets.use(route.route_id, request, remaining_ms)
+        self.answer(route.rank, answer)
+
+
+class TicketHandler(CallerHandler):
+    """``POST /v1/ticket/ROUTE``: issues a ticket for a non-repeatable request."""
+
+    async def post(self, route: str) -> None:
+        """Issues a ticket."""
+        if self.is_closed():
+            return
+        record = self._node.route(data.RouteId(route))
+        if record is None:
+            detail = f"no route is named {route!r}"
+            self.refuse(_NO_REQUEST, data.Refusal.UNKNOWN_ROUTE, detail)
+            return
+        ticket = self._node.tickets.issue(record.route_id)
+        if ticket is None:
+            self.refuse(_NO_REQUEST, data.Refusal.OVERLOAD, "too many tickets are remembered")
+        else:
+            self.reply(200, TicketReply(ticket))
+
+
+class LiveHandler(Handler):
+    """``GET /live``: whether the process works."""
+
+    def get(self) -> None:
+        """Replies as long as the event loop runs."""
+        self.finish("live\n")
+
+
+class ReadyHandler(Handler):
+    """``GET /ready``: whether the balancer should send requests here."""
+
+    def get(self) -> None:
+        """Replies with 200 only in the phase ``ready``."""
+        if self._node.phase is not node.Phase.READY:
+            self.set_status(503)
+        self.finish(f"{self._node.phase.value}\n")
+
+
+class MetricsHandler(Handler):
+    """``GET /metrics``: metrics as Prometheus text."""
+
+    def get(self) -> None:
+        """Replies with all metrics."""
+        self.set_header("Content-Type", metrics.CONTENT_TYPE)
+        self.finish(self._node.counters.export())
+
+
+class StatusHandler(Handler):
+    """``GET /v1/status``: what this instance has in force and sees."""
+
+    def get(self) -> None:
+        """Replies with the status record."""
+        self.reply(200, status.describe(self._node))
+
+
+def read_request(body: bytes, results_max: int) -> data.Request:
+    """Returns the request in a body.
+
+    Raises:
+        RequestError: If the body is not a well-formed request.
+    """
+    try:
+        request = msgspec.json.decode(body, type=data.Request)
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
+        raise errors.RequestError(data.Refusal.BAD_REQUEST, f"malformed body: {error}") from error
+    if not 1 <= request.limit <= results_max:
+        detail = f"limit must be from 1 to {results_max}"
+        raise errors.RequestError(data.Refusal.BAD_REQUEST, detail)
+    return request
+
+
+def make_server(owner: node.Node) -> httpserver.HTTPServer:
+    """Returns the HTTP server of a node; it does not listen yet."""
+    arguments = {"owner": owner}
+    application = web.Application(
+        [
+            (r"/v1/query/([A-Za-z0-9._-]+)", QueryHandler, arguments),
+            (r"/v1/ticket/([A-Za-z0-9._-]+)", TicketHandler, arguments),
+            (r"/v1/status", StatusHandler, arguments),
+            (r"/live", LiveHandler, arguments),
+            (r"/ready", ReadyHandler, arguments),
+            (r"/metrics", MetricsHandler, arguments),
+        ]
+    )
+    return httpserver.HTTPServer(
+        application,
+        max_body_size=SERVER_BODY_BYTES,
+        idle_connection_timeout=IDLE_TIMEOUT_SECONDS,
+        body_timeout=owner.config.timing.caller_body_ms.total_seconds(),
+    )
+
+
+_NO_REQUEST = data.Request(query="")
--- /dev/null
+++ b/monsoonhoist/policy/__init__.py
@@ -0,0 +1,1 @@
+"""Policies that register themselves by name with the kernel's registry."""
--- /dev/null
+++ b/monsoonhoist/policy/admission.py
@@ -0,0 +1,95 @@
+"""Policies that admit or refuse whole queries at the entry."""
+
+import abc
+
+from monsoonhoist.core import data
+from monsoonhoist.policy import order, registry
+
+
+class Admission(abc.ABC):
+    """Admits queries to one pool."""
+
+    @abc.abstractmethod
+    def admit(self, rank: data.Rank) -> bool:
+        """Returns whether a query may start, and counts it if so."""
+
+    @abc.abstractmethod
+    def finish(self, rank: data.Rank, pressure: float) -> None:
+        """Takes note of an admitted query's end.
+
+        Args:
+            rank: Rank of the query.
+            pressure: Longest wait in owners' queues as a share of the deadline; 1 for a
+                query that lost sub-requests to overload.
+        """
+
+
+@registry.register(registry.Kind.ADMISSION, "window")
+class WindowAdmission(Admission):
+    """Bounds the queries in flight by a window that follows the owners' queues.
+
+    The window shrinks by a factor when queues hold work for longer than a share of the
+    deadline and grows by a step otherwise (cf. Cho et al., "Overload Control for
+    us-scale RPCs with Breakwater", OSDI 2020). Each rank keeps a floor of the window that
+    other ranks cannot use; less urgent ranks stop below the whole window.
+    """
+
+    window_start = 32.0
+    window_min = 4.0
+    window_max = 2048.0
+    pressure_target = 0.25
+    shrink_factor = 0.9
+    ceiling_by_rank = {
+        data.Rank.URGENT: 1.0,
+        data.Rank.NORMAL: 0.75,
+        data.Rank.BACKGROUND: 0.5,
+    }
+
+    def __init__(self) -> None:
+        self._window = self.window_start
+        self._active_by_rank = dict.fromkeys(data.RANK_ORDER, 0)
+        self._until_shrink = 0
+
+    def admit(self, rank: data.Rank) -> bool:
+        """Admits within the rank's floor, or within what other floors leave free."""
+        if not self._fits(rank):
+            return False
+        self._active_by_rank[rank] += 1
+        return True
+
+    def finish(self, rank: data.Rank, pressure: float) -> None:
+        """Shrinks the window at most once for each window of queries, else grows it."""
+        self._active_by_rank[rank] -= 1
+        self._until_shrink -= 1
+        if pressure > self.pressure_target:
+            if self._until_shrink <= 0:
+                self._window = max(self.window_min, self._window * self.shrink_factor)
+                self._until_shrink = int(self._window)
+        elif sum(self._active_by_rank.values()) >= self._window / 2:
+            self._window = min(self.window_max, self._window + 1.0 / self._window)
+
+    def _fits(self, rank: data.Rank) -> bool:
+        if self._active_by_rank[rank] < self._floor(rank):
+            return True
+        reserved = sum(
+            max(self._active_by_rank[other], self._floor(other))
+            for other in data.RANK_ORDER
+            if other is not rank
+        )
+        used = self._active_by_rank[rank] + reserved
+        return used < self._window * self.ceiling_by_rank[rank]
+
+    def _floor(self, rank: data.Rank) -> float:
+        return max(1.0, self._window * order.FLOOR_BY_RANK[rank])
+
+
+@registry.register(registry.Kind.ADMISSION, "all")
+class AllAdmission(Admission):
+    """Admits every query; the baseline for measurements."""
+
+    def admit(self, rank: data.Rank) -> bool:
+        """Returns True."""
+        return True
+
+    def finish(self, rank: data.Rank, pressure: float) -> None:
+        """Takes no note."""
--- /dev/null
+++ b/monsoonhoist/policy/hedge.py
@@ -0,0 +1,87 @@
+"""Policies that decide when a sub-request is sent a second time.
+
+Hedged requests: Dean and Barroso, "The Tail at Scale", Communications of the ACM 56(2),
+2013.
+"""
+
+import abc
+
+from hdrh import histogram
+
+from monsoonhoist.policy import registry
+
+LATENCY_MIN_US = 1
+LATENCY_MAX_US = 60_000_000
+SIGNIFICANT_DIGITS = 2
+MICROSECONDS_PER_SECOND = 1_000_000
+
+
+class Hedge(abc.ABC):
+    """Learns latencies and says after which delay to hedge."""
+
+    @abc.abstractmethod
+    def record(self, latency_seconds: float) -> None:
+        """Takes note of one reply's latency."""
+
+    @abc.abstractmethod
+    def delay_seconds(self, budget: float) -> float | None:
+        """Returns the delay after which to hedge, or None for never.
+
+        Args:
+            budget: Extra sub-requests allowed, as a share of the first ones.
+        """
+
+
+@registry.register(registry.Kind.HEDGE, "quantile")
+class QuantileHedge(Hedge):
+    """Hedges after the recent latency's quantile at one minus the budget."""
+
+    minimum_samples = 50
+    window_samples = 1000
+
+    def __init__(self) -> None:
+        self._recent = _histogram()
+        self._previous = _histogram()
+        self._delay_by_budget: dict[float, float | None] = {}
+
+    def record(self, latency_seconds: float) -> None:
+        """Takes note of a latency; each full window starts a new histogram."""
+        self._recent.record_value(max(1, int(latency_seconds * MICROSECONDS_PER_SECOND)))
+        count = self._recent.get_total_count()
+        if count % self.minimum_samples == 0:
+            self._delay_by_budget.clear()
+        if count >= self.window_samples:
+            self._previous = self._recent
+            self._recent = _histogram()
+
+    def delay_seconds(self, budget: float) -> float | None:
+        """Returns the quantile, or None without a budget or enough samples."""
+        if budget <= 0:
+            return None
+        if budget not in self._delay_by_budget:
+            self._delay_by_budget[budget] = self._quantile(1.0 - budget)
+        return self._delay_by_budget[budget]
+
+    def _quantile(self, quantile: float) -> float | None:
+        source = self._previous
+        if self._recent.get_total_count() >= self.minimum_samples:
+            source = self._recent
+        if source.get_total_count() < self.minimum_samples:
+            return None
+        return source.get_value_at_percentile(quantile * 100) / MICROSECONDS_PER_SECOND
+
+
+@registry.register(registry.Kind.HEDGE, "none")
+class NoHedge(Hedge):
+    """Never hedges; the baseline for measurements."""
+
+    def record(self, latency_seconds: float) -> None:
+        """Takes no note."""
+
+    def delay_seconds(self, budget: float) -> float | None:
+        """Returns None."""
+        return None
+
+
+def _histogram() -> histogram.HdrHistogram:
+    return histogram.HdrHistogram(LATENCY_MIN_US, LATENCY_MAX_US, SIGNIFICANT_DIGITS)
--- /dev/null
+++ b/monsoonhoist/policy/ownership.py
@@ -0,0 +1,98 @@
+"""Policies that choose the instance that calls a shard's backend servers."""
+
+import abc
+from collections.abc import Sequence
+
+from monsoonhoist.core import data, hashing
+from monsoonhoist.policy import registry
+
+
+class Ownership(abc.ABC):
+    """Chooses the instances that may call the servers of a shard."""
+
+    @abc.abstractmethod
+    def owners(
+        self, pool: data.PoolId, service: data.ServiceId, instances: Sequence[data.InstanceId]
+    ) -> tuple[data.InstanceId, ...]:
+        """Returns the owner first, then its stand-by.
+
+        Args:
+            pool: Pool of the shard.
+            service: The shard.
+            instances: Live instances.
+        """
+
+    @abc.abstractmethod
+    def share(self, instance_count: int) -> float:
+        """Returns the share of a server's limits that one instance may use, from 0 to 1."""
+
+
+@registry.register(registry.Kind.OWNERSHIP, "rendezvous")
+class RendezvousOwnership(Ownership):
+    """Gives each shard to the instance with the highest weight.
+
+    Rendezvous hashing: Thaler and Ravishankar, "Using name-based mappings to increase
+    hit rates", IEEE/ACM Transactions on Networking 6(1), 1998. A pool's owners are first
+    narrowed to the ``cell_size`` instances that weigh most for the pool, so that a query
+    to the whole pool reaches at most that many instances.
+    """
+
+    cell_size = 64
+
+    def __init__(self, myself: data.InstanceId):
+        self._owners_by_shard: dict[tuple[str, str], tuple[data.InstanceId, ...]] = {}
+        self._cell_by_pool: dict[data.PoolId, list[data.InstanceId]] = {}
+        self._instances: tuple[data.InstanceId, ...] = ()
+
+    def owners(
+        self, pool: data.PoolId, service: data.ServiceId, instances: Sequence[data.InstanceId]
+    ) -> tuple[data.InstanceId, ...]:
+        """Returns the two instances that weigh most within the pool's cell."""
+        if tuple(instances) != self._instances:
+            self._instances = tuple(instances)
+            self._owners_by_shard.clear()
+            self._cell_by_pool.clear()
+        found = self._owners_by_shard.get((pool, service))
+        if found is None:
+            cell = self._cell(pool)
+            found = tuple(_heaviest(f"{pool}/{service}", cell)[:2])
+            self._owners_by_shard[(pool, service)] = found
+        return found
+
+    def share(self, instance_count: int) -> float:
+        """Returns 1: all load of a server passes through its owner."""
+        return 1.0
+
+    def _cell(self, pool: data.PoolId) -> list[data.InstanceId]:
+        cell = self._cell_by_pool.get(pool)
+        if cell is None:
+            cell = _heaviest(pool, self._instances)[: self.cell_size]
+            self._cell_by_pool[pool] = cell
+        return cell
+
+
+@registry.register(registry.Kind.OWNERSHIP, "direct")
+class DirectOwnership(Ownership):
+    """Lets each instance call every server within an equal share of its limits."""
+
+    def __init__(self, myself: data.InstanceId):
+        self._myself = myself
+
+    def owners(
+        self, pool: data.PoolId, service: data.ServiceId, instances: Sequence[data.InstanceId]
+    ) -> tuple[data.InstanceId, ...]:
+        """Returns the instance itself, without a stand-by."""
+        return (self._myself,)
+
+    def share(self, instance_count: int) -> float:
+        """Returns one part of as many as there are instances."""
+        return 1.0 / max(1, instance_count)
+
+
+def _heaviest(name: str, instances: Sequence[data.InstanceId]) -> list[data.InstanceId]:
+    """Returns the instances by falling weight for a name."""
+
+    def weight(instance: data.InstanceId) -> tuple[int, str]:
+        return (hashing.weight(instance, name), instance)
+
+    return sorted(instances, key=weight, reverse=True)
--- /dev/null
+++ b/monsoonhoist/policy/registry.py
@@ -0,0 +1,70 @@
+"""Registry of policies.
+
+A policy module registers its classes with ``register`` when it is imported. The list
+``MODULES`` names the modules to import, in order.
+"""
+
+import enum
+import importlib
+from collections.abc import Callable
+from typing import TypeVar
+
+from monsoonhoist import errors
+
+MODULES = (
+    "monsoonhoist.policy.ownership",
+    "monsoonhoist.policy.balance",
+    "monsoonhoist.policy.hedge",
+    "monsoonhoist.policy.admission",
+    "monsoonhoist.policy.order",
+)
+
+
+class Kind(enum.Enum):
+    """Decision that a policy makes."""
+
+    OWNERSHIP = "ownership"
+    BALANCE = "balance"
+    HEDGE = "hedge"
+    ADMISSION = "admission"
+    ORDER = "order"
+
+
+ClassT = TypeVar("ClassT", bound=type)
+
+_class_by_name: dict[tuple[Kind, str], type] = {}
+
+
+def register(kind: Kind, name: str) -> Callable[[ClassT], ClassT]:
+    """Returns a decorator that registers a class under a name."""
+
+    def decorate(policy: ClassT) -> ClassT:
+        _class_by_name[(kind, name)] = policy
+        return policy
+
+    return decorate
+
+
+def load() -> None:
+    """Imports the modules that register policies."""
+    for module in MODULES:
+        importlib.import_module(module)
+
+
+def names(kind: Kind) -> tuple[str, ...]:
+    """Returns the names registered for a kind, sorted."""
+    return tuple(sorted(name for found, name in _class_by_name if found is kind))
+
+
+def find(kind: Kind, name: str) -> type:
+    """Returns the class registered under a name.
+
+    Raises:
+        UnknownPolicyError: If no plug-in has registered the name.
+    """
+    try:
+        return _class_by_name[(kind, name)]
+    except KeyError:
+        known = ", ".join(names(kind))
+        message = f"no {kind.value} policy is named {name!r}; known: {known}"
+        raise errors.UnknownPolicyError(message) from None
--- /dev/null
+++ b/monsoonhoist/tables/__init__.py
@@ -0,0 +1,1 @@
+"""Routes and pools: parsing, checking, acceptance and spread."""
--- /dev/null
+++ b/monsoonhoist/tables/pools.py
@@ -0,0 +1,134 @@
+"""Tables of pools: INI text to ``data.Server`` records, and their joining.
+
+A pool is published under ``pool/NAME``, or, where it does not fit one value, under
+``pool/NAME/PART`` for several parts.
+"""
+
+from collections.abc import Iterable
+
+import msgspec
+import pydantic
+
+from monsoonhoist.core import data
+from monsoonhoist.tables import ini
+
+KEY_PREFIX = "pool/"
+_SERVER_PREFIX = "server "
+_ADDRESS = r"^[0-9.]+:[0-9]{1,5}$"
+
+
+class PoolModel(pydantic.BaseModel):
+    """Options of the ``[pool]`` section."""
+
+    model_config = pydantic.ConfigDict(extra="forbid")
+
+    key_space: int = pydantic.Field(ge=1, le=2**62)
+
+
+class ServerModel(pydantic.BaseModel):
+    """Options of a ``[server NAME]`` section."""
+
+    model_config = pydantic.ConfigDict(extra="forbid")
+
+    service: str = pydantic.Field(min_length=1)
+    address: str = pydantic.Field(pattern=_ADDRESS)
+    zone: str = pydantic.Field(min_length=1)
+    slots: int = pydantic.Field(ge=1, le=10_000)
+    connections: int = pydantic.Field(ge=1, le=100_000)
+    leaving: bool = False
+
+    @pydantic.model_validator(mode="after")
+    def _connections_for_slots(self) -> "ServerModel":
+        if self.connections < self.slots:
+            raise ValueError("connections must not be fewer than slots")
+        return self
+
+
+class PoolPart(msgspec.Struct, frozen=True):
+    """One value of a pool's table and everything wrong with it."""
+
+    pool_id: data.PoolId
+    key_space: int
+    servers: tuple[data.Server, ...]
+    findings: tuple[data.Finding, ...]
+
+
+def is_pool_key(key: data.TableKey) -> bool:
+    """Returns whether a table key holds a pool or a part of one."""
+    return key.startswith(KEY_PREFIX)
+
+
+def pool_of(key: data.TableKey) -> data.PoolId:
+    """Returns the pool that a table key belongs to."""
+    return data.PoolId(key.removeprefix(KEY_PREFIX).split("/")[0])
+
+
+def parse(key: data.TableKey, file: str, text: str) -> PoolPart:
+    """Parses and checks one value of a pool.
+
+    Args:
+        key: Table key of the value.
+        file: Name used in findings.
+        text: INI text.
+
+    Returns:
+        The servers that are right, and all findings. The value may be accepted only
+        without findings.
+    """
+    source = ini.read(file, text)
+    findings = list(source.findings)
+    key_space = 0
+    servers: list[data.Server] = []
+    for section in source.section_by_name.values():
+        if section.name == "pool":
+            pool_model, errors = ini.check(source, section, PoolModel)
+            findings.extend(errors)
+            key_space = pool_model.key_space if pool_model else 0
+        elif section.name.startswith(_SERVER_PREFIX):
+            model, errors = ini.check(source, section, ServerModel)
+            findings.extend(errors)
+            if model is not None:
+                servers.append(_server(section.name.removeprefix(_SERVER_PREFIX).strip(), model))
+        else:
+            place = data.Place(file, section.name, section.line)
+            findings.append(data.Finding(place, "sections must be [pool] or [server NAME]"))
+    if not source.findings and "pool" not in source.section_by_name:
+        findings.append(data.Finding(data.Place(file), "the section [pool] is missing"))
+    return PoolPart(pool_of(key), key_space, tuple(servers), tuple(findings))
+
+
+def join(parts: Iterable[PoolPart]) -> dict[data.PoolId, data.Pool]:
+    """Joins the accepted parts of all pools.
+
+    A server named in several parts of a pool is taken from the last part by order.
+    """
+    parts_by_pool: dict[data.PoolId, list[PoolPart]] = {}
+    for part in parts:
+        parts_by_pool.setdefault(part.pool_id, []).append(part)
+    return {pool_id: _join_pool(pool_id, parts) for pool_id, parts in parts_by_pool.items()}
+
+
+def _join_pool(pool_id: data.PoolId, parts: list[PoolPart]) -> data.Pool:
+    server_by_id = {server.server_id: server for part in parts for server in part.servers}
+    servers_by_service: dict[data.ServiceId, list[data.Server]] = {}
+    for server in server_by_id.values():
+        servers_by_service.setdefault(server.service, []).append(server)
+    return data.Pool(
+        pool_id=pool_id,
+        key_space=max(part.key_space for part in parts),
+        servers_by_service={
+            service: tuple(servers) for service, servers in servers_by_service.items()
+        },
+    )
+
+
+def _server(name: str, model: ServerModel) -> data.Server:
+    return data.Server(
+        server_id=data.ServerId(name),
+        service=data.ServiceId(model.service),
+        address=model.address,
+        zone=data.ZoneId(model.zone),
+        slots=model.slots,
+        connections=model.connections,
+        leaving=model.leaving,
+    )
--- /dev/null
+++ b/monsoonhoist/tables/review.py
@@ -0,0 +1,57 @@
+"""Review of table files before they are published."""
+
+import pathlib
+
+from monsoonhoist.core import data
+from monsoonhoist.tables import pools, routes, store
+
+
+def review_files(
+    routes_path: pathlib.Path | None, pool_specs: tuple[str, ...]
+) -> tuple[data.Finding, ...]:
+    """Returns everything wrong with the tables, names that join to nothing included.
+
+    Args:
+        routes_path: File of the table of routes, or None.
+        pool_specs: ``NAME=FILE`` for each pool.
+    """
+    findings: list[data.Finding] = []
+    parts: list[pools.PoolPart] = []
+    for spec in pool_specs:
+        name, separator, file = spec.partition("=")
+        if not separator:
+            findings.append(data.Finding(data.Place(spec), "must be written NAME=FILE"))
+            continue
+        key = data.TableKey(f"{pools.KEY_PREFIX}{name}")
+        text = _read(file, findings)
+        if text is not None:
+            findings.extend(store.findings_of(key, file, text))
+            parts.append(pools.parse(key, file, text))
+    if routes_path is not None:
+        text = _read(str(routes_path), findings)
+        if text is not None:
+            findings.extend(store.findings_of(routes.KEY, str(routes_path), text))
+            if pool_specs:
+                findings.extend(_dangling(str(routes_path), text, parts))
+    return tuple(findings)
+
+
+def _read(file: str, findings: list[data.Finding]) -> str | None:
+    try:
+        return pathlib.Path(file).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        findings.append(data.Finding(data.Place(file), f"cannot be read: {error}"))
+        return None
+
+
+def _dangling(file: str, text: str, parts: list[pools.PoolPart]) -> list[data.Finding]:
+    """Returns a finding for each route whose pool was not given."""
+    given = {part.pool_id for part in parts}
+    return [
+        data.Finding(
+            data.Place(file, f"route {route.route_id}"),
+            f"the pool {route.pool!r} is not among the pools given",
+        )
+        for route in routes.parse(file, text).route_by_id.values()
+        if route.pool not in given
+    ]
--- /dev/null
+++ b/standins/demo.py
@@ -0,0 +1,25 @@
+"""Starts the club's deployment, asks one question and shows the answer.
+
+Usage: ``python -m standins.demo``.
+"""
+
+from monsoonhoist import client
+from monsoonhoist.core import data
+from standins import site
+
+
+def main() -> None:
+    """Runs the demonstration and ends all its processes."""
+    deployment = site.Site(site.SiteOptions())
+    try:
+        deployment.start()
+        request = data.Request(query="coxed four, Saturday 07:30", limit=5)
+        answer = client.Client(deployment.url(1)).ask(data.RouteId("slot-finder"), request)
+        print("Bootplan, route slot-finder: coxed four, Saturday 07:30")
+        print(client.render(answer))
+    finally:
+        deployment.stop()
+
+
+if __name__ == "__main__":
+    main()
