--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements; each module is one command, ``python -m bench.NAME``."""
--- a/monsoonhoist/core/entry.py
+++ b/monsoonhoist/core/entry.py
@@ -324,6 +324,8 @@
             shard = state.shard_by_service[service]
             if not state.is_open(service) or shard.stand_by_asked:
                 continue
+            if not self._has_stand_by(state, service):
+                continue
             if bucket.spend_on_retry():
                 shard.stand_by_asked = True
                 silent.append(service)
@@ -331,6 +333,10 @@
         if silent:
             self._send(state, tuple(silent), 1, commands)
 
+    def _has_stand_by(self, state: query.QueryState, service: data.ServiceId) -> bool:
+        owners = self._ownership.owners(state.pool.pool_id, service, self._instances)
+        return len(owners) > 1
+
     def _finish(self, state: query.QueryState) -> list[events.Command]:
         """Answers the caller and cancels what is still pending."""
         del self._query_by_id[state.spec.query_id]
--- a/monsoonhoist/policy/balance.py
+++ b/monsoonhoist/policy/balance.py
@@ -57,12 +57,14 @@
 
 @registry.register(registry.Kind.BALANCE, "round-robin")
 class RoundRobinBalance(Balance):
-    """Takes the candidates in turn; the baseline for measurements."""
+    """Takes a shard's servers in turn; the baseline for measurements."""
 
     def __init__(self) -> None:
-        self._turn = 0
+        self._turn_by_service: dict[data.ServiceId, int] = {}
 
     def choose(self, candidates: Sequence[Candidate]) -> Candidate:
         """Returns the next candidate by turn."""
-        self._turn += 1
-        return candidates[self._turn % len(candidates)]
+        service = candidates[0].server.service
+        turn = self._turn_by_service.get(service, 0)
+        self._turn_by_service[service] = turn + 1
+        return candidates[turn % len(candidates)]
--- a/standins/backends.py
+++ b/standins/backends.py
@@ -130,7 +130,7 @@
             task.add_done_callback(lambda done: self._forget(body.call, done))
         elif request.method == "DELETE":
             task = self._task_by_call.get(request.path.rsplit("/", 1)[1])
-            if task is not None:
+            if task is not None and not self.behaviour.lost:
                 task.cancel()
             _respond(request, 200, b"{}")
         elif request.path == "/control" and request.method == "PUT":
@@ -147,6 +147,8 @@
 
     async def _search(self, request: httputil.HTTPServerRequest, body: protocol.SearchBody) -> None:
         self.journal.calls += 1
+        if self.behaviour.lost:
+            return
         try:
             async with asyncio.timeout(body.deadline_ms / MS_PER_SECOND):
                 await self._work(request, body)
@@ -162,8 +164,6 @@
             reply = protocol.RefusalReply(refusal, self._holdings())
             _respond(request, protocol.STATUS_REFUSED, msgspec.json.encode(reply))
             return
-        if self.behaviour.lost:
-            await asyncio.Event().wait()
         await self._take_slot()
         try:
             self._note_start(body)
@@ -280,7 +280,8 @@
             straggle_share=options.straggle_share,
             straggle_ms=options.straggle_ms,
         )
-        for server in make_servers(part, behaviour, options.seed):
+        servers = make_servers(part, behaviour, options.seed)
+        for server in servers[options.part :: options.parts]:
             host, _, port = server.record.address.rpartition(":")
             server.listen(int(port), address=host, backlog=512)
     await asyncio.Event().wait()
@@ -290,6 +291,8 @@
     """Serves until ended."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--pool", action="append", required=True)
+    parser.add_argument("--part", type=int, default=0)
+    parser.add_argument("--parts", type=int, default=1)
     parser.add_argument("--median-ms", type=float, default=8.0)
     parser.add_argument("--straggle-share", type=float, default=0.0)
     parser.add_argument("--straggle-ms", type=float, default=200.0)
--- a/standins/site.py
+++ b/standins/site.py
@@ -36,6 +36,7 @@
         settings: Extra INI text for each instance.
         program: Command that runs the program; empty for this Python.
         seed: Seed of the backend servers.
+        backend_processes: Processes for each pool's backend servers.
     """
 
     example: str = "zurichsee"
@@ -48,6 +49,7 @@
     settings: str = "[timing]\nbalancer_lag_ms = 300\n"
     program: tuple[str, ...] = ()
     seed: int = 1
+    backend_processes: int = 1
 
 
 class SiteError(Exception):
@@ -91,20 +93,28 @@
     def start_backends(self) -> None:
         """Starts the backend servers, one process for each pool."""
         for path in self.pool_paths():
-            name = path.stem
-            command = [sys.executable, "-m", "standins.backends"]
-            command += ["--pool", f"{name}={path}"]
-            command += ["--median-ms", str(self.options.median_ms)]
-            command += ["--straggle-share", str(self.options.straggle_share)]
-            command += ["--straggle-ms", str(self.options.straggle_ms)]
-            command += ["--seed", str(self.options.seed)]
-            self._spawn(f"pool-{name}", command)
+            for part in range(self.options.backend_processes):
+                self._spawn(f"pool-{path.stem}-{part}", self._backend_command(path, part))
             for server, address in addresses(path).items():
                 self._backend_by_server[server] = f"http://{address}"
-        last = list(self._backend_by_server.values())
-        for url in last:
+        for url in self._backend_by_server.values():
             self._wait(lambda url=url: fetch(f"{url}/control") is not None, url)
 
+    def _backend_command(self, path: pathlib.Path, part: int) -> list[str]:
+        options = self.options
+        return [
+            sys.executable,
+            "-m",
+            "standins.backends",
+            f"--pool={path.stem}={path}",
+            f"--part={part}",
+            f"--parts={options.backend_processes}",
+            f"--median-ms={options.median_ms}",
+            f"--straggle-share={options.straggle_share}",
+            f"--straggle-ms={options.straggle_ms}",
+            f"--seed={options.seed}",
+        ]
+
     def publish_tables(self) -> None:
         """Publishes the example's tables."""
         folder = ROOT / "examples" / self.options.example
