Hedge again when there was no room, and learn from cancelled calls

Cause: a hedge that met a busy second server was dropped for good, and the losers' ages never reached the latency records, so a slow server looked idle and the quantile too low. Change: a hedge without room or budget is tried again every 10 ms; a second hedge is allowed and may go to a tried server when no untried one is left; a cancelled call's age counts as a latency.

--- a/monsoonhoist/core/owner.py
+++ b/monsoonhoist/core/owner.py
@@ -11,6 +11,9 @@
 
 QUEUE_MAX = 512
 CALLS_MAX = 4
+HEDGES_MAX = 2
+# Pause before a hedge that found no room or no budget is tried again.
+HEDGE_REPEAT_SECONDS = 0.01
 # Share of its remaining time that a sub-request waits for a closed server to open.
 REOPEN_WAIT_SHARE = 0.25
 MS_PER_SECOND = 1000
@@ -205,7 +208,7 @@
             events.StartCall(call.call_id, chosen.server, sub.query, sub.snapshot, sub.deadline)
         )
         delay = state.hedge.delay_seconds(sub.query.hedge_budget)
-        if delay is not None and sub.calls == 1:
+        if delay is not None and sub.calls <= HEDGES_MAX:
             self._wake_at(now + delay, lambda out: self._hedge(state, sub, out))
 
     def _choose(self, candidates: list[server.ServerState]) -> server.ServerState:
@@ -230,10 +233,13 @@
         """Calls a second server if the first is late and the budget allows."""
         if sub.closed or sub.waiting or not sub.call_by_id or not sub.query.repeatable:
             return
-        candidates = state.candidates(sub, self._clock.monotonic())
+        now = self._clock.monotonic()
+        candidates = state.hedge_candidates(sub, now)
         if candidates and self._bucket(sub.query.route).spend_on_hedge():
             commands.append(events.CountRetry(data.RetryReason.HEDGE))
             self._call(state, sub, candidates, commands)
+        else:
+            self._wake_at(now + HEDGE_REPEAT_SECONDS, lambda out: self._hedge(state, sub, out))
 
     def _take_results(self, event: events.CallReplied, commands: list[events.Command]) -> None:
         call = self._end_call(event.call_id)
@@ -279,11 +285,20 @@
         call.server.learn(event.holdings)
         if event.reason in _UNHEALTHY:
             call.server.note_failure(now)
+        elif event.reason is data.Refusal.CANCELLED:
+            self._note_cancelled(call, now)
         elif event.reason in (data.Refusal.SHED, data.Refusal.CONNECTIONS):
             call.server.note_shed(now)
         elif event.reason is data.Refusal.DRAINING:
             call.server.note_draining(now)
 
+    def _note_cancelled(self, call: shard.Call, now: float) -> None:
+        """Takes a cancelled call's age as the least that its latency would have been."""
+        age = now - call.started
+        state = self._shard_by_key[(call.sub.query.pool, call.sub.service)]
+        state.hedge.record(age)
+        call.server.note_late(age)
+
     def _retry(
         self,
         state: shard.ShardState,
--- a/monsoonhoist/core/server.py
+++ b/monsoonhoist/core/server.py
@@ -80,6 +80,11 @@
         change = latency_seconds - self.latency_seconds
         self.latency_seconds += change * LATENCY_WEIGHT
 
+    def note_late(self, age_seconds: float) -> None:
+        """Takes note of a call that was given up at an age without a reply."""
+        if age_seconds > self.latency_seconds:
+            self.latency_seconds += (age_seconds - self.latency_seconds) * LATENCY_WEIGHT
+
     def note_failure(self, now: float) -> None:
         """Closes the server for a while, longer after each failure in a row."""
         self._failures += 1
--- a/monsoonhoist/core/shard.py
+++ b/monsoonhoist/core/shard.py
@@ -161,6 +161,17 @@
         untried = [state for state in usable if state.server.server_id not in sub.tried]
         return [state for state in untried if state.has_room(now)]
 
+    def hedge_candidates(self, sub: SubRequest, now: float) -> list[server.ServerState]:
+        """Returns the servers for a hedge: untried ones, else tried ones not in use for it."""
+        untried = self.candidates(sub, now)
+        if untried or self.has_untried(sub, now):
+            return untried
+        return [
+            state
+            for state in self.server_by_id.values()
+            if state.has_room(now) and state.may_hold(sub.snapshot)
+        ]
+
     def has_untried(self, sub: SubRequest, now: float) -> bool:
         """Returns whether an untried server may still serve a sub-request."""
         return any(
