--- a/features/environment.py
+++ b/features/environment.py
@@ -5,6 +5,12 @@
 from standins import site
 
 SITE_BY_TAG = {
+    "site_three": site.SiteOptions(pools=("allocator", "boathouse")),
+    "site_relayed": site.SiteOptions(
+        pools=("allocator", "boathouse"),
+        relayed_instances=(3,),
+        relayed_server="allocator-03-a",
+    ),
     "site_zurichsee": site.SiteOptions(pools=("allocator", "boathouse")),
     "site_tasmania": site.SiteOptions(
         example="tasmania-south",
--- a/monsoonhoist/node/node.py
+++ b/monsoonhoist/node/node.py
@@ -121,7 +121,7 @@
         self._backends.start()
         self._pauses.start()
         instance = self.config.instance
-        self._hub.listen(str(instance.host), instance.peer_port)
+        self._hub.listen(str(instance.host), instance.peer_listen_port or instance.peer_port)
         self._watcher.start()
         self._spawn(self._poll_instances())
         self._spawn(self._become_ready())
--- a/monsoonhoist/settings.py
+++ b/monsoonhoist/settings.py
@@ -23,7 +23,11 @@
 
 
 class InstanceSection(_Section):
-    """``[instance]``: names and addresses of this process."""
+    """``[instance]``: names and addresses of this process.
+
+    Others reach its instance streams at ``peer_port``; where a port mapping lies between,
+    ``peer_listen_port`` is the port that the process itself listens on.
+    """
 
     name: str = pydantic.Field(pattern=r"^[A-Za-z0-9._-]+$")
     deployment: str = pydantic.Field(pattern=r"^[A-Za-z0-9._-]+$")
@@ -31,6 +35,7 @@
     host: ipaddress.IPv4Address
     http_port: int = pydantic.Field(ge=1, le=65535)
     peer_port: int = pydantic.Field(ge=1, le=65535)
+    peer_listen_port: int = pydantic.Field(default=0, ge=0, le=65535)
 
     @pydantic.model_validator(mode="after")
     def _distinct_ports(self) -> "InstanceSection":
--- a/standins/site.py
+++ b/standins/site.py
@@ -5,6 +5,7 @@
 
 import json
 import pathlib
+import signal
 import subprocess
 import sys
 import tempfile
@@ -14,6 +15,8 @@
 
 import msgspec
 
+from standins import relay
+
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 PLATFORM_PORT = 20_000
 HTTP_PORT_BASE = 20_100
@@ -37,6 +40,8 @@
         program: Command that runs the program; empty for this Python.
         seed: Seed of the backend servers.
         backend_processes: Processes for each pool's backend servers.
+        relayed_instances: Instances whose streams from others pass a relay.
+        relayed_server: Backend server whose connections pass a relay; empty for none.
         dropped_option: Option left out of the table of routes; empty for none.
     """
 
@@ -52,6 +57,8 @@
     seed: int = 1
     backend_processes: int = 1
     dropped_option: str = ""
+    relayed_instances: tuple[int, ...] = ()
+    relayed_server: str = ""
 
 
 class SiteError(Exception):
@@ -67,6 +74,7 @@
     Attributes:
         options: What was started.
         process_by_name: All processes, by name.
+        relay_by_name: Relays, by the name of what lies behind them.
     """
 
     def __init__(self, options: SiteOptions):
@@ -74,6 +82,7 @@
         self.process_by_name: dict[str, subprocess.Popen] = {}
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="monsoonhoist-"))
         self._backend_by_server: dict[str, str] = {}
+        self.relay_by_name: dict[str, relay.Relay] = {}
 
     def start(self) -> "Site":
         """Starts everything and waits until all instances are ready."""
@@ -124,7 +133,20 @@
         dropped = self.options.dropped_option or "\0"
         self.publish("routes", "".join(line for line in lines if not line.startswith(dropped)))
         for path in self.pool_paths():
-            self.publish(f"pool/{path.stem}", path.read_text(encoding="utf-8"))
+            self.publish(f"pool/{path.stem}", self.pool_text(path.stem))
+
+    def pool_text(self, pool: str) -> str:
+        """Returns a pool's table, with the relay's address where there is one."""
+        path = ROOT / "examples" / self.options.example / "pools" / f"{pool}.ini"
+        text = path.read_text(encoding="utf-8")
+        server = self.options.relayed_server
+        address = addresses(path).get(server)
+        if address is None:
+            return text
+        if server not in self.relay_by_name:
+            host, _, port = address.rpartition(":")
+            self.relay_by_name[server] = relay.Relay(host, int(port))
+        return text.replace(address, f"127.0.0.1:{self.relay_by_name[server].port}")
 
     def publish_instances(self, numbers: tuple[int, ...] = ()) -> None:
         """Publishes the instance list, of all instances or of the given ones."""
@@ -133,7 +155,7 @@
             {
                 "instance": f"node-{number}",
                 "host": "127.0.0.1",
-                "peer_port": PEER_PORT_BASE + number,
+                "peer_port": self._peer_port(number),
                 "zone": self._zone(number),
                 "state": "live",
             }
@@ -154,7 +176,8 @@
         return (
             f"[instance]\nname = node-{number}\ndeployment = {self.options.example}\n"
             f"zone = {self._zone(number)}\nhost = 127.0.0.1\n"
-            f"http_port = {HTTP_PORT_BASE + number}\npeer_port = {PEER_PORT_BASE + number}\n"
+            f"http_port = {HTTP_PORT_BASE + number}\npeer_port = {self._peer_port(number)}\n"
+            f"peer_listen_port = {PEER_PORT_BASE + number}\n"
             f"[platform]\nconfig_url = {platform_url()}\n"
             f"instances_url = {platform_url()}/v1/instances\n{self.options.settings}"
         )
@@ -214,6 +237,16 @@
         reply = send("POST", f"{self.url(number)}/v1/ticket/{route}", "")
         return json.loads(reply)["ticket"]
 
+    def signal(self, name: str, number: signal.Signals) -> None:
+        """Sends a signal to a process that this object started."""
+        self.process_by_name[name].send_signal(number)
+
+    def wait_exit(self, name: str) -> int:
+        """Waits until a process has ended and returns its exit code."""
+        code = self.process_by_name[name].wait(timeout=START_SECONDS)
+        del self.process_by_name[name]
+        return code
+
     def pool_paths(self) -> list[pathlib.Path]:
         """Returns the table files of the started pools."""
         folder = ROOT / "examples" / self.options.example / "pools"
@@ -225,9 +258,13 @@
         for process in self.process_by_name.values():
             if process.poll() is None:
                 process.kill()
+                process.send_signal(signal.SIGCONT)
         for process in self.process_by_name.values():
             process.wait()
         self.process_by_name.clear()
+        for between in self.relay_by_name.values():
+            between.close()
+        self.relay_by_name.clear()
 
     def _spawn(self, name: str, command: list[str]) -> None:
         log = (self.folder / f"{name}.log").open("ab")
@@ -236,6 +273,15 @@
         )
         log.close()
 
+    def _peer_port(self, number: int) -> int:
+        """Returns the port at which others reach an instance, a relay's where it has one."""
+        if number not in self.options.relayed_instances:
+            return PEER_PORT_BASE + number
+        name = f"node-{number}"
+        if name not in self.relay_by_name:
+            self.relay_by_name[name] = relay.Relay("127.0.0.1", PEER_PORT_BASE + number)
+        return self.relay_by_name[name].port
+
     def _zone(self, number: int) -> str:
         return self.options.zones[(number - 1) % len(self.options.zones)]
 
