--- a/features/environment.py
+++ b/features/environment.py
@@ -11,6 +11,9 @@
         relayed_instances=(3,),
         relayed_server="allocator-03-a",
     ),
+    "site_booking_relayed": site.SiteOptions(
+        pools=("allocator", "boathouse"), relayed_server="boathouse-a"
+    ),
     "site_zurichsee": site.SiteOptions(pools=("allocator", "boathouse")),
     "site_tasmania": site.SiteOptions(
         example="tasmania-south",
--- a/features/steps/faults.py
+++ b/features/steps/faults.py
@@ -28,10 +28,16 @@
     context.callers.wait_for(count)
 
 
-@when('the process "{name}" is {action}')
-def kill_process(context, name, action):
-    """Kills or stops a process."""
-    context.site.signal(name, signal.SIGKILL if action == "killed" else signal.SIGSTOP)
+@when('the process "{name}" is killed')
+def kill_process(context, name):
+    """Kills a process."""
+    context.site.signal(name, signal.SIGKILL)
+
+
+@when('the process "{name}" is stopped')
+def stop_process(context, name):
+    """Stops a process so that it can go on later."""
+    context.site.signal(name, signal.SIGSTOP)
 
 
 @when('the process "{name}" goes on')
--- /dev/null
+++ b/features/steps/leaving.py
@@ -0,0 +1,77 @@
+"""Steps of servers and instances that leave."""
+
+import signal
+
+from behave import then, when
+
+from standins import site
+
+
+@when('the server "{server}" says that it is leaving')
+def drain_server(context, server):
+    """Lets a backend server refuse new work as draining."""
+    context.site.behave(server, draining=True)
+
+
+@when('the table marks the server "{server}" as leaving')
+def mark_leaving(context, server):
+    """Publishes the pool's table with the server marked."""
+    pool = server.rsplit("-", 2)[0]
+    text = context.site.pool_text(pool)
+    header = f"[server {server}]\n"
+    marked = text.replace(header, f"{header}leaving = yes\n")
+    context.marked = (f"pool/{pool}", context.site.publish(f"pool/{pool}", marked))
+
+
+@when("the marked table is in force at instances {first:d} to {last:d}")
+def wait_marked(context, first, last):
+    """Waits until the instances have the marked table."""
+    key, number = context.marked
+    for instance in range(first, last + 1):
+        site.wait_until(
+            lambda instance=instance: revision(context.site, instance, key) >= number,
+            f"revision {number} is not in force",
+        )
+
+
+def revision(deployment, instance, key):
+    """Returns the revision number of a key in force at an instance, or 0."""
+    keys = deployment.status(instance)["keys"]
+    return next((row["number"] for row in keys if row["key"] == key), 0)
+
+
+@when('{count:d} more answers have come without new work at "{server}"')
+def check_no_work(context, count, server):
+    """Checks that a leaving server starts no work while answers come."""
+    before = context.site.journal(server)["ran"]
+    context.callers.wait_for(count)
+    assert context.site.journal(server)["ran"] == before
+
+
+@when('the process "{name}" is told to end')
+def tell_end(context, name):
+    """Sends SIGTERM."""
+    context.site.signal(name, signal.SIGTERM)
+
+
+@when('the process "{name}" has ended by itself')
+@then('the process "{name}" ends by itself')
+def wait_end(context, name):
+    """Waits for the end and checks the exit code."""
+    assert context.site.wait_exit(name) == 0
+
+
+@then("instance {number:d} is not ready any more")
+def check_not_ready(context, number):
+    """Waits until the readiness address refuses."""
+    url = f"{context.site.url(number)}/ready"
+    site.wait_until(lambda: site.fetch(url) is None, "the instance stayed ready")
+
+
+@then("all answers are whole")
+def check_all_whole(context):
+    """Checks that no caller got anything but a whole answer."""
+    context.callers.stop()
+    assert not context.callers.errors, context.callers.errors[:3]
+    odd = [answer for answer in context.callers.answers if answer["outcome"] != "answered"]
+    assert not odd, (len(odd), odd[0])
--- /dev/null
+++ b/features/steps/tickets.py
@@ -0,0 +1,128 @@
+"""Steps of non-repeatable requests."""
+
+import threading
+
+from behave import given, then, when
+
+from standins import site
+
+ROUTE = "book-boat"
+POOL = "boathouse"
+
+
+def send(context, query, number):
+    """Sends the request with the ticket and keeps its answer."""
+    answer = context.site.ask(number, ROUTE, query, ticket=context.ticket)
+    context.answers.append(answer)
+
+
+def send_background(context, query, number):
+    """Sends the request in a thread."""
+    thread = threading.Thread(target=send, args=(context, query, number), daemon=True)
+    thread.start()
+    context.add_cleanup(thread.join)
+    context.threads = [*getattr(context, "threads", []), thread]
+
+
+def runs(context, query):
+    """Returns how often the journals show a request's start."""
+    journals = [context.site.journal(server) for server in context.site.servers(POOL)]
+    return sum(journal["executed"].count(query) for journal in journals)
+
+
+def join_threads(context):
+    """Waits for the background requests."""
+    for thread in getattr(context, "threads", []):
+        thread.join()
+
+
+@given("the boathouse works for {work_ms:d} ms on each request")
+def slow_boathouse(context, work_ms):
+    """Sets the working time of the pool's servers."""
+    for server in context.site.servers(POOL):
+        context.site.behave(server, median_ms=work_ms)
+
+
+@given('only "{open_server}" takes new work')
+def close_servers(context, open_server):
+    """Lets all other servers of the pool drain."""
+    for server in context.site.servers(POOL):
+        context.site.behave(server, draining=server != open_server)
+
+
+@when('the request "{query}" is sent with the ticket to instances {numbers} in turn')
+def send_in_turn(context, query, numbers):
+    """Sends the request to several instances one after the other."""
+    for number in numbers.split(", "):
+        send(context, query, int(number))
+
+
+@when('the request "{query}" is sent with the ticket to instances {numbers} at once')
+def send_at_once(context, query, numbers):
+    """Sends the request to several instances at the same time."""
+    for number in numbers.split(", "):
+        send_background(context, query, int(number))
+    join_threads(context)
+
+
+@when('in the background the request "{query}" is sent with the ticket to instance {number:d}')
+def send_one_background(context, query, number):
+    """Sends the request without waiting for its answer."""
+    send_background(context, query, number)
+
+
+@when('the request "{query}" is sent with the ticket to instance {number:d}')
+def send_one(context, query, number):
+    """Sends the request."""
+    send(context, query, number)
+
+
+@when('the journals show a run of "{query}"')
+def wait_run(context, query):
+    """Waits until a backend server has begun to work on the request."""
+    site.wait_until(lambda: runs(context, query) > 0, "the request did not start")
+
+
+@when("instance {number:d} is started again")
+def restart(context, number):
+    """Starts an instance that has ended and waits until it is ready."""
+    context.site.wait_exit(f"node-{number}")
+    context.site.start_instance(number)
+    context.site.wait_ready((number,))
+
+
+@when('a question at instance {number:d} to route "{route}" is answered whole')
+def wait_recovery(context, number, route):
+    """Waits until an instance answers again."""
+    site.wait_until(
+        lambda: context.site.ask(number, route, "again")["outcome"] == "answered",
+        "no whole answer after the failure",
+    )
+
+
+@then('all outcomes are "{outcome}"')
+def check_outcomes(context, outcome):
+    """Checks the outcomes of all requests sent with the ticket."""
+    join_threads(context)
+    found = [answer["outcome"] for answer in context.answers]
+    assert found and set(found) == {outcome}, context.answers
+
+
+@then('the first {count:d} outcomes are "{outcome}"')
+def check_first_outcomes(context, count, outcome):
+    """Checks the outcomes of the first requests."""
+    found = [answer["outcome"] for answer in context.answers[:count]]
+    assert found == [outcome] * count, context.answers
+
+
+@then('the journals show {count:d} run of "{query}"')
+@then('the journals show {count:d} runs of "{query}"')
+def check_runs(context, count, query):
+    """Checks how often the backend servers began to work on the request."""
+    assert runs(context, query) == count, runs(context, query)
+
+
+@then('the journals show at most 1 run of "{query}"')
+def check_at_most_once(context, query):
+    """Checks that the backend servers did not run the request twice."""
+    assert runs(context, query) <= 1, runs(context, query)
--- a/monsoonhoist/core/owner.py
+++ b/monsoonhoist/core/owner.py
@@ -163,7 +163,7 @@
             elif state.has_untried(sub, now):
                 deferred.append(sub)
             else:
-                self._give_up(state, sub, data.Refusal.NO_SERVER, commands)
+                self._give_up(state, sub, state.refusal_without_server(sub, now), commands)
         for sub in deferred:
             state.push(sub)
         self._refuse_without_server(state, now, commands)
@@ -249,7 +249,7 @@
         state = self._shard_by_key[(call.sub.query.pool, call.sub.service)]
         latency = now - call.started
         call.server.note_success(latency)
-        call.server.learn(event.holdings)
+        call.server.learn(event.holdings, now)
         state.hedge.record(latency)
         if event.draining:
             call.server.note_draining(now)
@@ -282,7 +282,7 @@
         self._pump(state, commands)
 
     def _note_failure(self, call: shard.Call, event: events.CallFailed, now: float) -> None:
-        call.server.learn(event.holdings)
+        call.server.learn(event.holdings, now)
         if event.reason in _UNHEALTHY:
             call.server.note_failure(now)
         elif event.reason is data.Refusal.CANCELLED:
--- a/monsoonhoist/core/server.py
+++ b/monsoonhoist/core/server.py
@@ -1,11 +1,15 @@
 """State of one backend server at its owner."""
 
+import math
+
 from monsoonhoist.core import data
 
 LATENCY_WEIGHT = 0.1
 BACKOFF_MIN_SECONDS = 0.1
 BACKOFF_MAX_SECONDS = 5.0
 DRAIN_MEMORY_SECONDS = 10.0
+# Age from which a server's word on its snapshots is asked for again.
+HOLDINGS_FRESH_SECONDS = 0.5
 SUCCESSES_PER_STEP = 4
 # Share of a server's connections that one owner uses, so that two instances that both
 # believe themselves the owner stay within the limit together.
@@ -27,6 +31,7 @@
         self.outstanding = 0
         self.latency_seconds = 0.0
         self.holdings: tuple[data.Holding, ...] = ()
+        self._learned_at = -math.inf
         self._share = share
         self._limit = 1
         self._successes = 0
@@ -60,16 +65,17 @@
         """Returns whether a call may start now."""
         return self.outstanding < self._limit and self.is_open(now)
 
-    def may_hold(self, snapshot: data.Snapshot) -> bool:
-        """Returns whether the server holds a snapshot or has not said."""
-        if snapshot == data.LATEST_SNAPSHOT or not self.holdings:
+    def may_hold(self, snapshot: data.Snapshot, now: float) -> bool:
+        """Returns whether the server holds a snapshot or has not said so lately."""
+        if snapshot == data.LATEST_SNAPSHOT or now - self._learned_at > HOLDINGS_FRESH_SECONDS:
             return True
         return any(holding.snapshot == snapshot for holding in self.holdings)
 
-    def learn(self, holdings: tuple[data.Holding, ...]) -> None:
+    def learn(self, holdings: tuple[data.Holding, ...], now: float) -> None:
         """Takes note of the snapshots that the server named."""
         if holdings:
             self.holdings = holdings
+            self._learned_at = now
 
     def note_success(self, latency_seconds: float) -> None:
         """Takes note of a reply."""
--- a/monsoonhoist/core/shard.py
+++ b/monsoonhoist/core/shard.py
@@ -156,7 +156,7 @@
         usable = [
             state
             for state in self.server_by_id.values()
-            if state.is_open(now) and state.may_hold(sub.snapshot)
+            if state.is_open(now) and state.may_hold(sub.snapshot, now)
         ]
         untried = [state for state in usable if state.server.server_id not in sub.tried]
         return [state for state in untried if state.has_room(now)]
@@ -169,14 +169,19 @@
         return [
             state
             for state in self.server_by_id.values()
-            if state.has_room(now) and state.may_hold(sub.snapshot)
+            if state.has_room(now) and state.may_hold(sub.snapshot, now)
         ]
 
+    def refusal_without_server(self, sub: SubRequest, now: float) -> data.Refusal:
+        """Returns why no server is left for a sub-request."""
+        is_held = any(state.may_hold(sub.snapshot, now) for state in self.server_by_id.values())
+        return data.Refusal.NO_SERVER if is_held else data.Refusal.SNAPSHOT_GONE
+
     def has_untried(self, sub: SubRequest, now: float) -> bool:
         """Returns whether an untried server may still serve a sub-request."""
         return any(
             state.is_open(now)
-            and state.may_hold(sub.snapshot)
+            and state.may_hold(sub.snapshot, now)
             and state.server.server_id not in sub.tried
             for state in self.server_by_id.values()
         )
