Bring about operators' races and a service that is down, stale or rolled back

Cause: the second property, an accepted configuration never reverts, had no proof over real processes. The ticket desk counted the kernel's refusals a second time. Change: nine scenarios over three instances; the desk counts only its own refusals.

--- /dev/null
+++ b/features/steps/tables.py
@@ -0,0 +1,153 @@
+"""Steps of operators and of the configuration service."""
+
+import json
+import signal
+
+from behave import given, then, when
+
+from standins import site
+
+
+def example_routes(deadline_ms):
+    """Returns the example's routes with another deadline of boat-search."""
+    path = site.ROOT / "examples" / "zurichsee" / "routes.ini"
+    return path.read_text(encoding="utf-8").replace("1500", str(deadline_ms))
+
+
+def revision(deployment, instance, key):
+    """Returns the revision number of a key in force at an instance, or 0."""
+    keys = deployment.status(instance)["keys"]
+    return next((row["number"] for row in keys if row["key"] == key), 0)
+
+
+def reads(context):
+    """Returns the number of calls to the service."""
+    return json.loads(site.fetch(f"{site.platform_url()}/control/reads"))["reads"]
+
+
+@when('the operators publish the example\'s routes with the deadline of "boat-search" at {ms:d} ms')
+def publish_example(context, ms):
+    """Publishes the routes."""
+    context.site.publish("routes", example_routes(ms))
+
+
+@when('the operators publish the routes "{text}"')
+def publish_text(context, text):
+    """Publishes routes as written."""
+    context.site.publish("routes", text.replace("\\n", "\n"))
+
+
+@when('the operators publish a route to the pool "{pool}" and ask it at instance {number:d}')
+def publish_dangling(context, pool, number):
+    """Publishes a route whose pool is not there and asks it once it is known."""
+    text = example_routes(1500)
+    text += f"\n[route {pool}-route]\nrank = normal\npool = {pool}\ndeadline_ms = 1000\n"
+    number_published = context.site.publish("routes", text)
+    wait_revision(context, number_published, "routes", number)
+    context.answer = context.site.ask(number, f"{pool}-route", "early")
+
+
+@when('the operators publish the pool "{pool}" with the servers of "{source}"')
+def publish_pool(context, pool, source):
+    """Publishes another pool's servers under a new name."""
+    context.site.publish(f"pool/{pool}", context.site.pool_text(source))
+
+
+@when('the operators publish two values of "routes" with the number {number:d}, one to each reader')
+def publish_conflict(context, number):
+    """Publishes a value, waits until it is in force, and publishes another one."""
+    context.site.publish("routes", example_routes(1400), number)
+    wait_revision(context, number, "routes", 1)
+    context.site.publish("routes", example_routes(1300), number)
+    context.site.signal("node-3", signal.SIGKILL)
+    context.site.wait_exit("node-3")
+    context.site.start_instance(3)
+    context.site.wait_ready((3,))
+
+
+@given("the instances {first:d} to {last:d} are cut off from the service by stopping them")
+def stop_instances(context, first, last):
+    """Stops instances."""
+    for number in range(first, last + 1):
+        context.site.signal(f"node-{number}", signal.SIGSTOP)
+
+
+@when("the instances {first:d} to {last:d} go on")
+def continue_instances(context, first, last):
+    """Lets stopped instances go on."""
+    for number in range(first, last + 1):
+        context.site.signal(f"node-{number}", signal.SIGCONT)
+
+
+@when('the service is "{mode}"')
+def set_mode(context, mode):
+    """Changes the behaviour of the service."""
+    context.site.control("mode", mode)
+
+
+@when("the service's present state is kept as its old one")
+def keep_old(context):
+    """Marks the state that the mode "old" serves."""
+    context.site.control("old", "")
+
+
+@when("the instance list is frozen")
+def freeze_list(context):
+    """Lets the instance list show no changes."""
+    context.site.control("freeze-instances", "yes")
+
+
+@when("the service has been read {count:d} more times")
+def wait_reads(context, count):
+    """Waits for calls to the service; publishing another key wakes the watches."""
+    wanted = reads(context) + count
+
+    def is_read():
+        context.site.control("mode", "old")
+        return reads(context) >= wanted
+
+    site.wait_until(is_read, "the service was not read")
+
+
+@when('revision {number:d} of "{key}" is in force at instance {instance:d}')
+def wait_revision(context, number, key, instance):
+    """Waits until an instance has a revision."""
+    site.wait_until(
+        lambda: revision(context.site, instance, key) >= number,
+        f"revision {number} of {key} is not in force at instance {instance}",
+    )
+
+
+@then('revision {number:d} of "{key}" is in force at instances {first:d} to {last:d}')
+def check_revision(context, number, key, first, last):
+    """Waits until all instances have exactly this revision."""
+    for instance in range(first, last + 1):
+        wait_revision(context, number, key, instance)
+        assert revision(context.site, instance, key) == number
+
+
+def rejections(context, number):
+    """Returns an instance's log lines about rejected values."""
+    lines = (context.site.folder / f"node-{number}.log").read_text().splitlines()
+    return [json.loads(line) for line in lines if "table value rejected" in line]
+
+
+@then('instance {number:d} logs the findings "{first}" and "{second}"')
+def check_findings(context, number, first, second):
+    """Waits for a log line that names both findings with file, line and section."""
+    site.wait_until(lambda: rejections(context, number), "no value was rejected")
+    rejected = rejections(context, number)
+    text = " ".join(rejected[0]["findings"])
+    assert f"routes:2: [route x] {first}" in text, text
+    assert f"routes:4: [route x] {second}" in text, text
+
+
+@then("all instances have the same tables in force")
+def check_same(context):
+    """Waits until the digests of all instances are equal."""
+
+    def is_same():
+        digests = {context.site.status(number)["tables_digest"] for number in (1, 2, 3)}
+        return len(digests) == 1
+
+    site.wait_until(is_same, "the tables in force differ")
--- /dev/null
+++ b/features/tables.feature
@@ -0,0 +1,70 @@
+Feature: An accepted configuration takes hold everywhere and stays held
+
+  @site_three
+  Scenario: An edit is in force everywhere
+    When the operators publish the example's routes with the deadline of "boat-search" at 1400 ms
+    Then revision 2 of "routes" is in force at instances 1 to 3
+
+  @site_three
+  Scenario: The service goes down after one instance has read an edit
+    Given the instances 2 to 3 are cut off from the service by stopping them
+    When the operators publish the example's routes with the deadline of "boat-search" at 1400 ms
+    And revision 2 of "routes" is in force at instance 1
+    And the service is "down"
+    And the instances 2 to 3 go on
+    Then revision 2 of "routes" is in force at instances 1 to 3
+
+  @site_three
+  Scenario: The service comes back with an old state
+    When the service's present state is kept as its old one
+    And the operators publish the example's routes with the deadline of "boat-search" at 1400 ms
+    And revision 2 of "routes" is in force at instance 1
+    And the service is "old"
+    And the service has been read 10 more times
+    Then revision 2 of "routes" is in force at instances 1 to 3
+
+  @site_three
+  Scenario: An instance starts while the service is down
+    When the process "node-3" is killed
+    And the service is "down"
+    And instance 3 is started again
+    Then revision 1 of "routes" is in force at instances 1 to 3
+    And in the end a question at instance 3 to route "boat-search" is answered whole
+
+  @site_three
+  Scenario: An instance starts while the service serves an old state
+    When the service's present state is kept as its old one
+    And the operators publish the example's routes with the deadline of "boat-search" at 1400 ms
+    And revision 2 of "routes" is in force at instance 1
+    And the service is "old"
+    And the process "node-3" is killed
+    And instance 3 is started again
+    Then revision 2 of "routes" is in force at instances 1 to 3
+
+  @site_three
+  Scenario: A value with errors is rejected whole, and the next one is taken
+    When the operators publish the routes "[route x]\nrank = fast\npool = p\ndeadline_ms = 5"
+    Then instance 1 logs the findings "rank" and "deadline_ms"
+    When the operators publish the example's routes with the deadline of "boat-search" at 1400 ms
+    Then revision 3 of "routes" is in force at instances 1 to 3
+
+  @site_three
+  Scenario: Operators race and the routes come before their pool
+    When the operators publish a route to the pool "late" and ask it at instance 1
+    Then the reason is "pool_not_defined" and the outcome "not_run"
+    When the operators publish the pool "late" with the servers of "allocator"
+    Then in the end a question at instance 1 to route "late-route" is answered whole
+
+  @site_three
+  Scenario: Two values with the same number
+    When the operators publish two values of "routes" with the number 7, one to each reader
+    Then all instances have the same tables in force
+
+  @site_three
+  Scenario: The instance list is stale while an instance is replaced
+    When the instance list is frozen
+    And the process "node-2" is killed
+    Then in the end a question at instance 1 to route "boat-search" is answered whole
+    And in the end a question at instance 3 to route "boat-search" is answered whole
+    When instance 2 is started again
+    Then in the end a question at instance 2 to route "boat-search" is answered whole
--- a/monsoonhoist/node/desk.py
+++ b/monsoonhoist/node/desk.py
@@ -67,18 +67,11 @@
             request: The request.
             remaining_ms: Time left, in milliseconds.
         """
-        answer = await self._use(route, request, remaining_ms)
-        if answer.reason is not None:
-            self._count_refusal(answer.reason)
-        return answer
-
-    async def _use(
-        self, route: data.RouteId, request: data.Request, remaining_ms: int
-    ) -> data.Answer:
         ticket = tickets.decode(request.ticket)
         if ticket is None or ticket.route != route:
             detail = f"the ticket is not one for the route {route!r}"
-            return outcome.not_run(request, data.Refusal.TICKET_MALFORMED, detail)
+            answer = outcome.not_run(request, data.Refusal.TICKET_MALFORMED, detail)
+            return self._refused(answer)
         if ticket.instance == self._myself:
             return await self._hold(ticket, request, remaining_ms)
         return await self._forward(ticket, request, remaining_ms)
@@ -107,7 +100,7 @@
         """Runs a request once and lets its repeats wait for the same answer."""
         decision = self._book.present(ticket, request)
         if decision.use is tickets.Use.ANSWER:
-            return decision.answer
+            return self._refused(decision.answer)
         if decision.use is tickets.Use.WAIT:
             return await self._wait(ticket, request, remaining_ms)
         ended = asyncio.get_running_loop().create_future()
@@ -126,7 +119,7 @@
             return await asyncio.wait_for(ended, remaining_ms / MS_PER_SECOND)
         except TimeoutError:
             detail = "the first use of the ticket is still running"
-            return outcome.unknown(request, data.Refusal.TIMEOUT, detail)
+            return self._unknown(request, data.Refusal.TIMEOUT, detail)
 
     async def _forward(
         self, ticket: tickets.Ticket, request: data.Request, remaining_ms: int
@@ -140,15 +133,25 @@
         try:
             if not self._send(ticket.instance, use):
                 detail = "the instance that holds the ticket cannot be reached"
-                return outcome.unknown(request, data.Refusal.TICKET_HOLDER_GONE, detail)
+                return self._unknown(request, data.Refusal.TICKET_HOLDER_GONE, detail)
             timeout = remaining_ms / MS_PER_SECOND + FORWARD_SLACK_SECONDS
             return await asyncio.wait_for(ended, timeout)
         except asyncio.CancelledError:
             detail = "the stream to the instance that holds the ticket was lost"
-            return outcome.unknown(request, data.Refusal.TICKET_HOLDER_GONE, detail)
+            return self._unknown(request, data.Refusal.TICKET_HOLDER_GONE, detail)
         except TimeoutError:
             detail = "the instance that holds the ticket did not answer"
-            return outcome.unknown(request, data.Refusal.TIMEOUT, detail)
+            return self._unknown(request, data.Refusal.TIMEOUT, detail)
         finally:
             del self._forward_by_id[forward_id]
             del self._holder_by_forward[forward_id]
+
+    def _unknown(self, request: data.Request, reason: data.Refusal, detail: str) -> data.Answer:
+        """Returns the counted answer to a request whose end was not heard."""
+        return self._refused(outcome.unknown(request, reason, detail))
+
+    def _refused(self, answer: data.Answer) -> data.Answer:
+        """Counts the reason of an answer given here, and returns the answer."""
+        if answer.reason is not None:
+            self._count_refusal(answer.reason)
+        return answer
