--- a/monsoonhoist/core/messages.py
+++ b/monsoonhoist/core/messages.py
@@ -4,6 +4,8 @@
 against the message's record.
 """
 
+import zlib
+
 import msgpack
 import msgspec
 
@@ -111,14 +113,22 @@
     keys: tuple[data.TableKey, ...]
 
 
-class TableValue(msgspec.Struct, frozen=True, array_like=True, tag="table"):
-    """Value of one table key."""
+class TableValue(msgspec.Struct, frozen=True):
+    """Value of one table key, as published."""
 
     key: data.TableKey
     number: int
     text: str
 
 
+class PackedTable(msgspec.Struct, frozen=True, array_like=True, tag="table"):
+    """Value of one table key, with its text deflated (RFC 1950)."""
+
+    key: data.TableKey
+    number: int
+    deflated: bytes
+
+
 class TicketUse(msgspec.Struct, frozen=True, array_like=True, tag="ticket-use"):
     """Forwards a non-repeatable request to the ticket's holder."""
 
@@ -146,7 +156,7 @@
     | Members
     | Revisions
     | WantTables
-    | TableValue
+    | PackedTable
     | TicketUse
     | TicketAnswer
 )
@@ -158,6 +168,27 @@
     return msgpack.packb(builtins)
 
 
+def pack_table(value: TableValue) -> PackedTable:
+    """Returns a table value in the form that is sent."""
+    return PackedTable(value.key, value.number, zlib.compress(value.text.encode()))
+
+
+def unpack_table(packed: PackedTable, bytes_max: int) -> TableValue:
+    """Returns a received table value.
+
+    Raises:
+        ProtocolError: If the text is malformed or longer than ``bytes_max``.
+    """
+    inflater = zlib.decompressobj()
+    try:
+        text = inflater.decompress(packed.deflated, bytes_max + 1)
+        if not inflater.eof or len(text) > bytes_max:
+            raise errors.ProtocolError(f"the value of {packed.key!r} is too long or cut off")
+        return TableValue(packed.key, packed.number, text.decode())
+    except (zlib.error, UnicodeDecodeError) as error:
+        raise errors.ProtocolError(f"malformed value of {packed.key!r}: {error}") from error
+
+
 def decode(body: bytes) -> Message:
     """Returns the message held in ``body``.
 
--- a/monsoonhoist/node/node.py
+++ b/monsoonhoist/node/node.py
@@ -8,6 +8,7 @@
 from monsoonhoist import metrics, settings
 from monsoonhoist.core import clock, data, events, kernel, membership, messages, outcome
 from monsoonhoist.node import backends, curl, desk, kernels, pause, peers, platform, tables
+from monsoonhoist.tables import store
 
 READY_CHECK_SECONDS = 0.05
 PEERS_ONLY_READY_SECONDS = 2.0
@@ -229,8 +230,9 @@
                 self.spread.on_revisions(sender, message)
             case messages.WantTables():
                 self.spread.on_want(sender, message)
-            case messages.TableValue():
-                self.spread.offer(message, "peer")
+            case messages.PackedTable():
+                value = messages.unpack_table(message, store.VALUE_BYTES_MAX)
+                self.spread.offer(value, "peer")
             case messages.Members():
                 self._take_members(sender, message)
             case messages.TicketUse():
--- a/monsoonhoist/node/tables.py
+++ b/monsoonhoist/node/tables.py
@@ -112,7 +112,7 @@
         for key in message.keys:
             value = self.store.value(key)
             if value is not None:
-                self._send(sender, value)
+                self._send(sender, messages.pack_table(value))
 
     def on_digest(self, sender: data.InstanceId, digest: bytes) -> None:
         """Tells a peer all revisions if its digest differs, at most at intervals."""
--- a/monsoonhoist/policy/ownership.py
+++ b/monsoonhoist/policy/ownership.py
@@ -40,35 +40,61 @@
     cell_size = 64
 
     def __init__(self, myself: data.InstanceId):
-        self._owners_by_shard: dict[tuple[str, str], tuple[data.InstanceId, ...]] = {}
-        self._cell_by_pool: dict[data.PoolId, list[data.InstanceId]] = {}
+        self._cell_by_pool: dict[data.PoolId, Cell] = {}
         self._instances: tuple[data.InstanceId, ...] = ()
 
     def owners(
         self, pool: data.PoolId, service: data.ServiceId, instances: Sequence[data.InstanceId]
     ) -> tuple[data.InstanceId, ...]:
         """Returns the two instances that weigh most within the pool's cell."""
-        if tuple(instances) != self._instances:
-            self._instances = tuple(instances)
-            self._owners_by_shard.clear()
-            self._cell_by_pool.clear()
-        found = self._owners_by_shard.get((pool, service))
-        if found is None:
-            cell = self._cell(pool)
-            found = tuple(_heaviest(f"{pool}/{service}", cell)[:2])
-            self._owners_by_shard[(pool, service)] = found
-        return found
+        if instances is not self._instances:
+            self._change(tuple(instances))
+        cell = self._cell_by_pool.get(pool)
+        if cell is None:
+            cell = Cell(tuple(_heaviest(pool, self._instances)[: self.cell_size]))
+            self._cell_by_pool[pool] = cell
+        return cell.owners(pool, service)
 
     def share(self, instance_count: int) -> float:
         """Returns 1: all load of a server passes through its owner."""
         return 1.0
 
-    def _cell(self, pool: data.PoolId) -> list[data.InstanceId]:
-        cell = self._cell_by_pool.get(pool)
-        if cell is None:
-            cell = _heaviest(pool, self._instances)[: self.cell_size]
-            self._cell_by_pool[pool] = cell
-        return cell
+    def _change(self, instances: tuple[data.InstanceId, ...]) -> None:
+        """Forgets the cells that a change of instances concerns."""
+        added = set(instances).difference(self._instances)
+        removed = set(self._instances).difference(instances)
+        self._instances = instances
+        for pool, cell in list(self._cell_by_pool.items()):
+            lost = bool(removed.intersection(cell.members))
+            if lost or self._would_join(pool, cell, added):
+                del self._cell_by_pool[pool]
+
+    def _would_join(self, pool: data.PoolId, cell: "Cell", added: set[data.InstanceId]) -> bool:
+        """Returns whether any added instance belongs to the pool's cell."""
+        if len(cell.members) < self.cell_size:
+            return bool(added)
+        lightest = _weight(pool, cell.members[-1])
+        return any(_weight(pool, instance) > lightest for instance in added)
+
+
+class Cell:
+    """Instances that own one pool's shards.
+
+    Attributes:
+        members: The instances by falling weight for the pool.
+    """
+
+    def __init__(self, members: tuple[data.InstanceId, ...]):
+        self.members = members
+        self._owners_by_service: dict[data.ServiceId, tuple[data.InstanceId, ...]] = {}
+
+    def owners(self, pool: data.PoolId, service: data.ServiceId) -> tuple[data.InstanceId, ...]:
+        """Returns the owner and the stand-by of a shard."""
+        found = self._owners_by_service.get(service)
+        if found is None:
+            found = tuple(_heaviest(f"{pool}/{service}", self.members)[:2])
+            self._owners_by_service[service] = found
+        return found
 
 
 @registry.register(registry.Kind.OWNERSHIP, "direct")
@@ -91,8 +117,8 @@
 
 def _heaviest(name: str, instances: Sequence[data.InstanceId]) -> list[data.InstanceId]:
     """Returns the instances by falling weight for a name."""
+    return sorted(instances, key=lambda instance: _weight(name, instance), reverse=True)
 
-    def weight(instance: data.InstanceId) -> tuple[int, str]:
-        return (hashing.weight(instance, name), instance)
 
-    return sorted(instances, key=weight, reverse=True)
+def _weight(name: str, instance: data.InstanceId) -> tuple[int, str]:
+    return (hashing.weight(instance, name), instance)
--- a/monsoonhoist/tables/pools.py
+++ b/monsoonhoist/tables/pools.py
@@ -4,7 +4,7 @@
 ``pool/NAME/PART`` for several parts.
 """
 
-from collections.abc import Iterable
+from collections.abc import Sequence
 
 import msgspec
 import pydantic
@@ -97,18 +97,11 @@
     return PoolPart(pool_of(key), key_space, tuple(servers), tuple(findings))
 
 
-def join(parts: Iterable[PoolPart]) -> dict[data.PoolId, data.Pool]:
-    """Joins the accepted parts of all pools.
+def join(pool_id: data.PoolId, parts: Sequence[PoolPart]) -> data.Pool:
+    """Joins the accepted parts of a pool.
 
-    A server named in several parts of a pool is taken from the last part by order.
+    A server named in several parts is taken from the last one.
     """
-    parts_by_pool: dict[data.PoolId, list[PoolPart]] = {}
-    for part in parts:
-        parts_by_pool.setdefault(part.pool_id, []).append(part)
-    return {pool_id: _join_pool(pool_id, parts) for pool_id, parts in parts_by_pool.items()}
-
-
-def _join_pool(pool_id: data.PoolId, parts: list[PoolPart]) -> data.Pool:
     server_by_id = {server.server_id: server for part in parts for server in part.servers}
     servers_by_service: dict[data.ServiceId, list[data.Server]] = {}
     for server in server_by_id.values():
--- a/monsoonhoist/tables/review.py
+++ b/monsoonhoist/tables/review.py
@@ -25,14 +25,17 @@
         key = data.TableKey(f"{pools.KEY_PREFIX}{name}")
         text = _read(file, findings)
         if text is not None:
-            findings.extend(store.findings_of(key, file, text))
-            parts.append(pools.parse(key, file, text))
+            parsed = store.parse(key, file, text)
+            findings.extend(parsed.findings)
+            if parsed.part is not None:
+                parts.append(parsed.part)
     if routes_path is not None:
         text = _read(str(routes_path), findings)
         if text is not None:
-            findings.extend(store.findings_of(routes.KEY, str(routes_path), text))
-            if pool_specs:
-                findings.extend(_dangling(str(routes_path), text, parts))
+            parsed = store.parse(routes.KEY, str(routes_path), text)
+            findings.extend(parsed.findings)
+            if pool_specs and parsed.table is not None:
+                findings.extend(_dangling(str(routes_path), parsed.table, parts))
     return tuple(findings)
 
 
@@ -44,7 +47,9 @@
         return None
 
 
-def _dangling(file: str, text: str, parts: list[pools.PoolPart]) -> list[data.Finding]:
+def _dangling(
+    file: str, table: routes.RoutesTable, parts: list[pools.PoolPart]
+) -> list[data.Finding]:
     """Returns a finding for each route whose pool was not given."""
     given = {part.pool_id for part in parts}
     return [
@@ -52,6 +57,6 @@
             data.Place(file, f"route {route.route_id}"),
             f"the pool {route.pool!r} is not among the pools given",
         )
-        for route in routes.parse(file, text).route_by_id.values()
+        for route in table.route_by_id.values()
         if route.pool not in given
     ]
--- a/monsoonhoist/tables/store.py
+++ b/monsoonhoist/tables/store.py
@@ -50,16 +50,33 @@
     return hashlib.sha256(text.encode()).digest()[:16]
 
 
-def findings_of(key: data.TableKey, file: str, text: str) -> tuple[data.Finding, ...]:
-    """Returns everything wrong with a value; empty if it may be accepted."""
+class ParsedValue(msgspec.Struct, frozen=True):
+    """What a value holds; one of the tables, or findings.
+
+    Attributes:
+        findings: Everything wrong with the value; empty if it may be accepted.
+        table: The table of routes, if the key is the routes'.
+        part: The part of a pool, if the key is a pool's.
+    """
+
+    findings: tuple[data.Finding, ...]
+    table: routes.RoutesTable | None = None
+    part: pools.PoolPart | None = None
+
+
+def parse(key: data.TableKey, file: str, text: str) -> ParsedValue:
+    """Parses and checks a value; the result depends on the value alone."""
     if len(text.encode()) > VALUE_BYTES_MAX:
         message = f"the value is larger than {VALUE_BYTES_MAX} bytes"
-        return (data.Finding(data.Place(file), message),)
+        return ParsedValue((data.Finding(data.Place(file), message),))
     if key == routes.KEY:
-        return routes.parse(file, text).findings
+        table = routes.parse(file, text)
+        return ParsedValue(table.findings, table=table)
     if pools.is_pool_key(key):
-        return pools.parse(key, file, text).findings
-    return (data.Finding(data.Place(file), f"the key {key!r} is neither routes nor a pool"),)
+        part = pools.parse(key, file, text)
+        return ParsedValue(part.findings, part=part)
+    message = f"the key {key!r} is neither routes nor a pool"
+    return ParsedValue((data.Finding(data.Place(file), message),))
 
 
 class TableStore:
@@ -93,13 +110,13 @@
             return Verdict(Acceptance.KNOWN if known else Acceptance.OLDER)
         if self._rejected_by_key.get(value.key) == revision:
             return Verdict(Acceptance.KNOWN)
-        findings = findings_of(value.key, value.key, value.text)
-        if findings:
+        parsed = parse(value.key, value.key, value.text)
+        if parsed.findings:
             self._rejected_by_key[value.key] = revision
-            return Verdict(Acceptance.REJECTED, findings)
+            return Verdict(Acceptance.REJECTED, parsed.findings)
         self.revision_by_key[value.key] = revision
         self._text_by_key[value.key] = value.text
-        self._rebuild(value)
+        self._rebuild(value.key, parsed)
         return Verdict(Acceptance.ACCEPTED)
 
     def value(self, key: data.TableKey) -> messages.TableValue | None:
@@ -141,15 +158,20 @@
     def _is_newer(theirs: messages.Revision, mine: messages.Revision | None) -> bool:
         return mine is None or _order(theirs) > _order(mine)
 
-    def _rebuild(self, value: messages.TableValue) -> None:
+    def _rebuild(self, key: data.TableKey, parsed: ParsedValue) -> None:
         """Replaces the tables by ones that hold the accepted value."""
-        if value.key == routes.KEY:
-            route_by_id = routes.parse(value.key, value.text).route_by_id
-            self.tables = Tables(route_by_id, self.tables.pool_by_id)
+        if parsed.table is not None:
+            self.tables = Tables(parsed.table.route_by_id, self.tables.pool_by_id)
             return
-        self._part_by_key[value.key] = pools.parse(value.key, value.key, value.text)
-        parts = [self._part_by_key[key] for key in sorted(self._part_by_key)]
-        self.tables = Tables(self.tables.route_by_id, pools.join(parts))
+        self._part_by_key[key] = parsed.part
+        pool_id = parsed.part.pool_id
+        parts = [
+            self._part_by_key[name]
+            for name in sorted(self._part_by_key)
+            if pools.pool_of(name) == pool_id
+        ]
+        pool_by_id = {**self.tables.pool_by_id, pool_id: pools.join(pool_id, parts)}
+        self.tables = Tables(self.tables.route_by_id, pool_by_id)
 
 
 def _order(revision: messages.Revision) -> tuple[int, bytes]:
