--- a/bench/scenes.py
+++ b/bench/scenes.py
@@ -81,7 +81,6 @@
         self._services = services
         made = kernel.make_kernel(
             MYSELF,
-            data.Incarnation(1),
             data.ZoneId("zone-1"),
             clock.ManualClock(),
             kernel.PolicyNames(),
@@ -131,9 +130,7 @@
 
     def __init__(self, services: int):
         self._clock = clock.ManualClock()
-        made = kernel.make_kernel(
-            MYSELF, data.Incarnation(1), data.ZoneId("zone-1"), self._clock, kernel.PolicyNames()
-        )
+        made = kernel.make_kernel(MYSELF, data.ZoneId("zone-1"), self._clock, kernel.PolicyNames())
         self._owner = made.owner
         self._owner.handle(events.ViewChanged(tables_of(services), (MYSELF,)))
         self._names = tuple(data.ServiceId(f"shard-{number:04d}") for number in range(services))
--- a/monsoonhoist/cli.py
+++ b/monsoonhoist/cli.py
@@ -1,6 +1,8 @@
 """Command line: thin commands over the library."""
 
+import collections
 import datetime
+import gzip
 import pathlib
 import sys
 from typing import Annotated
@@ -10,7 +12,7 @@
 
 import monsoonhoist
 from monsoonhoist import client, errors, settings
-from monsoonhoist.core import data
+from monsoonhoist.core import data, traces
 from monsoonhoist.node import process
 from monsoonhoist.tables import review
 
@@ -58,7 +60,7 @@
     except errors.SettingsError as error:
         _show_findings(error.findings)
         raise typer.Exit(EXIT_FINDINGS) from error
-    process.run(config, log_level, None)
+    process.run(config, log_level, trace)
 
 
 @app.command()
@@ -143,6 +145,29 @@
         raise typer.Exit(EXIT_FINDINGS)
 
 
+@app.command()
+def replay(
+    path: Annotated[pathlib.Path, typer.Argument(help="Trace, plain or .gz.")],
+) -> None:
+    """Replay a trace and show the outcomes; exit code 1 if any command differs.
+
+    Example: monsoonhoist replay features/traces/killed.jsonl.gz
+    """
+    opener = gzip.open if path.suffix == ".gz" else open
+    try:
+        with opener(path, "rb") as lines:
+            result = traces.replay(str(path), lines)
+    except OSError as error:
+        typer.echo(str(error), err=True)
+        raise typer.Exit(EXIT_USAGE) from error
+    _show_findings(result.findings)
+    outcomes = collections.Counter(answer.outcome.value for answer in result.answers)
+    shown = ", ".join(f"{count} {name}" for name, count in sorted(outcomes.items()))
+    typer.echo(f"{result.steps} steps, {len(result.findings)} findings; answers: {shown or 'none'}")
+    if result.findings:
+        raise typer.Exit(EXIT_FINDINGS)
+
+
 def _show_findings(findings: list[data.Finding] | tuple[data.Finding, ...]) -> None:
     for finding in findings:
         typer.echo(finding.describe(), err=True)
--- a/monsoonhoist/core/clock.py
+++ b/monsoonhoist/core/clock.py
@@ -24,6 +24,26 @@
         return time.monotonic()
 
 
+class EventClock(Clock):
+    """Clock that stands still while an event is handled.
+
+    Args:
+        source: Clock that ``tick`` reads.
+    """
+
+    def __init__(self, source: Clock):
+        self._source = source
+        self._now_seconds = source.monotonic()
+
+    def monotonic(self) -> float:
+        """Returns the instant of the last tick, in seconds."""
+        return self._now_seconds
+
+    def tick(self) -> None:
+        """Moves to the source's present instant."""
+        self._now_seconds = self._source.monotonic()
+
+
 class ManualClock(Clock):
     """Clock that moves only when told to.
 
--- a/monsoonhoist/core/kernel.py
+++ b/monsoonhoist/core/kernel.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from monsoonhoist.core import clock, data, entry, owner, tickets
+from monsoonhoist.core import clock, data, entry, owner
 from monsoonhoist.policy import registry
 
 
@@ -24,17 +24,14 @@
     Attributes:
         entry: Decisions on callers' queries.
         owner: Decisions on backend servers.
-        tickets: Tickets of non-repeatable requests.
     """
 
     entry: entry.EntryKernel
     owner: owner.OwnerKernel
-    tickets: tickets.TicketBook
 
 
 def make_kernel(
     myself: data.InstanceId,
-    incarnation: data.Incarnation,
     zone: data.ZoneId,
     time_source: clock.Clock,
     names: PolicyNames,
@@ -56,5 +53,4 @@
     return Kernel(
         entry=entry.EntryKernel(myself, time_source, owner_policy, admission_class),
         owner=owner.OwnerKernel(myself, zone, time_source, policies),
-        tickets=tickets.TicketBook(myself, incarnation, time_source),
     )
--- a/monsoonhoist/node/kernels.py
+++ b/monsoonhoist/node/kernels.py
@@ -5,7 +5,7 @@
 from typing import Protocol
 
 from monsoonhoist import metrics
-from monsoonhoist.core import events
+from monsoonhoist.core import clock, events, traces
 from monsoonhoist.node import task
 
 
@@ -19,14 +19,16 @@
         """Returns when ``TimeReached`` is due, in monotonic seconds, or None."""
 
 
-Recorder = Callable[[object, list[events.Command]], None]
+Recorder = Callable[[traces.Role, object, list[events.Command]], None]
 
 
 class KernelTask(task.Task[object]):
     """Owns a kernel; its inbox takes the kernel's events.
 
     Args:
+        role: Which kernel it is.
         kernel: The kernel.
+        time_source: The kernel's clock; moved before each event.
         counters: Metrics, for the kernel's counting commands.
         perform: Carries out the other commands.
         recorder: Told of each event and its commands; None for no trace.
@@ -34,13 +36,17 @@
 
     def __init__(
         self,
+        role: traces.Role,
         kernel: KernelPart,
+        time_source: clock.EventClock,
         counters: metrics.Metrics,
         perform: Callable[[events.Command], None],
         recorder: Recorder | None = None,
     ):
         super().__init__()
+        self._role = role
         self._kernel = kernel
+        self._clock = time_source
         self._counters = counters
         self._perform = perform
         self._recorder = recorder
@@ -49,9 +55,10 @@
 
     def handle(self, message: object) -> None:
         """Lets the kernel handle an event and performs its commands."""
+        self._clock.tick()
         commands = self._kernel.handle(message)
         if self._recorder is not None:
-            self._recorder(message, commands)
+            self._recorder(self._role, message, commands)
         for command in commands:
             match command:
                 case events.CountRefusal():
--- a/monsoonhoist/node/node.py
+++ b/monsoonhoist/node/node.py
@@ -4,10 +4,21 @@
 import enum
 import itertools
 import logging
+import pathlib
 
 from monsoonhoist import metrics, settings
-from monsoonhoist.core import clock, data, events, kernel, membership, messages, outcome
-from monsoonhoist.node import backends, curl, desk, kernels, pause, peers, platform, tables
+from monsoonhoist.core import (
+    clock,
+    data,
+    events,
+    kernel,
+    membership,
+    messages,
+    outcome,
+    tickets,
+    traces,
+)
+from monsoonhoist.node import backends, curl, desk, kernels, pause, peers, platform, tables, trace
 from monsoonhoist.tables import store
 
 READY_CHECK_SECONDS = 0.05
@@ -33,7 +44,7 @@
         config: Settings.
         incarnation: Start of the process, in nanoseconds of wall time.
         time_source: The clock.
-        recorder: Told of each kernel event; None for no trace.
+        trace_path: File for a trace of kernel events; None for no trace.
 
     Attributes:
         config: Settings.
@@ -50,7 +61,7 @@
         config: settings.Settings,
         incarnation: data.Incarnation,
         time_source: clock.Clock,
-        recorder: kernels.Recorder | None = None,
+        trace_path: pathlib.Path | None = None,
     ):
         self.config = config
         self.incarnation = incarnation
@@ -71,11 +82,29 @@
                 zone=zone,
             )
         )
-        self._kernel = kernel.make_kernel(
-            self.name, incarnation, zone, time_source, config.policy.names()
+        kernel_clock = clock.EventClock(time_source)
+        names = config.policy.names()
+        self._kernel = kernel.make_kernel(self.name, zone, kernel_clock, names)
+        self._trace: trace.TraceWriter | None = None
+        if trace_path is not None:
+            self._trace = trace.TraceWriter(trace_path, self.name, zone, names, kernel_clock)
+        recorder = self._trace.record if self._trace else None
+        self._entry = kernels.KernelTask(
+            traces.Role.ENTRY,
+            self._kernel.entry,
+            kernel_clock,
+            self.counters,
+            self._perform,
+            recorder,
+        )
+        self._owner = kernels.KernelTask(
+            traces.Role.OWNER,
+            self._kernel.owner,
+            kernel_clock,
+            self.counters,
+            self._perform,
+            recorder,
         )
-        self._entry = kernels.KernelTask(self._kernel.entry, self.counters, self._perform, recorder)
-        self._owner = kernels.KernelTask(self._kernel.owner, self.counters, self._perform, recorder)
         self._driver = curl.CurlDriver(config.timing.backend_idle_ms)
         self._backends = backends.BackendTask(
             f"{self.name}.{incarnation}",
@@ -105,7 +134,7 @@
         self.tickets = desk.TicketDesk(
             self.name,
             time_source,
-            self._kernel.tickets,
+            tickets.TicketBook(self.name, incarnation, time_source),
             self.ask,
             self.send,
             self.counters.count_refusal,
@@ -159,6 +188,8 @@
         for part in (self._entry, self._owner, self._backends):
             await part.stop()
         self._driver.close()
+        if self._trace is not None:
+            self._trace.close()
         _log.info("closed")
 
     @property
--- a/monsoonhoist/node/process.py
+++ b/monsoonhoist/node/process.py
@@ -2,33 +2,34 @@
 
 import asyncio
 import logging
+import pathlib
 import signal
 import time
 
 from monsoonhoist import logs, settings
 from monsoonhoist.core import clock, data
-from monsoonhoist.node import kernels, node, web
+from monsoonhoist.node import node, web
 
 _log = logging.getLogger(__name__)
 
 
-def run(config: settings.Settings, log_level: str, recorder: kernels.Recorder | None) -> None:
+def run(config: settings.Settings, log_level: str, trace_path: pathlib.Path | None) -> None:
     """Serves until the process is told to end by SIGTERM or SIGINT."""
     incarnation = data.Incarnation(time.time_ns())
     logs.configure(log_level, data.InstanceId(config.instance.name), incarnation)
-    asyncio.run(_serve(config, incarnation, recorder))
+    asyncio.run(_serve(config, incarnation, trace_path))
 
 
 async def _serve(
     config: settings.Settings,
     incarnation: data.Incarnation,
-    recorder: kernels.Recorder | None,
+    trace_path: pathlib.Path | None,
 ) -> None:
     stopping = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
-    instance = node.Node(config, incarnation, clock.SystemClock(), recorder)
+    instance = node.Node(config, incarnation, clock.SystemClock(), trace_path)
     server = web.make_server(instance)
     server.listen(config.instance.http_port, address=str(config.instance.host))
     instance.start()
--- a/standins/site.py
+++ b/standins/site.py
@@ -42,6 +42,7 @@
         backend_processes: Processes for each pool's backend servers.
         relayed_instances: Instances whose streams from others pass a relay.
         relayed_server: Backend server whose connections pass a relay; empty for none.
+        traced_instance: Instance that writes ``trace.jsonl`` to the folder; 0 for none.
         dropped_option: Option left out of the table of routes; empty for none.
     """
 
@@ -59,6 +60,7 @@
     dropped_option: str = ""
     relayed_instances: tuple[int, ...] = ()
     relayed_server: str = ""
+    traced_instance: int = 0
 
 
 class SiteError(Exception):
@@ -169,6 +171,8 @@
         path.write_text(self.settings_text(number), encoding="utf-8")
         program = list(self.options.program) or [sys.executable, "-m", "monsoonhoist"]
         command = [*program, "serve", str(path), "--log-level", "info"]
+        if number == self.options.traced_instance:
+            command += ["--trace", str(self.folder / "trace.jsonl")]
         self._spawn(f"node-{number}", command)
 
     def settings_text(self, number: int) -> str:
