Let every test fail once: ten mutants, and the tests that missed some

Cause: the failure scenarios had passed at once, which proves little. Change: bench.mutants breaks one rule at a time on a scratch copy. Of ten mutants three were missed: a restarted ticket holder was not connected yet, so the test saw it as gone; a leaving server was called and refused, while the test counted only work begun; an older table value was taken and overwritten before the test looked. The tests now wait for the streams, count calls, and check that no instance's log goes back; a late peer that pushes an older value is new.

--- /dev/null
+++ b/bench/mutants.py
@@ -0,0 +1,143 @@
+"""Breaks one rule of the program at a time on a scratch copy; a feature must fail.
+
+Usage: ``python -m bench.mutants [--only NAME]``.
+"""
+
+import argparse
+import pathlib
+import shutil
+import subprocess
+import sys
+import tempfile
+
+import msgspec
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+LEFT_OUT = shutil.ignore_patterns(".git", ".venv", "__pycache__", "*.egg-info", ".ruff_cache")
+
+
+class Mutant(msgspec.Struct, frozen=True):
+    """A broken rule.
+
+    Attributes:
+        name: What is broken.
+        file: File under the package.
+        old: Text replaced; it must occur.
+        new: Replacement.
+        feature: Feature that must fail.
+    """
+
+    name: str
+    file: str
+    old: str
+    new: str
+    feature: str
+
+
+MUTANTS = (
+    Mutant(
+        "silent streams are kept",
+        "node/peers.py",
+        "if now - self._last_heard > self._options.silence.total_seconds():",
+        "if False:",
+        "failures",
+    ),
+    Mutant(
+        "coverage is always complete",
+        "core/coverage.py",
+        "complete=not gaps and not overlaps",
+        "complete=True",
+        "failures",
+    ),
+    Mutant(
+        "results of all snapshots are merged",
+        "core/query.py",
+        "self._results_by_snapshot.get(self.snapshot, ())",
+        "tuple(r for found in self._results_by_snapshot.values() for r in found)",
+        "snapshots",
+    ),
+    Mutant(
+        "tickets are not remembered",
+        "core/tickets.py",
+        "        if entry.answer is not None:",
+        "        if False:",
+        "at_most_once",
+    ),
+    Mutant(
+        "a lost call counts as not run",
+        "node/backends.py",
+        "return events.CallFailed(call_id, reason, True)",
+        "return events.CallFailed(call_id, reason, False)",
+        "at_most_once",
+    ),
+    Mutant(
+        "a restarted holder takes old tickets",
+        "core/tickets.py",
+        "if ticket.incarnation != self._incarnation:",
+        "if False:",
+        "at_most_once",
+    ),
+    Mutant(
+        "older table values are taken",
+        "tables/store.py",
+        "if current is not None and _order(revision) <= _order(current):",
+        "if current is not None and revision == current:",
+        "tables",
+    ),
+    Mutant(
+        "peers are not told of new values",
+        "node/tables.py",
+        "if digest != self._summary and now - answered >= DIGEST_ANSWER_SECONDS:",
+        "if False:",
+        "tables",
+    ),
+    Mutant(
+        "leaving servers are called",
+        "core/server.py",
+        "        self._draining_until = now + DRAIN_MEMORY_SECONDS",
+        "        return",
+        "leaving",
+    ),
+    Mutant(
+        "shutdown does not wait",
+        "node/node.py",
+        "while self.active and self._clock.monotonic() < ends:",
+        "while False:",
+        "leaving",
+    ),
+)
+
+
+def is_caught(mutant: Mutant) -> bool:
+    """Returns whether the mutant's feature fails."""
+    with tempfile.TemporaryDirectory(prefix="mutant-") as folder:
+        copy = pathlib.Path(folder) / "copy"
+        shutil.copytree(ROOT, copy, ignore=LEFT_OUT)
+        path = copy / "monsoonhoist" / mutant.file
+        text = path.read_text(encoding="utf-8")
+        if mutant.old not in text:
+            raise SystemExit(f"{mutant.name}: the text to replace is not in {mutant.file}")
+        path.write_text(text.replace(mutant.old, mutant.new), encoding="utf-8")
+        command = [sys.executable, "-m", "behave", "--stop", "--format", "progress"]
+        command.append(f"features/{mutant.feature}.feature")
+        return subprocess.run(command, cwd=copy, capture_output=True, check=False).returncode != 0
+
+
+def main() -> None:
+    """Prints whether each mutant is caught; exits with 1 if any is not."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--only", default="", help="part of a mutant's name")
+    options = parser.parse_args()
+    missed = 0
+    for mutant in MUTANTS:
+        if options.only in mutant.name:
+            caught = is_caught(mutant)
+            missed += not caught
+            print(
+                f"{'caught' if caught else 'MISSED'}: {mutant.name} ({mutant.feature})", flush=True
+            )
+    sys.exit(1 if missed else 0)
+
+
+if __name__ == "__main__":
+    main()
--- a/features/failures.feature
+++ b/features/failures.feature
@@ -23,6 +23,7 @@
   Scenario Outline: The streams to an instance stop passing bytes
     Given callers keep asking route "boat-search" at instances 1 and 2
     When the connections to "node-3" <fault>
+    And instance 1 notices the loss of its stream to "node-3"
     And 40 more answers have come
     Then every answer is whole or says truly what is missing
     And in the end a question at instance 1 to route "boat-search" is answered whole
--- a/features/steps/faults.py
+++ b/features/steps/faults.py
@@ -58,6 +58,18 @@
         between.cut(refuse=False)
 
 
+@when('instance {number:d} notices the loss of its stream to "{name}"')
+def wait_loss(context, number, name):
+    """Waits until an instance has logged the loss of a stream."""
+    log = context.site.folder / f"node-{number}.log"
+
+    def is_logged():
+        lines = [line for line in log.read_text().splitlines() if "stream lost" in line]
+        return any(json.loads(line)["peer"] == name for line in lines)
+
+    site.wait_until(is_logged, f"the loss of the stream to {name} was not noticed")
+
+
 @when('the servers "{first}" and "{second}" answer no more')
 def lose_servers(context, first, second):
     """Lets two backend servers accept calls and never answer."""
--- a/features/steps/leaving.py
+++ b/features/steps/leaving.py
@@ -42,10 +42,10 @@
 
 @when('{count:d} more answers have come without new work at "{server}"')
 def check_no_work(context, count, server):
-    """Checks that a leaving server starts no work while answers come."""
-    before = context.site.journal(server)["ran"]
+    """Checks that a leaving server is not even called while answers come."""
+    before = context.site.journal(server)["calls"]
     context.callers.wait_for(count)
-    assert context.site.journal(server)["ran"] == before
+    assert context.site.journal(server)["calls"] == before
 
 
 @when('the process "{name}" is told to end')
--- a/features/steps/tables.py
+++ b/features/steps/tables.py
@@ -2,11 +2,16 @@
 
 import json
 import signal
+import socket
+import struct
 
 from behave import given, then, when
 
+from monsoonhoist.core import data, messages
 from standins import site
 
+SOCKET_SECONDS = 10.0
+
 
 def example_routes(deadline_ms):
     """Returns the example's routes with another deadline of boat-search."""
@@ -65,6 +70,28 @@
     context.site.wait_ready((3,))
 
 
+@when('a peer sends instance {instance:d} revision {number:d} of "{key}" at {ms:d} ms')
+def send_old(context, instance, number, key, ms):
+    """Greets as an instance, sends a value, and waits until it has been read."""
+    member = data.Member("late", 1, 0, data.MemberState.LEAVING, "127.0.0.1", 1, "x")
+    value = messages.TableValue(key, number, example_routes(ms))
+    sent = (
+        messages.Hello("zurichsee", member),
+        messages.pack_table(value),
+        messages.Beat(1, b""),
+    )
+    port = site.PEER_PORT_BASE + instance
+    with socket.create_connection(("127.0.0.1", port), timeout=SOCKET_SECONDS) as peer:
+        for message in sent:
+            body = messages.encode(message)
+            peer.sendall(struct.pack(">I", len(body)) + body)
+        source = peer.makefile("rb")
+        received = None
+        while not isinstance(received, messages.BeatReply):
+            (length,) = struct.unpack(">I", source.read(4))
+            received = messages.decode(source.read(length))
+
+
 @given("the instances {first:d} to {last:d} are cut off from the service by stopping them")
 def stop_instances(context, first, last):
     """Stops instances."""
@@ -142,6 +169,18 @@
     assert f"routes:4: [route x] {second}" in text, text
 
 
+@then("no instance has ever gone back")
+def check_monotone(context):
+    """Checks that the revisions that came into force only rose, for each key."""
+    for log in context.site.folder.glob("node-*.log"):
+        lines = [json.loads(line) for line in log.read_text().splitlines() if '"key"' in line]
+        newest = {}
+        for line in lines:
+            if line["message"] == "table value in force":
+                assert line["number"] > newest.get(line["key"], 0), line
+                newest[line["key"]] = line["number"]
+
+
 @then("all instances have the same tables in force")
 def check_same(context):
     """Waits until the digests of all instances are equal."""
--- a/features/steps/tickets.py
+++ b/features/steps/tickets.py
@@ -85,10 +85,10 @@
 
 @when("instance {number:d} is started again")
 def restart(context, number):
-    """Starts an instance that has ended and waits until it is ready."""
+    """Starts an instance that has ended and waits until all streams are up."""
     context.site.wait_exit(f"node-{number}")
     context.site.start_instance(number)
-    context.site.wait_ready((number,))
+    context.site.wait_ready()
 
 
 @when('a question at instance {number:d} to route "{route}" is answered whole')
--- a/features/tables.feature
+++ b/features/tables.feature
@@ -22,6 +22,7 @@
     And the service is "old"
     And the service has been read 10 more times
     Then revision 2 of "routes" is in force at instances 1 to 3
+    And no instance has ever gone back
 
   @site_three
   Scenario: An instance starts while the service is down
@@ -60,6 +61,14 @@
     When the operators publish two values of "routes" with the number 7, one to each reader
     Then all instances have the same tables in force
 
+  @site_three
+  Scenario: A peer that woke late sends an older value
+    When the operators publish the example's routes with the deadline of "boat-search" at 1400 ms
+    And revision 2 of "routes" is in force at instance 1
+    And a peer sends instance 1 revision 1 of "routes" at 1300 ms
+    Then revision 2 of "routes" is in force at instances 1 to 3
+    And no instance has ever gone back
+
   @site_three
   Scenario: The instance list is stale while an instance is replaced
     When the instance list is frozen
