--- a/bench/mutants.py
+++ b/bench/mutants.py
@@ -98,6 +98,13 @@
         "        return",
         "leaving",
     ),
+    Mutant(
+        "streams to others than neighbours are not opened",
+        "node/peers.py",
+        "return member is not None and self._open(member, is_kept=False).send(message)",
+        "return False",
+        "sparse",
+    ),
     Mutant(
         "shutdown does not wait",
         "node/node.py",
--- a/features/environment.py
+++ b/features/environment.py
@@ -11,6 +11,12 @@
         relayed_instances=(3,),
         relayed_server="allocator-03-a",
     ),
+    "site_sparse": site.SiteOptions(
+        pools=("allocator",),
+        instances=6,
+        settings="[spread]\nneighbours = 2\n[timing]\nbalancer_lag_ms = 300\n",
+        is_full_mesh=False,
+    ),
     "site_booking_relayed": site.SiteOptions(
         pools=("allocator", "boathouse"), relayed_server="boathouse-a"
     ),
--- a/monsoonhoist/core/membership.py
+++ b/monsoonhoist/core/membership.py
@@ -94,18 +94,18 @@
         listed = self._listed_by_id.get(instance)
         return listed.state if listed is not None else data.MemberState.GONE
 
+    def find(self, instance: data.InstanceId) -> data.Member | None:
+        """Returns another instance's record, or None if it is not known."""
+        member = self._member_by_id.get(instance)
+        if member is not None:
+            return member
+        listed = self._listed_by_id.get(instance)
+        return _as_member(listed) if listed is not None else None
+
     def known(self) -> tuple[data.Member, ...]:
         """Returns all other instances that are listed or have stated themselves."""
         member_by_id = {
-            row.instance: data.Member(
-                row.instance,
-                data.Incarnation(0),
-                0,
-                row.state,
-                row.host,
-                row.peer_port,
-                row.zone,
-            )
+            row.instance: _as_member(row)
             for row in self._listed_by_id.values()
             if row.instance != self.myself.instance
         }
@@ -158,6 +158,13 @@
         return hashing.weight(*sorted((self.myself.instance, member.instance)))
 
 
+def _as_member(row: ListedInstance) -> data.Member:
+    """Returns a row of the list as a statement that any of the instance's own overrules."""
+    return data.Member(
+        row.instance, data.Incarnation(0), 0, row.state, row.host, row.peer_port, row.zone
+    )
+
+
 def _ring_position(instance: data.InstanceId) -> int:
     return hashing.weight(instance)
 
--- a/monsoonhoist/node/node.py
+++ b/monsoonhoist/node/node.py
@@ -283,6 +283,20 @@
             self.tickets.on_peer_lost(member.instance)
         self._refresh_view()
 
+    def on_unsent(self, instance: data.InstanceId, message: messages.Message) -> None:
+        """Tells the entry of a batch of which no byte was sent."""
+        if isinstance(message, messages.SubBatch):
+            unsent = events.BatchUnsent(instance, message.query.query_id, message.attempt)
+            self._entry.tell(unsent)
+
+    def on_idle(self, instance: data.InstanceId) -> None:
+        """Forgets what an unused stream told about its instance."""
+        self.members.note_stream(instance, True)
+
+    def find(self, instance: data.InstanceId) -> data.Member | None:
+        """Returns an instance's record, or None if it is not known."""
+        return self.members.find(instance)
+
     def myself(self) -> data.Member:
         """Returns what this instance states of itself."""
         return self.members.myself
@@ -304,12 +318,8 @@
                 self._backends.tell(command)
 
     def _perform_send(self, command: events.SendMessage) -> None:
-        message = command.message
-        if self.send(command.instance, message):
-            return
-        if isinstance(message, messages.SubBatch):
-            unsent = events.BatchUnsent(command.instance, message.query.query_id, message.attempt)
-            self._entry.tell(unsent)
+        if not self.send(command.instance, command.message):
+            self.on_unsent(command.instance, command.message)
 
     def _take_batch(self, batch: messages.SubBatch) -> None:
         """Hands on sub-requests; refuses old non-repeatable ones after a pause."""
--- a/monsoonhoist/node/peers.py
+++ b/monsoonhoist/node/peers.py
@@ -1,13 +1,15 @@
 """Streams to and from the other instances.
 
-Each instance opens a stream to every instance that it sends messages to, and sends
-only on streams that it opened. Heartbeats are answered on the same stream; one that
-stays silent is closed, so that a connection that lost its path is noticed.
+Each instance keeps streams to its neighbours, opens one to any other instance when it
+has a message for it, and sends only on streams that it opened. Heartbeats are answered
+on the same stream; one that stays silent is closed, so that a connection that lost its
+path is noticed.
 """
 
 import asyncio
 import datetime
 import logging
+from collections.abc import Callable
 
 import msgspec
 from tornado import iostream, tcpclient, tcpserver
@@ -18,6 +20,9 @@
 
 RECONNECT_MIN_SECONDS = 0.1
 RECONNECT_MAX_SECONDS = 2.0
+# Streams to instances that are no neighbours are closed when unused for this long.
+IDLE_SECONDS = 30.0
+WAITING_MAX = 256
 
 _log = logging.getLogger(__name__)
 _STREAM_ERRORS = (iostream.StreamClosedError, iostream.StreamBufferFullError, OSError)
@@ -50,6 +55,15 @@
     def on_stream(self, member: data.Member, is_up: bool) -> None:
         """Takes note of a stream to an instance that has come up or gone down."""
 
+    def on_unsent(self, instance: data.InstanceId, message: messages.Message) -> None:
+        """Takes back a message of which no byte was sent."""
+
+    def on_idle(self, instance: data.InstanceId) -> None:
+        """Takes note that an unused stream has been closed."""
+
+    def find(self, instance: data.InstanceId) -> data.Member | None:
+        """Returns an instance's record, or None if it is not known."""
+
     def myself(self) -> data.Member:
         """Returns what this instance states of itself."""
 
@@ -86,18 +100,17 @@
         self._server.listen(port, address=host)
 
     def set_targets(self, members: tuple[data.Member, ...]) -> None:
-        """Keeps streams to exactly these instances."""
-        member_by_id = {member.instance: member for member in members}
+        """Keeps streams to these neighbours, and those to others while they are used."""
+        neighbours = {member.instance for member in members}
         for instance in list(self._link_by_id):
             link = self._link_by_id[instance]
-            member = member_by_id.get(instance)
+            link.is_kept = instance in neighbours
+            member = self._listener.find(instance)
             if member is None or _address(member) != _address(link.member):
                 self._link_by_id.pop(instance).close()
-        for instance, member in member_by_id.items():
-            if instance not in self._link_by_id:
-                link = Link(member, self._options, self._clock, self._counters, self._listener)
-                self._link_by_id[instance] = link
-                link.start()
+        for member in members:
+            if member.instance not in self._link_by_id:
+                self._open(member, is_kept=True)
 
     def connected(self) -> tuple[data.InstanceId, ...]:
         """Returns the instances whose streams are up, sorted."""
@@ -110,7 +123,26 @@
             Whether the message was queued; False if no byte of it will be sent.
         """
         link = self._link_by_id.get(instance)
-        return link is not None and link.send(message)
+        if link is not None:
+            return link.send(message)
+        member = self._listener.find(instance)
+        return member is not None and self._open(member, is_kept=False).send(message)
+
+    def _open(self, member: data.Member, is_kept: bool) -> "Link":
+        """Starts opening a stream."""
+        link = Link(
+            member, is_kept, self._options, self._clock, self._counters, self._listener, self._drop
+        )
+        self._link_by_id[member.instance] = link
+        link.start()
+        return link
+
+    def _drop(self, instance: data.InstanceId) -> None:
+        """Closes a stream that has not been used."""
+        link = self._link_by_id.pop(instance, None)
+        if link is not None:
+            link.close()
+            self._listener.on_idle(instance)
 
     async def close(self) -> None:
         """Closes all streams."""
@@ -126,19 +158,28 @@
 
     Attributes:
         member: The instance.
+        is_kept: Whether the stream is kept while unused.
         is_up: Whether messages can be sent.
     """
 
     def __init__(
         self,
         member: data.Member,
+        is_kept: bool,
         options: PeerOptions,
         time_source: clock.Clock,
         counters: metrics.Metrics,
         listener: PeerListener,
+        drop: Callable[[data.InstanceId], None],
     ):
         self.member = member
+        self.is_kept = is_kept
         self.is_up = False
+        self._drop = drop
+        self._waiting: list[messages.Message] = []
+        # A stream opened for a message holds messages back until its first opening ends.
+        self._is_holding = not is_kept
+        self._last_used = time_source.monotonic()
         self._options = options
         self._clock = time_source
         self._counters = counters
@@ -159,6 +200,10 @@
 
     def send(self, message: messages.Message) -> bool:
         """Queues a message; returns whether it was queued."""
+        self._last_used = self._clock.monotonic()
+        if self._is_holding and len(self._waiting) < WAITING_MAX:
+            self._waiting.append(message)
+            return True
         if not self.is_up or self._stream is None:
             return False
         try:
@@ -178,6 +223,8 @@
                 await asyncio.gather(self._read(), self._beat())
             except (*_STREAM_ERRORS, errors.ProtocolError, TimeoutError) as error:
                 self._note_lost(error)
+            if self._is_idle():
+                asyncio.get_running_loop().call_soon(self._drop, self.member.instance)
             await asyncio.sleep(delay)
             delay = min(RECONNECT_MAX_SECONDS, delay * 2)
 
@@ -199,6 +246,15 @@
         self.is_up = True
         _log.info("stream up", extra={"peer": self.member.instance})
         self._listener.on_stream(self.member, True)
+        self._release()
+
+    def _release(self) -> None:
+        """Sends the messages held back, or hands them back if the stream is not up."""
+        self._is_holding = False
+        waiting, self._waiting = self._waiting, []
+        for message in waiting:
+            if not self.send(message):
+                self._listener.on_unsent(self.member.instance, message)
 
     async def _read(self) -> None:
         """Takes in the answers to heartbeats."""
@@ -221,10 +277,18 @@
                 self._last_heard = now
             if now - self._last_heard > self._options.silence.total_seconds():
                 raise TimeoutError("the stream is silent")
+            if self._is_idle():
+                asyncio.get_running_loop().call_soon(self._drop, self.member.instance)
+                return
             sequence += 1
             beat = messages.Beat(sequence, self._listener.tables_digest())
             self._counters.count_stream_bytes(self._stream.send(beat), "Beat")
 
+    def _is_idle(self) -> bool:
+        """Returns whether the stream may be closed as unused."""
+        unused = self._clock.monotonic() - self._last_used
+        return not self.is_kept and unused > IDLE_SECONDS
+
     def _note_lost(self, error: Exception) -> None:
         was_up = self.is_up
         self._end()
@@ -232,6 +296,7 @@
             extra = {"peer": self.member.instance, "error": str(error)}
             _log.warning("stream lost", extra=extra)
         self._listener.on_stream(self.member, False)
+        self._release()
 
     def _end(self) -> None:
         self.is_up = False
--- a/standins/site.py
+++ b/standins/site.py
@@ -43,6 +43,7 @@
         relayed_instances: Instances whose streams from others pass a relay.
         relayed_server: Backend server whose connections pass a relay; empty for none.
         traced_instance: Instance that writes ``trace.jsonl`` to the folder; 0 for none.
+        is_full_mesh: Whether to wait until each instance has streams to all others.
         dropped_option: Option left out of the table of routes; empty for none.
     """
 
@@ -61,6 +62,7 @@
     relayed_instances: tuple[int, ...] = ()
     relayed_server: str = ""
     traced_instance: int = 0
+    is_full_mesh: bool = True
 
 
 class SiteError(Exception):
@@ -192,6 +194,8 @@
         for number in numbers:
             url = f"{self.url(number)}/ready"
             self._wait(lambda url=url: fetch(url) is not None, f"node-{number}")
+        if not self.options.is_full_mesh:
+            return
         running = [name for name in self.process_by_name if name.startswith("node-")]
         for number in numbers:
             self._wait(lambda n=number: self._sees(n, running), f"streams of node-{number}")
