Call a shard again whose servers were slow

Cause: work that cannot meet its deadline is dropped before dispatch, judged by the servers' smoothed latency, which only calls refresh. Once both servers of a shard had been slower than a route's deadline, that route never called them again, however fast they had become. Ruled out: the drop itself, which the floods need (its scenario passes before and after). Change: only a sub-request that had to wait is dropped; one that finds a server idle is sent.

--- a/monsoonhoist/core/owner.py
+++ b/monsoonhoist/core/owner.py
@@ -159,7 +159,7 @@
             if sub is None:
                 break
             candidates = state.candidates(sub, now)
-            if sub.deadline - now < state.latency_seconds():
+            if _is_hopeless(state, sub, now):
                 self._give_up(state, sub, data.Refusal.EXPIRED_IN_QUEUE, commands)
             elif candidates:
                 self._call(state, sub, candidates, commands)
@@ -427,6 +427,15 @@
         return self._bucket_by_route.setdefault(route, budget.TokenBucket())
 
 
+def _is_hopeless(state: shard.ShardState, sub: shard.SubRequest, now: float) -> bool:
+    """Returns whether a sub-request that had to wait cannot meet its deadline any more.
+
+    One that finds a server idle is always sent, since only calls tell of a server that
+    has become fast again.
+    """
+    return now > sub.arrived and sub.deadline - now < state.latency_seconds()
+
+
 class ReplyCollector:
     """Gathers what one event yields, so that each query gets one message for it."""
 
