Split the long modules, count late replies, and read the service at once after a pause

Change: replies, phases and the instance list's poller have modules of their own, what a failed call tells of its server went to the shard; the kernel returns a command for each late reply; a pause ends the waiting watch.

--- a/monsoonhoist/core/entry.py
+++ b/monsoonhoist/core/entry.py
@@ -198,14 +198,14 @@
         """Takes in a reply, asks again where that helps, and concludes if settled."""
         state = self._query_by_id.get(event.reply.query_id)
         if state is None:
-            return []
+            return [events.CountLateReply()]
         knowledge = self._knowledge(state.pool.pool_id)
         for part in event.reply.parts:
             knowledge.learn(part.service, part.holdings)
         for failure in event.reply.failures:
             knowledge.learn(failure.service, failure.holdings)
         if not state.take_reply(event.reply):
-            return []
+            return [events.CountLateReply()]
         commands: list[events.Command] = []
         self._note_pressure(state, event.reply, commands)
         if not state.route.repeatable:
--- a/monsoonhoist/core/events.py
+++ b/monsoonhoist/core/events.py
@@ -171,4 +171,10 @@
     reason: data.RetryReason
 
 
-Command = SendMessage | Respond | StartCall | CancelCall | CountRefusal | CountRetry
+class CountLateReply(msgspec.Struct, frozen=True, tag="count-late-reply"):
+    """Counts a reply dropped as late or duplicate."""
+
+
+Command = (
+    SendMessage | Respond | StartCall | CancelCall | CountRefusal | CountRetry | CountLateReply
+)
--- a/monsoonhoist/core/owner.py
+++ b/monsoonhoist/core/owner.py
@@ -5,7 +5,7 @@
 import itertools
 from collections.abc import Callable
 
-from monsoonhoist.core import budget, clock, data, events, merge, messages, server, shard
+from monsoonhoist.core import budget, clock, data, events, messages, replies, server, shard
 from monsoonhoist.policy import balance, hedge, order, ownership
 from monsoonhoist.tables import store
 
@@ -14,19 +14,11 @@
 HEDGES_MAX = 2
 # Pause before a hedge that found no room or no budget is tried again.
 HEDGE_REPEAT_SECONDS = 0.01
-# A timed-out call speaks against its server only if it was given this many latencies.
-TIMEOUT_LATENCIES = 3.0
 # Share of its remaining time that a sub-request waits for a closed server to open.
 REOPEN_WAIT_SHARE = 0.25
 MS_PER_SECOND = 1000
 
 ShardKey = tuple[data.PoolId, data.ServiceId]
-# Reasons that speak against the server's health rather than for its being busy.
-_UNHEALTHY = (
-    data.Refusal.CONNECT_FAILED,
-    data.Refusal.CONNECTION_LOST,
-    data.Refusal.BACKEND_ERROR,
-)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -76,7 +68,7 @@
         self._call_ids = itertools.count(1)
         self._wakes: list[tuple[float, int, Callable[[list[events.Command]], None]]] = []
         self._wake_ids = itertools.count()
-        self._replies = ReplyCollector()
+        self._replies = replies.ReplyCollector()
 
     @property
     def active_calls(self) -> int:
@@ -198,7 +190,7 @@
     ) -> None:
         """Starts a call at the best candidate and plans its hedge."""
         now = self._clock.monotonic()
-        chosen = self._choose(candidates)
+        chosen = shard.choose(self._policies.balance, candidates, self._zone)
         call = shard.Call(next(self._call_ids), sub, chosen, now)
         if not sub.calls:
             sub.queue_delay_seconds = now - sub.arrived
@@ -214,22 +206,6 @@
         if delay is not None and sub.calls <= HEDGES_MAX:
             self._wake_at(now + delay, lambda out: self._hedge(state, sub, out))
 
-    def _choose(self, candidates: list[server.ServerState]) -> server.ServerState:
-        state_by_id = {state.server.server_id: state for state in candidates}
-        chosen = self._policies.balance.choose(
-            [
-                balance.Candidate(
-                    server=state.server,
-                    outstanding=state.outstanding,
-                    limit=state.limit,
-                    latency_seconds=state.latency_seconds,
-                    same_zone=state.server.zone == self._zone,
-                )
-                for state in candidates
-            ]
-        )
-        return state_by_id[chosen.server.server_id]
-
     def _hedge(
         self, state: shard.ShardState, sub: shard.SubRequest, commands: list[events.Command]
     ) -> None:
@@ -275,7 +251,7 @@
         now = self._clock.monotonic()
         sub = call.sub
         state = self._shard_by_key[(sub.query.pool, sub.service)]
-        self._note_failure(call, event, now)
+        state.note_failure(call, event, now)
         if not call.cancelled:
             commands.append(events.CountRefusal(event.reason))
         sub.may_have_run = sub.may_have_run or event.may_have_run
@@ -284,35 +260,6 @@
             self._retry(state, sub, event, commands)
         self._pump(state, commands)
 
-    def _note_failure(self, call: shard.Call, event: events.CallFailed, now: float) -> None:
-        call.server.learn(event.holdings, now)
-        if event.reason in _UNHEALTHY:
-            call.server.note_failure(now)
-        elif event.reason is data.Refusal.TIMEOUT:
-            self._note_timeout(call, now)
-        elif event.reason is data.Refusal.CANCELLED:
-            self._note_cancelled(call, now)
-        elif event.reason in (data.Refusal.SHED, data.Refusal.CONNECTIONS):
-            call.server.note_shed(now)
-        elif event.reason is data.Refusal.DRAINING:
-            call.server.note_draining(now)
-
-    def _note_timeout(self, call: shard.Call, now: float) -> None:
-        """Takes a timeout as a failure unless the call started shortly before it."""
-        age = now - call.started
-        state = self._shard_by_key[(call.sub.query.pool, call.sub.service)]
-        if age >= TIMEOUT_LATENCIES * state.latency_seconds():
-            call.server.note_failure(now)
-        else:
-            call.server.note_late(age)
-
-    def _note_cancelled(self, call: shard.Call, now: float) -> None:
-        """Takes a cancelled call's age as the least that its latency would have been."""
-        age = now - call.started
-        state = self._shard_by_key[(call.sub.query.pool, call.sub.service)]
-        state.hedge.record(age)
-        call.server.note_late(age)
-
     def _retry(
         self,
         state: shard.ShardState,
@@ -434,63 +381,3 @@
     has become fast again.
     """
     return now > sub.arrived and sub.deadline - now < state.latency_seconds()
-
-
-class ReplyCollector:
-    """Gathers what one event yields, so that each query gets one message for it."""
-
-    def __init__(self) -> None:
-        self._pending_by_key: dict[tuple[data.InstanceId, data.QueryId], PendingReply] = {}
-
-    def add_part(
-        self, sub: shard.SubRequest, part: data.Part, results: tuple[data.Result, ...]
-    ) -> None:
-        """Adds a shard's results."""
-        pending = self._pending(sub)
-        pending.parts.append(part)
-        merged = pending.results_by_snapshot.get(part.snapshot, ()) + results
-        pending.results_by_snapshot[part.snapshot] = merge.best(merged, sub.query.limit)
-
-    def add_failure(self, sub: shard.SubRequest, failure: data.Failure) -> None:
-        """Adds a shard's failure."""
-        self._pending(sub).failures.append(failure)
-
-    def flush(self) -> list[events.Command]:
-        """Returns the messages to send and forgets them."""
-        commands = [
-            events.SendMessage(origin, pending.message(query_id))
-            for (origin, query_id), pending in self._pending_by_key.items()
-        ]
-        self._pending_by_key.clear()
-        return commands
-
-    def _pending(self, sub: shard.SubRequest) -> "PendingReply":
-        key = (sub.origin, sub.query.query_id)
-        pending = self._pending_by_key.setdefault(key, PendingReply())
-        pending.calls += sub.calls
-        pending.queue_delay_seconds = max(pending.queue_delay_seconds, sub.queue_delay_seconds)
-        return pending
-
-
-@dataclasses.dataclass
-class PendingReply:
-    """A reply that is being put together; the fields are those of ``SubReply``."""
-
-    parts: list[data.Part] = dataclasses.field(default_factory=list)
-    failures: list[data.Failure] = dataclasses.field(default_factory=list)
-    results_by_snapshot: dict[data.Snapshot, tuple[data.Result, ...]] = dataclasses.field(
-        default_factory=dict
-    )
-    queue_delay_seconds: float = 0.0
-    calls: int = 0
-
-    def message(self, query_id: data.QueryId) -> messages.SubReply:
-        """Returns the finished reply."""
-        return messages.SubReply(
-            query_id,
-            tuple(self.parts),
-            tuple(self.failures),
-            self.results_by_snapshot,
-            round(self.queue_delay_seconds * MS_PER_SECOND),
-            self.calls,
-        )
--- a/monsoonhoist/core/server.py
+++ b/monsoonhoist/core/server.py
@@ -99,7 +99,7 @@
         self._limit = 1
         self._successes = 0
 
-    def note_shed(self, now: float) -> None:
+    def note_shed(self) -> None:
         """Lowers the limit after the server refused a call for load."""
         self._limit = max(1, self._limit - 1)
         self._successes = 0
--- a/monsoonhoist/core/shard.py
+++ b/monsoonhoist/core/shard.py
@@ -3,8 +3,17 @@
 import dataclasses
 import math
 
-from monsoonhoist.core import data, server
-from monsoonhoist.policy import hedge, order
+from monsoonhoist.core import data, events, server
+from monsoonhoist.policy import balance, hedge, order
+
+# A timed-out call speaks against its server only if it was given this many latencies.
+TIMEOUT_LATENCIES = 3.0
+# Reasons that speak against the server's health rather than for its being busy.
+_UNHEALTHY = (
+    data.Refusal.CONNECT_FAILED,
+    data.Refusal.CONNECTION_LOST,
+    data.Refusal.BACKEND_ERROR,
+)
 
 
 @dataclasses.dataclass
@@ -151,6 +160,30 @@
         ]
         return min(instants, default=math.inf)
 
+    def note_failure(self, call: Call, event: events.CallFailed, now: float) -> None:
+        """Takes note of what a failed call tells of its server."""
+        call.server.learn(event.holdings, now)
+        age = now - call.started
+        if event.reason in _UNHEALTHY:
+            call.server.note_failure(now)
+        elif event.reason is data.Refusal.TIMEOUT:
+            self._note_timeout(call, age, now)
+        elif event.reason is data.Refusal.CANCELLED:
+            # The age is the least that the latency would have been.
+            self.hedge.record(age)
+            call.server.note_late(age)
+        elif event.reason in (data.Refusal.SHED, data.Refusal.CONNECTIONS):
+            call.server.note_shed()
+        elif event.reason is data.Refusal.DRAINING:
+            call.server.note_draining(now)
+
+    def _note_timeout(self, call: Call, age: float, now: float) -> None:
+        """Takes a timeout as a failure unless the call started shortly before it."""
+        if age >= TIMEOUT_LATENCIES * self.latency_seconds():
+            call.server.note_failure(now)
+        else:
+            call.server.note_late(age)
+
     def candidates(self, sub: SubRequest, now: float) -> list[server.ServerState]:
         """Returns the servers with room that a sub-request may be sent to now.
 
@@ -189,3 +222,27 @@
             and state.server.server_id not in sub.tried
             for state in self.server_by_id.values()
         )
+
+
+def choose(
+    policy: balance.Balance, states: list[server.ServerState], zone: data.ZoneId
+) -> server.ServerState:
+    """Returns the server that the policy prefers.
+
+    Args:
+        policy: The policy.
+        states: Servers with room; not empty.
+        zone: Availability zone of this instance.
+    """
+    state_by_id = {state.server.server_id: state for state in states}
+    candidates = [
+        balance.Candidate(
+            server=state.server,
+            outstanding=state.outstanding,
+            limit=state.limit,
+            latency_seconds=state.latency_seconds,
+            same_zone=state.server.zone == zone,
+        )
+        for state in states
+    ]
+    return state_by_id[policy.choose(candidates).server.server_id]
--- a/monsoonhoist/node/kernels.py
+++ b/monsoonhoist/node/kernels.py
@@ -65,6 +65,8 @@
                     self._counters.count_refusal(command.reason)
                 case events.CountRetry():
                     self._counters.count_retry(command.reason)
+                case events.CountLateReply():
+                    self._counters.count_late_reply()
                 case _:
                     self._perform(command)
         self._set_timer()
--- a/monsoonhoist/node/node.py
+++ b/monsoonhoist/node/node.py
@@ -1,7 +1,6 @@
 """One instance: its tasks and how they are wired."""
 
 import asyncio
-import enum
 import itertools
 import logging
 import pathlib
@@ -18,7 +17,18 @@
     tickets,
     traces,
 )
-from monsoonhoist.node import backends, curl, desk, kernels, pause, peers, platform, tables, trace
+from monsoonhoist.node import (
+    backends,
+    curl,
+    desk,
+    kernels,
+    pause,
+    peers,
+    phases,
+    platform,
+    tables,
+    trace,
+)
 from monsoonhoist.tables import store
 
 READY_CHECK_SECONDS = 0.05
@@ -28,15 +38,6 @@
 _log = logging.getLogger(__name__)
 
 
-class Phase(enum.Enum):
-    """Phase of a process's life."""
-
-    STARTING = "starting"
-    READY = "ready"
-    LEAVING = "leaving"
-    CLOSED = "closed"
-
-
 class Node(peers.PeerListener):
     """All roles of one instance.
 
@@ -65,7 +66,7 @@
     ):
         self.config = config
         self.incarnation = incarnation
-        self.phase = Phase.STARTING
+        self.phase = phases.Phase.STARTING
         self.name = data.InstanceId(config.instance.name)
         self.counters = metrics.Metrics(self.name)
         self._clock = time_source
@@ -114,7 +115,7 @@
             self.counters,
             self._owner.tell,
         )
-        self._hub = peers.PeerHub(self._peer_options(), time_source, self.counters, self)
+        self._hub = peers.PeerHub(peers.make_options(config), time_source, self.counters, self)
         self._client = platform.PlatformClient(
             config.platform.config_url,
             config.platform.instances_url,
@@ -124,6 +125,9 @@
         self.spread = tables.TableSpread(
             time_source, self.counters, self.send, self._hub.connected, self._refresh_view
         )
+        self._instances = platform.InstancePoller(
+            self._client, config.timing.instances_poll_ms, self._take_listed
+        )
         self._watcher = tables.ServiceWatcher(
             tables.TableOptions(watch=config.timing.watch_ms, retry=config.timing.service_retry_ms),
             self._client,
@@ -153,7 +157,7 @@
         instance = self.config.instance
         self._hub.listen(str(instance.host), instance.peer_listen_port or instance.peer_port)
         self._watcher.start()
-        self._spawn(self._poll_instances())
+        self._instances.start()
         self._spawn(self._become_ready())
         self._refresh_view()
 
@@ -164,13 +168,13 @@
         requests in flight are finished, those of other instances included.
         """
         _log.info("leaving")
-        self.phase = Phase.LEAVING
+        self.phase = phases.Phase.LEAVING
         statement = self.members.leave()
         for instance in self._hub.connected():
             self.send(instance, messages.Members((statement,)))
         self._refresh_view()
         await asyncio.sleep(self.config.timing.balancer_lag_ms.total_seconds())
-        self.phase = Phase.CLOSED
+        self.phase = phases.Phase.CLOSED
         ends = self._clock.monotonic() + self.config.timing.drain_max_ms.total_seconds()
         while self.active and self._clock.monotonic() < ends:
             await asyncio.sleep(READY_CHECK_SECONDS)
@@ -181,6 +185,7 @@
     async def close(self) -> None:
         """Closes all sockets and ends all tasks."""
         self._watcher.stop()
+        self._instances.stop()
         self._pauses.stop()
         for runner in list(self._background):
             runner.cancel()
@@ -363,27 +368,22 @@
             self._entry.tell(view)
             self._owner.tell(view)
 
+    def _take_listed(self, rows: tuple[membership.ListedInstance, ...]) -> None:
+        """Takes over a reading of the platform's instance list."""
+        self.members.set_listed(rows)
+        self._refresh_view()
+
     def _is_watcher(self) -> bool:
         """Returns whether this instance should read the configuration service."""
         if not self._hub.connected():
             return True
         return self.members.is_watcher(self.config.spread.watchers_per_zone)
 
-    async def _poll_instances(self) -> None:
-        """Reads the platform's instance list at intervals."""
-        while True:
-            try:
-                self.members.set_listed(await self._client.instances())
-                self._refresh_view()
-            except platform.PlatformError as error:
-                _log.warning("instance list not read", extra={"error": str(error)})
-            await asyncio.sleep(self.config.timing.instances_poll_ms.total_seconds())
-
     async def _become_ready(self) -> None:
         """Makes the instance ready once it has the newest tables it can know."""
-        while self.phase is Phase.STARTING:
+        while self.phase is phases.Phase.STARTING:
             if self._has_newest_tables():
-                self.phase = Phase.READY
+                self.phase = phases.Phase.READY
                 _log.info("ready")
                 return
             await asyncio.sleep(READY_CHECK_SECONDS)
@@ -398,9 +398,9 @@
     def _on_pause(self, seconds: float) -> None:
         """Refreshes the views after a pause before new work is taken."""
         self.counters.count_pause()
-        if self.phase is Phase.READY:
-            self.phase = Phase.STARTING
-            self._watcher.has_read = False
+        if self.phase is phases.Phase.READY:
+            self.phase = phases.Phase.STARTING
+            self._watcher.refresh()
             self._started = self._clock.monotonic()
             self._spawn(self._become_ready())
 
@@ -408,12 +408,3 @@
         runner = asyncio.create_task(coroutine)
         self._background.add(runner)
         runner.add_done_callback(self._background.discard)
-
-    def _peer_options(self) -> peers.PeerOptions:
-        return peers.PeerOptions(
-            deployment=self.config.instance.deployment,
-            frame_bytes=self.config.limits.frame_bytes,
-            buffer_bytes=self.config.limits.stream_buffer_bytes,
-            heartbeat=self.config.timing.heartbeat_ms,
-            silence=self.config.timing.silence_ms,
-        )
--- a/monsoonhoist/node/peers.py
+++ b/monsoonhoist/node/peers.py
@@ -14,7 +14,7 @@
 import msgspec
 from tornado import iostream, tcpclient, tcpserver
 
-from monsoonhoist import errors, metrics
+from monsoonhoist import errors, metrics, settings
 from monsoonhoist.core import clock, data, messages
 from monsoonhoist.node import streams
 
@@ -352,6 +352,17 @@
             self._listener.on_message(sender, message)
 
 
+def make_options(config: settings.Settings) -> PeerOptions:
+    """Returns the streams' part of an instance's settings."""
+    return PeerOptions(
+        deployment=config.instance.deployment,
+        frame_bytes=config.limits.frame_bytes,
+        buffer_bytes=config.limits.stream_buffer_bytes,
+        heartbeat=config.timing.heartbeat_ms,
+        silence=config.timing.silence_ms,
+    )
+
+
 def _check_hello(message: messages.Message, deployment: str) -> None:
     """Raises ``ProtocolError`` unless the message greets from the same deployment."""
     if not isinstance(message, messages.Hello):
--- a/monsoonhoist/node/platform.py
+++ b/monsoonhoist/node/platform.py
@@ -6,6 +6,8 @@
 
 import asyncio
 import datetime
+import logging
+from collections.abc import Callable
 
 import msgspec
 
@@ -19,6 +21,8 @@
 MS_PER_SECOND = 1000
 STATUS_OK = 200
 
+_log = logging.getLogger(__name__)
+
 
 class PlatformError(errors.MonsoonError):
     """The platform gave no usable reply."""
@@ -106,6 +110,44 @@
         return reply.body
 
 
+class InstancePoller:
+    """Reads the instance list at intervals.
+
+    Args:
+        client: Client of the platform.
+        period: Time between readings.
+        take: Receives each reading.
+    """
+
+    def __init__(
+        self,
+        client: PlatformClient,
+        period: datetime.timedelta,
+        take: Callable[[tuple[membership.ListedInstance, ...]], None],
+    ):
+        self._client = client
+        self._period = period
+        self._take = take
+        self._runner: asyncio.Task[None] | None = None
+
+    def start(self) -> None:
+        """Starts reading."""
+        self._runner = asyncio.create_task(self._run(), name="instance list")
+
+    def stop(self) -> None:
+        """Stops reading."""
+        if self._runner is not None:
+            self._runner.cancel()
+
+    async def _run(self) -> None:
+        while True:
+            try:
+                self._take(await self._client.instances())
+            except PlatformError as error:
+                _log.warning("instance list not read", extra={"error": str(error)})
+            await asyncio.sleep(self._period.total_seconds())
+
+
 def _decode(body: bytes, kind: type) -> object:
     try:
         return msgspec.json.decode(body, type=kind)
--- a/monsoonhoist/node/tables.py
+++ b/monsoonhoist/node/tables.py
@@ -160,6 +160,13 @@
         if self._runner is not None:
             self._runner.cancel()
 
+    def refresh(self) -> None:
+        """Ends a waiting watch and reads the service anew."""
+        self.stop()
+        self.has_read = False
+        self._index = 0
+        self.start()
+
     async def _run(self) -> None:
         while True:
             if self.has_read and not self._is_needed():
--- a/monsoonhoist/node/web.py
+++ b/monsoonhoist/node/web.py
@@ -7,7 +7,7 @@
 
 from monsoonhoist import errors, metrics
 from monsoonhoist.core import data, outcome
-from monsoonhoist.node import node, status
+from monsoonhoist.node import node, phases, status
 
 MS_PER_SECOND = 1000
 # Larger than any accepted body, so that the handler itself refuses with a reason.
@@ -106,10 +106,10 @@
 
     def is_closed(self) -> bool:
         """Refuses and returns True if no new request may be taken."""
-        if self._node.phase is node.Phase.CLOSED:
+        if self._node.phase is phases.Phase.CLOSED:
             self.refuse(_NO_REQUEST, data.Refusal.LEAVING, "the instance is leaving")
             return True
-        if self._node.phase is node.Phase.STARTING:
+        if self._node.phase is phases.Phase.STARTING:
             self.refuse(_NO_REQUEST, data.Refusal.NOT_READY, "the instance is not ready")
             return True
         return False
@@ -188,7 +188,7 @@
 
     def get(self) -> None:
         """Replies with 200 only in the phase ``ready``."""
-        if self._node.phase is not node.Phase.READY:
+        if self._node.phase is not phases.Phase.READY:
             self.set_status(503)
         self.finish(f"{self._node.phase.value}\n")
 
