Say durations out of bounds in milliseconds, and test the command check

Change: bounds of durations are checked and told in the unit of the option; the node's constructor is shorter; features/check.feature.

--- /dev/null
+++ b/features/steps/check.py
@@ -0,0 +1,60 @@
+"""Steps of the command ``check``."""
+
+import pathlib
+import subprocess
+import sys
+import tempfile
+
+from behave import given, then, when
+
+from standins import site
+
+
+@given('a file "{name}" with')
+def write_file(context, name):
+    """Writes a file into a folder of the scenario."""
+    if not hasattr(context, "folder"):
+        folder = tempfile.TemporaryDirectory()
+        context.add_cleanup(folder.cleanup)
+        context.folder = pathlib.Path(folder.name)
+    (context.folder / name).write_text(context.text + "\n", encoding="utf-8")
+
+
+def check(context, arguments, folder):
+    """Runs the command in a folder."""
+    command = [sys.executable, "-m", "monsoonhoist", "check", *arguments]
+    context.run = subprocess.run(
+        command, cwd=folder, capture_output=True, text=True, env={"PYTHONPATH": str(site.ROOT)}
+    )
+
+
+@when('the operator checks "{arguments}"')
+def check_files(context, arguments):
+    """Checks the scenario's files."""
+    check(context, arguments.split(), context.folder)
+
+
+@when('the operator checks the example "{example}"')
+def check_example(context, example):
+    """Checks an example's tables."""
+    folder = site.ROOT / "examples" / example
+    arguments = ["--routes", "routes.ini"]
+    for path in sorted((folder / "pools").glob("*.ini")):
+        arguments += ["--pool", f"{path.stem}=pools/{path.name}"]
+    check(context, arguments, folder)
+
+
+@then("the exit code is {code:d}")
+def check_code(context, code):
+    """Compares the exit code."""
+    assert context.run.returncode == code, context.run.stderr
+
+
+@then("the findings are")
+def check_findings(context):
+    """Compares all findings, in order."""
+    lines = context.run.stderr.splitlines()
+    assert len(lines) == len(context.table.rows), lines
+    for line, row in zip(lines, context.table.rows, strict=True):
+        assert line.startswith(row["place"]), line
+        assert all(word in line for word in row["words"].split(": ")), line
--- a/monsoonhoist/node/node.py
+++ b/monsoonhoist/node/node.py
@@ -71,41 +71,16 @@
         self.counters = metrics.Metrics(self.name)
         self._clock = time_source
         self._started = time_source.monotonic()
-        zone = data.ZoneId(config.instance.zone)
-        self.members = membership.Membership(
-            data.Member(
-                instance=self.name,
-                incarnation=incarnation,
-                version=0,
-                state=data.MemberState.LIVE,
-                host=str(config.instance.host),
-                peer_port=config.instance.peer_port,
-                zone=zone,
-            )
-        )
-        kernel_clock = clock.EventClock(time_source)
+        self.members = membership.Membership(_make_member(config, incarnation))
+        zone = self.members.myself.zone
         names = config.policy.names()
-        self._kernel = kernel.make_kernel(self.name, zone, kernel_clock, names)
+        self._kernel_clock = clock.EventClock(time_source)
+        self._kernel = kernel.make_kernel(self.name, zone, self._kernel_clock, names)
         self._trace: trace.TraceWriter | None = None
         if trace_path is not None:
-            self._trace = trace.TraceWriter(trace_path, self.name, zone, names, kernel_clock)
-        recorder = self._trace.record if self._trace else None
-        self._entry = kernels.KernelTask(
-            traces.Role.ENTRY,
-            self._kernel.entry,
-            kernel_clock,
-            self.counters,
-            self._perform,
-            recorder,
-        )
-        self._owner = kernels.KernelTask(
-            traces.Role.OWNER,
-            self._kernel.owner,
-            kernel_clock,
-            self.counters,
-            self._perform,
-            recorder,
-        )
+            self._trace = trace.TraceWriter(trace_path, self.name, zone, names, self._kernel_clock)
+        self._entry = self._make_kernel_task(traces.Role.ENTRY, self._kernel.entry)
+        self._owner = self._make_kernel_task(traces.Role.OWNER, self._kernel.owner)
         self._driver = curl.CurlDriver(config.timing.backend_idle_ms)
         self._backends = backends.BackendTask(
             f"{self.name}.{incarnation}",
@@ -148,6 +123,13 @@
         self._background: set[asyncio.Task[None]] = set()
         self._view: events.ViewChanged | None = None
 
+    def _make_kernel_task(self, role: traces.Role, part: kernels.KernelPart) -> kernels.KernelTask:
+        """Returns the task that owns one of the kernels."""
+        recorder = self._trace.record if self._trace else None
+        return kernels.KernelTask(
+            role, part, self._kernel_clock, self.counters, self._perform, recorder
+        )
+
     def start(self) -> None:
         """Starts all tasks; the instance becomes ready by itself."""
         self._entry.start()
@@ -408,3 +390,17 @@
         runner = asyncio.create_task(coroutine)
         self._background.add(runner)
         runner.add_done_callback(self._background.discard)
+
+
+def _make_member(config: settings.Settings, incarnation: data.Incarnation) -> data.Member:
+    """Returns what a starting instance states of itself."""
+    instance = config.instance
+    return data.Member(
+        instance=data.InstanceId(instance.name),
+        incarnation=incarnation,
+        version=0,
+        state=data.MemberState.LIVE,
+        host=str(instance.host),
+        peer_port=instance.peer_port,
+        zone=data.ZoneId(instance.zone),
+    )
--- a/monsoonhoist/tables/ini.py
+++ b/monsoonhoist/tables/ini.py
@@ -28,6 +28,17 @@
 Milliseconds = Annotated[datetime.timedelta, pydantic.BeforeValidator(_milliseconds)]
 
 
+def bounded_milliseconds(low_ms: int, high_ms: int) -> object:
+    """Returns the type of a duration from ``low_ms`` to ``high_ms``."""
+
+    def check_bounds(value: datetime.timedelta) -> datetime.timedelta:
+        if not low_ms <= value / datetime.timedelta(milliseconds=1) <= high_ms:
+            raise ValueError(f"must be from {low_ms} to {high_ms}")
+        return value
+
+    return Annotated[Milliseconds, pydantic.AfterValidator(check_bounds)]
+
+
 class Section(msgspec.Struct, frozen=True):
     """One INI section.
 
@@ -101,7 +112,8 @@
     """Returns one of the model's errors with its place."""
     option = str(detail["loc"][0]) if detail["loc"] else ""
     line = section.line_by_option.get(option, section.line)
-    message = f"{option}: {detail['msg']}" if option else detail["msg"]
+    text = detail["msg"].removeprefix("Value error, ")
+    message = f"{option}: {text}" if option else text
     return data.Finding(data.Place(source.file, section.name, line), message)
 
 
--- a/monsoonhoist/tables/routes.py
+++ b/monsoonhoist/tables/routes.py
@@ -1,7 +1,5 @@
 """Table of routes: INI text to ``data.Route`` records."""
 
-import datetime
-
 import msgspec
 import pydantic
 
@@ -9,9 +7,10 @@
 from monsoonhoist.tables import ini
 
 KEY = data.TableKey("routes")
-DEADLINE_MIN = datetime.timedelta(milliseconds=10)
-DEADLINE_MAX = datetime.timedelta(seconds=60)
+DEADLINE_MIN_MS = 10
+DEADLINE_MAX_MS = 60_000
 _PREFIX = "route "
+_Deadline = ini.bounded_milliseconds(DEADLINE_MIN_MS, DEADLINE_MAX_MS)
 
 
 class RouteModel(pydantic.BaseModel):
@@ -22,10 +21,10 @@
     rank: data.Rank
     pool: str = pydantic.Field(min_length=1)
     repeatable: bool = True
-    deadline_ms: ini.Milliseconds = pydantic.Field(ge=DEADLINE_MIN, le=DEADLINE_MAX)
+    deadline_ms: _Deadline
     minimum_coverage: float = pydantic.Field(default=0.0, ge=0.0, le=1.0)
     hedge_budget: float = pydantic.Field(default=0.05, ge=0.0, le=0.5)
-    partial_after_ms: ini.Milliseconds | None = pydantic.Field(default=None, ge=DEADLINE_MIN)
+    partial_after_ms: _Deadline | None = None
 
     @pydantic.model_validator(mode="after")
     def _partial_before_deadline(self) -> "RouteModel":
