Keep a moved server's calls apart from those at its new address

When a table gave a server another address, its state was set back in place; calls still in flight then ended against a count of zero, which went negative and let more calls start than the server has slots. Ruled out: the limit's growth; without calls in flight the slots were kept. Change: a server at a new address gets a state of its own in ShardState.update, and the special case in ServerState.update is gone.

--- a/features/steps/owner.py
+++ b/features/steps/owner.py
@@ -1,5 +1,6 @@
 """Steps of the owner's kernel."""
 
+import collections
 import heapq
 
 import msgspec
@@ -23,6 +24,8 @@
         )
         self.owner = made.owner
         self.due = []
+        self.server_by_call = {}
+        self.peak = 0
         self.calls = []
         self.failures = []
         tables = scenes.tables_of(1)
@@ -31,9 +34,23 @@
             msgspec.structs.replace(server, slots=SLOTS)
             for server in pool.servers_by_service[SERVICE]
         )
-        pool = msgspec.structs.replace(pool, servers_by_service={SERVICE: servers})
-        tables = msgspec.structs.replace(tables, pool_by_id={scenes.POOL: pool})
-        self.perform(self.owner.handle(events.ViewChanged(tables, (scenes.MYSELF,))))
+        self.pool = msgspec.structs.replace(pool, servers_by_service={SERVICE: servers})
+        self.tables = msgspec.structs.replace(tables, pool_by_id={scenes.POOL: self.pool})
+        self.publish()
+
+    def publish(self):
+        """Gives the owner the tables."""
+        self.perform(self.owner.handle(events.ViewChanged(self.tables, (scenes.MYSELF,))))
+
+    def move_servers(self):
+        """Gives the owner tables with other addresses of the servers."""
+        servers = tuple(
+            msgspec.structs.replace(server, address="127.0.0.1:2")
+            for server in self.pool.servers_by_service[SERVICE]
+        )
+        moved = msgspec.structs.replace(self.pool, servers_by_service={SERVICE: servers})
+        self.tables = msgspec.structs.replace(self.tables, pool_by_id={scenes.POOL: moved})
+        self.publish()
 
     def send(self, number, remaining_ms):
         """Gives the owner a sub-request."""
@@ -45,17 +62,27 @@
         """Notes calls with their time left, and failures."""
         for command in commands:
             if isinstance(command, events.StartCall):
+                self.server_by_call[command.call_id] = command.server
+                self.note_peak()
                 self.calls.append(command.deadline - self.clock.monotonic())
                 due = self.clock.monotonic() + self.latency_seconds
                 heapq.heappush(self.due, (due, command.call_id))
             elif isinstance(command, events.SendMessage):
                 self.failures.extend(command.message.failures)
 
+    def note_peak(self):
+        """Notes the most calls in flight at one address of one server."""
+        counts = collections.Counter(
+            (server.server_id, server.address) for server in self.server_by_call.values()
+        )
+        self.peak = max(self.peak, *counts.values())
+
     def run(self):
         """Lets all calls end."""
         keys = data.KeyRange(0, 10)
         while self.due:
             self.clock.now_seconds, call_id = heapq.heappop(self.due)
+            del self.server_by_call[call_id]
             reply = events.CallReplied(
                 call_id, data.Snapshot(7), keys, (data.Holding(data.Snapshot(7), keys),), (), False
             )
@@ -93,6 +120,30 @@
     context.bench.run()
 
 
+@when("{count:d} calls are in flight and the table gives the servers new addresses")
+def move_servers(context, count):
+    """Fills the servers' slots and moves the servers."""
+    for number in range(count):
+        context.bench.send(1000 + number, 60_000)
+    assert len(context.bench.server_by_call) == count
+    context.bench.move_servers()
+
+
+@when("the old calls end and {count:d} sub-requests come")
+def end_old(context, count):
+    """Lets the old calls end, then sends more and lets them end."""
+    context.bench.run()
+    for number in range(count):
+        context.bench.send(2000 + number, 60_000)
+    context.bench.run()
+
+
+@then("no server has more calls in flight than its slots")
+def check_peak(context):
+    """Checks the most calls in flight at one server."""
+    assert context.bench.peak <= SLOTS, context.bench.peak
+
+
 @then("a server is called")
 def check_called(context):
     """Checks that a call has started."""
--- a/monsoonhoist/core/server.py
+++ b/monsoonhoist/core/server.py
@@ -45,9 +45,7 @@
         return self._limit
 
     def update(self, server: data.Server, share: float) -> None:
-        """Takes over the server's record from a newer table."""
-        if server.address != self.server.address:
-            self.__init__(server, share)
+        """Takes over the server's record from a newer table; the address is the same."""
         self.server = server
         self._share = share
         self._limit = min(self._limit, self._ceiling())
--- a/monsoonhoist/core/shard.py
+++ b/monsoonhoist/core/shard.py
@@ -101,11 +101,14 @@
         self.hedge = hedge_policy
 
     def update(self, servers: tuple[data.Server, ...], share: float) -> None:
-        """Takes over the shard's servers from a newer table."""
+        """Takes over the shard's servers from a newer table.
+
+        A server at a new address is another one; calls in flight stay with the old state.
+        """
         state_by_id: dict[data.ServerId, server.ServerState] = {}
         for record in servers:
             state = self.server_by_id.get(record.server_id)
-            if state is None:
+            if state is None or state.server.address != record.address:
                 state = server.ServerState(record, share)
             else:
                 state.update(record, share)
