Drop state that nothing read, and let one step serve where two stood

Cause: reading the change again. The ticket desk kept a clock and the node a constant that nothing used; the load's streams had a start and an end that nobody set; bench.floods copied the ranks' floors without use; bench.capacity wrote the settings' defaults and the cell's size down again; two step files read revisions and two waited for a whole answer in the same words. Change: the dead parts are gone; the page's script takes the defaults from the program; the revision is read by standins.site; one step carries both phrases. No assertion was changed.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -10,6 +10,9 @@
 
 import msgspec
 
+from monsoonhoist import settings
+from monsoonhoist.policy import ownership
+
 SLOPES_PATH = pathlib.Path(__file__).with_name("slopes.ini")
 PAGE_PATH = pathlib.Path(__file__).resolve().parent.parent / "docs" / "CAPACITY.md"
 BEGIN = "<!-- figures: begin -->"
@@ -30,8 +33,9 @@
 IN_FORCE_SECONDS = 9.0
 ANSWERED_SHARE = 0.99
 
-NEIGHBOURS = 16
-WATCHERS_PER_ZONE = 2
+NEIGHBOURS = settings.SpreadSection().neighbours
+WATCHERS_PER_ZONE = settings.SpreadSection().watchers_per_zone
+CELL_SIZE = ownership.RendezvousOwnership.cell_size
 WATCH_SECONDS = 10.0
 HEARTBEAT_SECONDS = 1.0
 # Headers of TCP over IPv4 with time stamps, for each of a message and its acknowledgement.
@@ -127,7 +131,8 @@
         f"| queries taken in | {queries:.0f}/s | entry |",
         f"| sub-requests sent and received | {subs:,.0f}/s each | one batch for each owner |",
         f"| pools of {FAN_OUT} servers | {pools:.1f} | |",
-        f"| instances in a pool's cell | {cell} | `RendezvousOwnership.cell_size`, now 64 |",
+        f"| instances in a pool's cell | {cell} | `RendezvousOwnership.cell_size`, now"
+        f" {CELL_SIZE} |",
         f"| frames of requests, and as many of replies | {frames:,.0f}/s | cells |",
         f"| sub-requests in a frame | {subs_per_frame:.1f} | cells |",
         f"| bytes between instances | {size / 1e6:.0f} MB/s | merging at owners |",
--- a/bench/floods.py
+++ b/bench/floods.py
@@ -27,7 +27,6 @@
     "background": "repair-log",
 }
 STEADY_RATE_BY_RANK = {"urgent": 25.0, "normal": 12.0, "background": 12.0}
-FLOOR_BY_RANK = {"urgent": 0.20, "normal": 0.10, "background": 0.05}
 
 
 class Phase(msgspec.Struct, frozen=True):
--- a/bench/load.py
+++ b/bench/load.py
@@ -22,14 +22,10 @@
     Attributes:
         route: Route asked.
         rate: Requests a second, as a Poisson process.
-        start_seconds: Start within the run.
-        end_seconds: End within the run.
     """
 
     route: str
     rate: float
-    start_seconds: float = 0.0
-    end_seconds: float = 1e9
 
 
 class Sample(msgspec.Struct, frozen=True):
@@ -119,12 +115,11 @@
     started: float,
 ) -> list[Sample]:
     samples: list[Sample] = []
-    at = stream.start_seconds
-    ends = min(seconds, stream.end_seconds)
+    at = 0.0
     sent = 0
     while True:
         at += chance.expovariate(stream.rate)
-        if at >= ends:
+        if at >= seconds:
             break
         await asyncio.sleep(max(0.0, started + at - time.monotonic()))
         _send(
--- a/features/steps/faults.py
+++ b/features/steps/faults.py
@@ -98,6 +98,7 @@
         assert not any(low <= key < high for low, high in coverage["gaps"]), answer
 
 
+@when('a question at instance {number:d} to route "{route}" is answered whole')
 @then('in the end a question at instance {number:d} to route "{route}" is answered whole')
 def check_recovery(context, number, route):
     """Waits until a question is answered whole."""
--- a/features/steps/leaving.py
+++ b/features/steps/leaving.py
@@ -29,17 +29,11 @@
     key, number = context.marked
     for instance in range(first, last + 1):
         site.wait_until(
-            lambda instance=instance: revision(context.site, instance, key) >= number,
+            lambda instance=instance: context.site.revision(instance, key) >= number,
             f"revision {number} is not in force",
         )
 
 
-def revision(deployment, instance, key):
-    """Returns the revision number of a key in force at an instance, or 0."""
-    keys = deployment.status(instance)["keys"]
-    return next((row["number"] for row in keys if row["key"] == key), 0)
-
-
 @when('{count:d} more answers have come without new work at "{server}"')
 def check_no_work(context, count, server):
     """Checks that a leaving server is not even called while answers come."""
--- a/features/steps/tables.py
+++ b/features/steps/tables.py
@@ -19,12 +19,6 @@
     return path.read_text(encoding="utf-8").replace("1500", str(deadline_ms))
 
 
-def revision(deployment, instance, key):
-    """Returns the revision number of a key in force at an instance, or 0."""
-    keys = deployment.status(instance)["keys"]
-    return next((row["number"] for row in keys if row["key"] == key), 0)
-
-
 def reads(context):
     """Returns the number of calls to the service."""
     return json.loads(site.fetch(f"{site.platform_url()}/control/reads"))["reads"]
@@ -140,7 +134,7 @@
 def wait_revision(context, number, key, instance):
     """Waits until an instance has a revision."""
     site.wait_until(
-        lambda: revision(context.site, instance, key) >= number,
+        lambda: context.site.revision(instance, key) >= number,
         f"revision {number} of {key} is not in force at instance {instance}",
     )
 
@@ -150,7 +144,7 @@
     """Waits until all instances have exactly this revision."""
     for instance in range(first, last + 1):
         wait_revision(context, number, key, instance)
-        assert revision(context.site, instance, key) == number
+        assert context.site.revision(instance, key) == number
 
 
 def rejections(context, number):
--- a/features/steps/tickets.py
+++ b/features/steps/tickets.py
@@ -91,15 +91,6 @@
     context.site.wait_ready()
 
 
-@when('a question at instance {number:d} to route "{route}" is answered whole')
-def wait_recovery(context, number, route):
-    """Waits until an instance answers again."""
-    site.wait_until(
-        lambda: context.site.ask(number, route, "again")["outcome"] == "answered",
-        "no whole answer after the failure",
-    )
-
-
 @then('all outcomes are "{outcome}"')
 def check_outcomes(context, outcome):
     """Checks the outcomes of all requests sent with the ticket."""
--- a/monsoonhoist/node/desk.py
+++ b/monsoonhoist/node/desk.py
@@ -4,7 +4,7 @@
 import itertools
 from collections.abc import Callable
 
-from monsoonhoist.core import clock, data, messages, outcome, tickets
+from monsoonhoist.core import data, messages, outcome, tickets
 
 MS_PER_SECOND = 1000
 # Added to the wait for another instance, so that its own answer at the deadline arrives.
@@ -19,7 +19,6 @@
 
     Args:
         myself: This instance.
-        time_source: The clock.
         book: Tickets of this incarnation.
         ask: Starts a query; its arguments are the route, the request and the time left in
             milliseconds, 0 for the route's deadline.
@@ -30,14 +29,12 @@
     def __init__(
         self,
         myself: data.InstanceId,
-        time_source: clock.Clock,
         book: tickets.TicketBook,
         ask: Ask,
         send: Send,
         count_refusal: Callable[[data.Refusal], None],
     ):
         self._myself = myself
-        self._clock = time_source
         self._book = book
         self._ask = ask
         self._send = send
--- a/monsoonhoist/node/node.py
+++ b/monsoonhoist/node/node.py
@@ -33,7 +33,6 @@
 
 READY_CHECK_SECONDS = 0.05
 PEERS_ONLY_READY_SECONDS = 2.0
-MS_PER_SECOND = 1000
 
 _log = logging.getLogger(__name__)
 
@@ -112,7 +111,6 @@
         self._pauses = pause.PauseWatch(time_source, config.timing.pause_ms, self._on_pause)
         self.tickets = desk.TicketDesk(
             self.name,
-            time_source,
             tickets.TicketBook(self.name, incarnation, time_source),
             self.ask,
             self.send,
--- a/standins/site.py
+++ b/standins/site.py
@@ -209,6 +209,11 @@
         """Returns an instance's status."""
         return json.loads(fetch(f"{self.url(number)}/v1/status") or "{}")
 
+    def revision(self, number: int, key: str) -> int:
+        """Returns the revision number of a key in force at an instance, or 0."""
+        keys = self.status(number)["keys"]
+        return next((row["number"] for row in keys if row["key"] == key), 0)
+
     def publish(self, key: str, text: str, number: int = 0) -> int:
         """Publishes a table value and returns its revision number."""
         reply = self.control(f"values/{key}?number={number}", text)
