--- a/bench/mutants.py
+++ b/bench/mutants.py
@@ -65,7 +65,7 @@
     ),
     Mutant(
         "a lost call counts as not run",
-        "node/backends.py",
+        "node/search.py",
         "return events.CallFailed(call_id, reason, True)",
         "return events.CallFailed(call_id, reason, False)",
         "at_most_once",
--- a/bench/scenes.py
+++ b/bench/scenes.py
@@ -6,8 +6,7 @@
 import msgspec
 
 from monsoonhoist.core import clock, data, events, kernel, membership, messages
-from monsoonhoist.node import backends, curl
-from monsoonhoist.tables import store
+from monsoonhoist.node import curl, search
 
 KEY_SPACE = 1_000_000
 RESULTS = 10
@@ -17,7 +16,7 @@
 DEADLINE = datetime.timedelta(milliseconds=330)
 
 
-def tables_of(services: int) -> store.Tables:
+def tables_of(services: int) -> data.Tables:
     """Returns tables with one route to one pool of two servers for each shard."""
     names = [data.ServiceId(f"shard-{number:04d}") for number in range(services)]
     servers_by_service = {
@@ -30,7 +29,7 @@
         for name in names
     }
     route = data.Route(ROUTE, data.Rank.URGENT, POOL, True, DEADLINE, 0.9, 0.05)
-    return store.Tables({ROUTE: route}, {POOL: data.Pool(POOL, KEY_SPACE, servers_by_service)})
+    return data.Tables({ROUTE: route}, {POOL: data.Pool(POOL, KEY_SPACE, servers_by_service)})
 
 
 def results_of(service: int) -> tuple[data.Result, ...]:
@@ -48,7 +47,7 @@
         ROUTE,
         POOL,
         data.Rank.URGENT,
-        "coxed four, Saturday 07:30",
+        data.Request(query="coxed four, Saturday 07:30").question().content,
         RESULTS,
         300,
         0.05,
@@ -94,8 +93,8 @@
         """Takes queries through to their answers."""
         for _ in range(rounds):
             query_id = data.QueryId(f"q{next(self._number)}")
-            request = data.Request(query="coxed four")
-            commands = self._entry.handle(events.QueryArrived(query_id, ROUTE, request))
+            question = data.Request(query="coxed four").question()
+            commands = self._entry.handle(events.QueryArrived(query_id, ROUTE, question))
             answered = False
             for command in commands:
                 answered = self._reply(command) or answered
@@ -159,7 +158,7 @@
 
 def backend_call(address: str, number: int) -> curl.HttpCall:
     """Returns a call to a backend server, its body encoded as the program does."""
-    body = backends.SearchBody(
+    body = search.SearchBody(
         call=f"bench.{number}",
         query_id=data.QueryId(f"q{number}"),
         route=ROUTE,
@@ -176,12 +175,13 @@
         msgspec.json.encode(body),
         datetime.timedelta(seconds=5),
         datetime.timedelta(seconds=1),
+        headers=search.JSON_HEADERS,
     )
 
 
 def read_backend_reply(reply: curl.HttpReply) -> None:
     """Reads a backend server's reply as the program does."""
-    event = backends.read_reply(1, reply)
+    event = search.read_reply(1, reply)
     if not isinstance(event, events.CallReplied):
         raise SystemExit(f"the call failed: {event}")
 
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -24,7 +24,7 @@
 from monsoonhoist.core import data, messages
 from monsoonhoist.node import curl
 from monsoonhoist.policy import ownership
-from monsoonhoist.tables import store
+from monsoonhoist.tables import native, store
 from standins import site
 
 PATH = pathlib.Path(__file__).with_name("slopes.ini")
@@ -178,11 +178,12 @@
 
 
 def _accept(values: list[messages.TableValue]) -> store.TableStore:
-    table_store = store.TableStore()
+    table_store = store.TableStore(native.NativeFormat())
     for value in values:
         verdict = table_store.offer(value)
         if verdict.acceptance is not store.Acceptance.ACCEPTED:
             raise SystemExit(f"{value.key} was not accepted")
+        table_store.join()
     return table_store
 
 
--- a/features/steps/one_file.py
+++ b/features/steps/one_file.py
@@ -4,6 +4,7 @@
 import pathlib
 import subprocess
 import sys
+import tempfile
 
 import behave
 
@@ -22,9 +23,7 @@
 @behave.given("a deployment of it runs")
 def start(context):
     """Starts a deployment whose instances run the built program."""
-    memory = pathlib.Path("/dev/shm")
-    root = memory if memory.is_dir() and os.access(memory, os.W_OK) else context.config.base_dir
-    os.environ["PEX_ROOT"] = str(pathlib.Path(root) / "monsoonhoist-pex")
+    os.environ["PEX_ROOT"] = str(pathlib.Path(tempfile.gettempdir()) / "monsoonhoist-pex")
     options = site.SiteOptions(pools=("allocator",), program=(sys.executable, str(PROGRAM)))
     behave.use_fixture(fixtures.running_site, context, options)
 
--- a/features/steps/tables.py
+++ b/features/steps/tables.py
@@ -71,7 +71,7 @@
     value = messages.TableValue(key, number, example_routes(ms))
     sent = (
         messages.Hello("zurichsee", member),
-        messages.pack_table(value),
+        messages.PackedTables((messages.pack_table(value),)),
         messages.Beat(1, b""),
     )
     port = site.PEER_PORT_BASE + instance
--- a/monsoonhoist/core/data.py
+++ b/monsoonhoist/core/data.py
@@ -12,6 +12,8 @@
 
 import msgspec
 
+from monsoonhoist.core import exchange
+
 InstanceId = NewType("InstanceId", str)
 Incarnation = NewType("Incarnation", int)
 ServerId = NewType("ServerId", str)
@@ -78,6 +80,11 @@
     NO_SERVER = "no_server"
     PEER_LOST = "peer_lost"
     CANCELLED = "cancelled"
+    CALLER_GONE = "caller_gone"
+    WRONG_SERVER = "wrong_server"
+    MALFORMED_REPLY = "malformed_reply"
+    ATTEMPTS_USED = "attempts_used"
+    BUDGET_USED = "budget_used"
 
 
 class RetryReason(enum.Enum):
@@ -125,6 +132,20 @@
         return f"{self.place.file}:{self.place.line}:{section} {self.message}"
 
 
+class PathMatch(msgspec.Struct, frozen=True):
+    """Requests that a route takes: by host and by the beginning of the path."""
+
+    host: str
+    prefix: str
+
+
+class Split(msgspec.Struct, frozen=True):
+    """A pool that gets a share of a route's requests, in proportion to its weight."""
+
+    pool: PoolId
+    weight: float
+
+
 class Route(msgspec.Struct, frozen=True):
     """A kind of work.
 
@@ -138,6 +159,14 @@
         hedge_budget: Extra sub-requests allowed, as a share of the first ones.
         partial_after: When an answer with the minimum coverage is given without waiting
             for the rest; None for the deadline.
+        attempts: Backend servers that one request may be sent to, for each shard.
+        results: Number of results of an answer; 0 for the number that the caller names.
+        match: Requests that are for this route; None where callers name the route.
+        splits: Pools among which the requests are divided; empty for ``pool`` alone.
+        goal: When an answer should be with the caller, as the operators want it; None
+            without a goal. It takes the place of ``partial_after``.
+        passes_response: Whether the one server's response is passed on as it is, and no
+            results are merged.
     """
 
     route_id: RouteId
@@ -148,6 +177,12 @@
     minimum_coverage: float
     hedge_budget: float
     partial_after: datetime.timedelta | None = None
+    attempts: int = 4
+    results: int = 0
+    match: PathMatch | None = None
+    splits: tuple[Split, ...] = ()
+    goal: datetime.timedelta | None = None
+    passes_response: bool = False
 
 
 class Server(msgspec.Struct, frozen=True):
@@ -179,11 +214,23 @@
         pool_id: Name of the pool.
         key_space: Number of keys; shards cover ranges of ``[0, key_space)``.
         servers_by_service: Backend servers of each shard.
+        snapshot: The one snapshot that all shards answer from, where the table fixes it;
+            the keys are then the shards, one each, in the order of their names.
+        merge: Name of the policy that merges results.
     """
 
     pool_id: PoolId
     key_space: int
     servers_by_service: dict[ServiceId, tuple[Server, ...]]
+    snapshot: Snapshot = LATEST_SNAPSHOT
+    merge: str = "ranked"
+
+
+class Tables(msgspec.Struct, frozen=True):
+    """The two tables in force, joined from the accepted values."""
+
+    route_by_id: dict[RouteId, Route]
+    pool_by_id: dict[PoolId, Pool]
 
 
 class Member(msgspec.Struct, frozen=True, array_like=True):
@@ -236,6 +283,10 @@
     text: str
 
 
+# An entry of an answer: a scored result, or a record that is ordered by its bytes.
+ResultEntry = Result | bytes
+
+
 class QuerySpec(msgspec.Struct, frozen=True, array_like=True):
     """What a query asks, as handed from the entry to the owners.
 
@@ -244,22 +295,28 @@
         route: Route of the request.
         pool: Pool of the route.
         rank: Rank of the route.
-        text: The caller's question.
+        content: What the caller sent.
         limit: Number of results asked for.
         remaining_ms: Time left until the deadline when the record was sent.
         hedge_budget: See ``Route``.
         repeatable: See ``Route``.
+        attempts: See ``Route``.
+        merge: See ``Pool``.
+        passes_response: See ``Route``.
     """
 
     query_id: QueryId
     route: RouteId
     pool: PoolId
     rank: Rank
-    text: str
+    content: exchange.Content
     limit: int
     remaining_ms: int
     hedge_budget: float
     repeatable: bool
+    attempts: int = 4
+    merge: str = "ranked"
+    passes_response: bool = False
 
 
 class Part(msgspec.Struct, frozen=True, array_like=True):
@@ -271,6 +328,8 @@
         snapshot: Snapshot that the results come from.
         keys: Keys that the shard has in that snapshot.
         holdings: All snapshots that the answering server holds.
+        proof: The server's proof that the part is its own; empty where it gives none.
+        response: The server's response, where it is passed on as it is.
     """
 
     service: ServiceId
@@ -278,6 +337,8 @@
     snapshot: Snapshot
     keys: KeyRange
     holdings: tuple[Holding, ...]
+    proof: str = ""
+    response: exchange.Response | None = None
 
 
 class Failure(msgspec.Struct, frozen=True, array_like=True):
@@ -289,6 +350,7 @@
         reason: Why there are no results.
         may_have_run: False only where it is proved that nothing ran.
         holdings: Snapshots held, where the server named them.
+        response: The server's own failure, if it gave one.
     """
 
     service: ServiceId
@@ -296,6 +358,7 @@
     reason: Refusal
     may_have_run: bool
     holdings: tuple[Holding, ...] = ()
+    response: exchange.Response | None = None
 
 
 class Coverage(msgspec.Struct, frozen=True):
@@ -358,3 +421,8 @@
     deadline_ms: int = 0
     request_id: str = ""
     ticket: TicketId = TicketId("")
+
+    def question(self) -> exchange.Question:
+        """Returns the request as the kernels take it; its text is the body."""
+        content = exchange.Content("POST", "/v1/search", (), self.query.encode())
+        return exchange.Question(self.request_id, content, self.limit, self.deadline_ms)
--- a/monsoonhoist/core/entry.py
+++ b/monsoonhoist/core/entry.py
@@ -9,14 +9,15 @@
     clock,
     data,
     events,
+    exchange,
     hashing,
     messages,
     outcome,
     query,
     snapshots,
+    splits,
 )
 from monsoonhoist.policy import admission, ownership
-from monsoonhoist.tables import store
 
 RERUNS_MAX = 2
 ATTEMPTS_MAX = 4
@@ -24,6 +25,10 @@
 OWNER_PATIENCE_SHARE = 0.4
 # Share of the deadline kept for sending the answer back to the caller.
 ANSWER_MARGIN_SHARE = 0.05
+# An answer is given this long before the route's goal, for the way to the caller and
+# back, but no earlier than this share of the goal before it.
+GOAL_LEAD_SECONDS = 0.012
+GOAL_LEAD_SHARE = 0.3
 MS_PER_SECOND = 1000
 
 _OVERLOAD_REASONS = (
@@ -54,13 +59,14 @@
         self._clock = time_source
         self._ownership = owner_policy
         self._admission_class = admission_class
-        self._tables = store.Tables({}, {})
+        self._tables = data.Tables({}, {})
         self._instances: tuple[data.InstanceId, ...] = (myself,)
         self._services_by_pool: dict[data.PoolId, tuple[data.ServiceId, ...]] = {}
         self._admission_by_pool: dict[data.PoolId, admission.Admission] = {}
         self._knowledge_by_pool: dict[data.PoolId, snapshots.PoolKnowledge] = {}
         self._bucket_by_route: dict[data.RouteId, budget.TokenBucket] = {}
         self._query_by_id: dict[data.QueryId, query.QueryState] = {}
+        self._splitter = splits.Splitter()
         self._wakes: list[tuple[float, data.QueryId]] = []
 
     @property
@@ -79,6 +85,8 @@
         match event:
             case events.QueryArrived():
                 return self._start(event)
+            case events.CallerLeft():
+                return self._abandon(event.query_id)
             case events.ReplyArrived():
                 return self._take_reply(event)
             case events.PeerLost():
@@ -106,15 +114,21 @@
             detail = f"no route is named {event.route!r}"
             return _refuse(event, data.Refusal.UNKNOWN_ROUTE, detail)
         limit_ms = int(route.deadline.total_seconds() * MS_PER_SECOND)
-        if not 0 <= event.request.deadline_ms <= limit_ms:
+        question = event.question
+        is_out = not 0 <= question.deadline_ms <= limit_ms
+        if is_out and not question.is_clamped:
             detail = f"deadline_ms must be from 0 to {limit_ms}"
             return _refuse(event, data.Refusal.DEADLINE_OUT_OF_RANGE, detail)
-        pool = self._tables.pool_by_id.get(route.pool)
+        pool_id = self._splitter.choose(route)
+        pool = self._tables.pool_by_id.get(pool_id)
         if pool is None or not pool.servers_by_service:
-            detail = f"the pool {route.pool!r} is not defined"
+            detail = f"the pool {pool_id!r} is not defined"
             return _refuse(event, data.Refusal.POOL_NOT_DEFINED, detail)
-        if not self._admission(route.pool).admit(route.rank):
-            detail = f"too much {route.rank.value} work for the pool {route.pool!r}"
+        if not any(pool.servers_by_service.values()):
+            detail = f"the pool {pool_id!r} has no server"
+            return _refuse(event, data.Refusal.NO_SERVER, detail)
+        if not self._admission(pool_id).admit(route.rank):
+            detail = f"too much {route.rank.value} work for the pool {pool_id!r}"
             return _refuse(event, data.Refusal.OVERLOAD, detail)
         state = self._new_state(event, route, pool, event.remaining_ms or limit_ms)
         self._query_by_id[event.query_id] = state
@@ -130,27 +144,31 @@
         self, event: events.QueryArrived, route: data.Route, pool: data.Pool, limit_ms: int
     ) -> query.QueryState:
         now = self._clock.monotonic()
-        total_ms = min(event.request.deadline_ms or limit_ms, limit_ms)
+        question = event.question
+        total_ms = min(question.deadline_ms or limit_ms, limit_ms)
         total_seconds = total_ms / MS_PER_SECOND * (1 - ANSWER_MARGIN_SHARE)
         services = self._services_by_pool[pool.pool_id]
-        snapshot = self._knowledge(pool.pool_id).choice(services)
+        snapshot = pool.snapshot or self._knowledge(pool.pool_id).choice(services)
         if not route.repeatable:
-            services = (_service_for(event.request, services),)
-            snapshot = data.LATEST_SNAPSHOT
+            services = (_service_for(question, services),)
+            snapshot = pool.snapshot
         spec = data.QuerySpec(
             query_id=event.query_id,
             route=route.route_id,
             pool=pool.pool_id,
             rank=route.rank,
-            text=event.request.query,
-            limit=event.request.limit,
+            content=question.content,
+            limit=route.results or question.limit,
             remaining_ms=0,
             hedge_budget=route.hedge_budget,
             repeatable=route.repeatable,
+            attempts=route.attempts,
+            merge=pool.merge,
+            passes_response=route.passes_response,
         )
         return query.QueryState(
             spec=spec,
-            request=event.request,
+            request_id=question.request_id,
             route=route,
             pool=pool,
             services=services,
@@ -350,17 +368,28 @@
         del self._query_by_id[state.spec.query_id]
         state.adopt_best_snapshot()
         self._admission(state.pool.pool_id).finish(state.route.rank, state.pressure)
-        commands: list[events.Command] = [
-            events.Respond(state.spec.query_id, outcome.conclude(state))
-        ]
+        respond = events.Respond(
+            state.spec.query_id, outcome.conclude(state), outcome.evidence(state)
+        )
+        return [respond, *self._cancel_pending(state)]
+
+    def _abandon(self, query_id: data.QueryId) -> list[events.Command]:
+        """Ends a query that nobody waits for."""
+        state = self._query_by_id.pop(query_id, None)
+        if state is None:
+            return []
+        self._admission(state.pool.pool_id).finish(state.route.rank, state.pressure)
+        return [events.CountRefusal(data.Refusal.CALLER_GONE), *self._cancel_pending(state)]
+
+    def _cancel_pending(self, state: query.QueryState) -> list[events.Command]:
+        """Tells the owners that a query needs no more work."""
         pending = {
             owner: None
             for shard in state.shard_by_service.values()
             for owner in shard.pending_by_attempt.values()
         }
         cancel = messages.Cancel(state.spec.query_id)
-        commands.extend(events.SendMessage(owner, cancel) for owner in pending)
-        return commands
+        return [events.SendMessage(owner, cancel) for owner in pending]
 
     def _admission(self, pool: data.PoolId) -> admission.Admission:
         if pool not in self._admission_by_pool:
@@ -375,17 +404,24 @@
 
 
 def _refuse(event: events.QueryArrived, reason: data.Refusal, detail: str) -> list[events.Command]:
-    answer = outcome.not_run(event.request, reason, detail)
+    answer = outcome.not_run(event.question.request_id, reason, detail)
     return [events.CountRefusal(reason), events.Respond(event.query_id, answer)]
 
 
-def _service_for(request: data.Request, services: tuple[data.ServiceId, ...]) -> data.ServiceId:
-    """Returns the shard of non-repeatable work, chosen by hash of its text."""
-    return services[hashing.weight(request.query) % len(services)]
+def _service_for(
+    question: exchange.Question, services: tuple[data.ServiceId, ...]
+) -> data.ServiceId:
+    """Returns the shard of non-repeatable work, chosen by hash of its body."""
+    if len(services) == 1:
+        return services[0]
+    return services[hashing.weight(question.content.body.decode()) % len(services)]
 
 
 def _partial_after_seconds(route: data.Route, total_seconds: float) -> float:
     """Returns when the minimum coverage is enough, from the query's start."""
+    if route.goal is not None:
+        lead = min(GOAL_LEAD_SECONDS, route.goal.total_seconds() * GOAL_LEAD_SHARE)
+        return min(total_seconds, route.goal.total_seconds() - lead)
     if route.partial_after is None:
         return total_seconds
     return min(total_seconds, route.partial_after.total_seconds())
--- a/monsoonhoist/core/events.py
+++ b/monsoonhoist/core/events.py
@@ -6,8 +6,7 @@
 
 import msgspec
 
-from monsoonhoist.core import data, messages
-from monsoonhoist.tables import store
+from monsoonhoist.core import data, exchange, messages
 
 
 class ViewChanged(msgspec.Struct, frozen=True, tag="view-changed"):
@@ -18,7 +17,7 @@
         instances: Live instances, sorted, this one included.
     """
 
-    tables: store.Tables
+    tables: data.Tables
     instances: tuple[data.InstanceId, ...]
 
 
@@ -28,16 +27,22 @@
     Attributes:
         query_id: Name unique over instances and incarnations.
         route: Route of the request.
-        request: Body of the request.
+        question: The request.
         remaining_ms: Time left, if another instance forwarded the request; else 0.
     """
 
     query_id: data.QueryId
     route: data.RouteId
-    request: data.Request
+    question: exchange.Question
     remaining_ms: int = 0
 
 
+class CallerLeft(msgspec.Struct, frozen=True, tag="caller-left"):
+    """The caller of a query has closed its connection."""
+
+    query_id: data.QueryId
+
+
 class ReplyArrived(msgspec.Struct, frozen=True, tag="reply-arrived"):
     """An owner's reply to this entry."""
 
@@ -87,14 +92,20 @@
         holdings: All snapshots that the server holds.
         results: The results.
         draining: Whether the server says that it is leaving.
+        proof: See ``data.Part``.
+        response: See ``data.Part``.
+        load: What the server says of its load, if it does.
     """
 
     call_id: int
     snapshot: data.Snapshot
     keys: data.KeyRange
     holdings: tuple[data.Holding, ...]
-    results: tuple[data.Result, ...]
+    results: tuple[data.ResultEntry, ...]
     draining: bool
+    proof: str = ""
+    response: exchange.Response | None = None
+    load: exchange.Load | None = None
 
 
 class CallFailed(msgspec.Struct, frozen=True, tag="call-failed"):
@@ -105,19 +116,25 @@
         reason: Why there are no results.
         may_have_run: False only where it is proved that nothing ran.
         holdings: Snapshots held, where the server named them.
+        response: The server's own failure, if it gave one.
+        load: What the server says of its load, if it does.
     """
 
     call_id: int
     reason: data.Refusal
     may_have_run: bool
     holdings: tuple[data.Holding, ...] = ()
+    response: exchange.Response | None = None
+    load: exchange.Load | None = None
 
 
 class TimeReached(msgspec.Struct, frozen=True, tag="time-reached"):
     """The time asked for by ``next_wake`` has come."""
 
 
-EntryEvent = ViewChanged | QueryArrived | ReplyArrived | PeerLost | BatchUnsent | TimeReached
+EntryEvent = (
+    ViewChanged | QueryArrived | CallerLeft | ReplyArrived | PeerLost | BatchUnsent | TimeReached
+)
 OwnerEvent = ViewChanged | BatchArrived | CancelArrived | CallReplied | CallFailed | TimeReached
 
 
@@ -129,10 +146,19 @@
 
 
 class Respond(msgspec.Struct, frozen=True, tag="respond"):
-    """Answers a caller's request."""
+    """Answers a caller's request.
+
+    Attributes:
+        query_id: The query.
+        answer: The answer.
+        evidence: What else the answer holds; None where nothing was asked of shards.
+        retry_after_seconds: When a refused caller should come again.
+    """
 
     query_id: data.QueryId
     answer: data.Answer
+    evidence: exchange.Evidence | None = None
+    retry_after_seconds: float = 1.0
 
 
 class StartCall(msgspec.Struct, frozen=True, tag="start-call"):
--- a/monsoonhoist/core/kernel.py
+++ b/monsoonhoist/core/kernel.py
@@ -35,6 +35,7 @@
     zone: data.ZoneId,
     time_source: clock.Clock,
     names: PolicyNames,
+    options: owner.OwnerOptions | None = None,
 ) -> Kernel:
     """Returns a kernel with the named policies.
 
@@ -52,5 +53,7 @@
     admission_class = registry.find(registry.Kind.ADMISSION, names.admission)
     return Kernel(
         entry=entry.EntryKernel(myself, time_source, owner_policy, admission_class),
-        owner=owner.OwnerKernel(myself, zone, time_source, policies),
+        owner=owner.OwnerKernel(
+            myself, zone, time_source, policies, options or owner.OwnerOptions()
+        ),
     )
--- /dev/null
+++ b/monsoonhoist/core/limits.py
@@ -0,0 +1,25 @@
+"""Share of the backend servers' limits that one instance may use."""
+
+import msgspec
+
+from monsoonhoist.core import data
+
+
+class LimitShare(msgspec.Struct, frozen=True):
+    """Shares, each from 0 to 1.
+
+    Attributes:
+        slots: Share of a server's slots.
+        connections: Share of a server's connections.
+        budget: Share of the budgets of extra sub-requests.
+    """
+
+    slots: float
+    connections: float
+    budget: float
+
+    def calls_max(self, server: data.Server) -> int:
+        """Returns the most calls that this instance may have in flight at a server."""
+        by_slots = int(server.slots * self.slots)
+        by_connections = int(server.connections * self.connections)
+        return max(1, min(by_slots, by_connections))
--- a/monsoonhoist/core/messages.py
+++ b/monsoonhoist/core/messages.py
@@ -76,7 +76,7 @@
     query_id: data.QueryId
     parts: tuple[data.Part, ...]
     failures: tuple[data.Failure, ...]
-    results_by_snapshot: dict[data.Snapshot, tuple[data.Result, ...]]
+    results_by_snapshot: dict[data.Snapshot, tuple[data.ResultEntry, ...]]
     queue_delay_ms: int
     calls: int
 
@@ -121,7 +121,7 @@
     text: str
 
 
-class PackedTable(msgspec.Struct, frozen=True, array_like=True, tag="table"):
+class PackedTable(msgspec.Struct, frozen=True, array_like=True):
     """Value of one table key, with its text deflated (RFC 1950)."""
 
     key: data.TableKey
@@ -129,6 +129,12 @@
     deflated: bytes
 
 
+class PackedTables(msgspec.Struct, frozen=True, array_like=True, tag="tables"):
+    """Values of some table keys."""
+
+    tables: tuple[PackedTable, ...]
+
+
 class TicketUse(msgspec.Struct, frozen=True, array_like=True, tag="ticket-use"):
     """Forwards a non-repeatable request to the ticket's holder."""
 
@@ -156,7 +162,7 @@
     | Members
     | Revisions
     | WantTables
-    | PackedTable
+    | PackedTables
     | TicketUse
     | TicketAnswer
 )
--- a/monsoonhoist/core/outcome.py
+++ b/monsoonhoist/core/outcome.py
@@ -2,7 +2,7 @@
 
 import collections
 
-from monsoonhoist.core import data, query
+from monsoonhoist.core import data, exchange, query
 
 
 def conclude(state: query.QueryState) -> data.Answer:
@@ -26,14 +26,26 @@
     return _answer(state, covered, data.Outcome.FAILED, reason, detail)
 
 
-def not_run(request: data.Request, reason: data.Refusal, detail: str) -> data.Answer:
+def evidence(state: query.QueryState) -> exchange.Evidence:
+    """Returns what an answer holds besides its record."""
+    parts = state.parts()
+    response = parts[0].response if parts else state.failure_response()
+    return exchange.Evidence(
+        records=tuple(entry for entry in state.results() if isinstance(entry, bytes)),
+        proofs=tuple(part.proof for part in parts),
+        missing=len(state.services) - len(parts),
+        response=response if len(state.services) == 1 else None,
+    )
+
+
+def not_run(request_id: str, reason: data.Refusal, detail: str) -> data.Answer:
     """Returns the answer to a request that was refused before anything ran."""
-    return data.Answer(request.request_id, data.Outcome.NOT_RUN, reason, detail)
+    return data.Answer(request_id, data.Outcome.NOT_RUN, reason, detail)
 
 
-def unknown(request: data.Request, reason: data.Refusal, detail: str) -> data.Answer:
+def unknown(request_id: str, reason: data.Refusal, detail: str) -> data.Answer:
     """Returns the answer to a request that may have run."""
-    return data.Answer(request.request_id, data.Outcome.UNKNOWN, reason, detail)
+    return data.Answer(request_id, data.Outcome.UNKNOWN, reason, detail)
 
 
 def _answer(
@@ -45,17 +57,22 @@
 ) -> data.Answer:
     shown = outcome in (data.Outcome.ANSWERED, data.Outcome.PARTIAL)
     return data.Answer(
-        request_id=state.request.request_id,
+        request_id=state.request_id,
         outcome=outcome,
         reason=reason,
         detail=detail,
         snapshot=state.snapshot if shown else data.LATEST_SNAPSHOT,
         coverage=covered,
-        results=state.results() if shown else (),
+        results=_scored(state) if shown else (),
         sub_requests=state.sub_requests,
     )
 
 
+def _scored(state: query.QueryState) -> tuple[data.Result, ...]:
+    """Returns the results that callers of our own interface are shown."""
+    return tuple(entry for entry in state.results() if isinstance(entry, data.Result))
+
+
 def _may_have_run(state: query.QueryState) -> bool:
     """Returns whether any attempt has run, or has not been proved not to run."""
     return any(
--- a/monsoonhoist/core/owner.py
+++ b/monsoonhoist/core/owner.py
@@ -5,20 +5,43 @@
 import itertools
 from collections.abc import Callable
 
-from monsoonhoist.core import budget, clock, data, events, messages, replies, server, shard
+from monsoonhoist.core import (
+    budget,
+    clock,
+    data,
+    events,
+    messages,
+    replies,
+    server,
+    shard,
+)
 from monsoonhoist.policy import balance, hedge, order, ownership
-from monsoonhoist.tables import store
 
 QUEUE_MAX = 512
-CALLS_MAX = 4
+# Calls that may be in flight for one sub-request beyond the first.
 HEDGES_MAX = 2
 # Pause before a hedge that found no room or no budget is tried again.
-HEDGE_REPEAT_SECONDS = 0.01
+HEDGE_REPEAT_SECONDS = 0.02
 # Share of its remaining time that a sub-request waits for a closed server to open.
 REOPEN_WAIT_SHARE = 0.25
 MS_PER_SECOND = 1000
 
 ShardKey = tuple[data.PoolId, data.ServiceId]
+RouteKey = tuple[data.PoolId, data.RouteId]
+
+
+@dataclasses.dataclass(frozen=True)
+class OwnerOptions:
+    """Settings of an owner.
+
+    Attributes:
+        extra_calls: Size of the budgets of extra calls.
+        leaving_grace_seconds: How long a server that the table takes out of service is
+            called where no other is left.
+    """
+
+    extra_calls: budget.BudgetOptions = budget.BudgetOptions()
+    leaving_grace_seconds: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -29,7 +52,7 @@
         ownership: Chooses owners; gives the share of limits.
         balance: Chooses between servers.
         make_order: Makes the queue of a shard.
-        make_hedge: Makes the hedge policy of a shard.
+        make_hedge: Makes the hedge policy of a route.
     """
 
     ownership: ownership.Ownership
@@ -46,6 +69,7 @@
         zone: Availability zone of this instance.
         time_source: The clock.
         policies: Policies to decide by.
+        options: Settings.
     """
 
     def __init__(
@@ -54,17 +78,20 @@
         zone: data.ZoneId,
         time_source: clock.Clock,
         policies: Policies,
+        options: OwnerOptions,
     ):
         self._myself = myself
         self._zone = zone
         self._clock = time_source
         self._policies = policies
-        self._tables = store.Tables({}, {})
-        self._share = 1.0
+        self._options = options
+        self._tables = data.Tables({}, {})
+        self._share = policies.ownership.share(1)
         self._shard_by_key: dict[ShardKey, shard.ShardState] = {}
         self._subs_by_query: dict[data.QueryId, list[shard.SubRequest]] = {}
         self._call_by_id: dict[int, shard.Call] = {}
-        self._bucket_by_route: dict[data.RouteId, budget.TokenBucket] = {}
+        self._bucket_by_key: dict[ShardKey | data.RouteId, budget.TokenBucket] = {}
+        self._hedge_by_route: dict[RouteKey, hedge.Hedge] = {}
         self._call_ids = itertools.count(1)
         self._wakes: list[tuple[float, int, Callable[[list[events.Command]], None]]] = []
         self._wake_ids = itertools.count()
@@ -106,10 +133,14 @@
     def _change_view(self, event: events.ViewChanged, commands: list[events.Command]) -> None:
         self._tables = event.tables
         self._share = self._policies.ownership.share(len(event.instances))
+        now = self._clock.monotonic()
+        for bucket in self._bucket_by_key.values():
+            bucket.set_share(self._share.budget)
         for key, state in self._shard_by_key.items():
             pool = self._tables.pool_by_id.get(key[0])
             servers = pool.servers_by_service.get(key[1], ()) if pool else ()
-            state.update(servers, self._share)
+            state.keys = _fixed_keys(pool, key[1]) if pool else state.keys
+            state.update(servers, self._share, now)
             self._pump(state, commands)
 
     def _take_batch(self, batch: messages.SubBatch, commands: list[events.Command]) -> None:
@@ -136,7 +167,7 @@
         if state.waiting >= QUEUE_MAX:
             self._refuse(sub, data.Refusal.QUEUE_FULL, commands)
             return
-        self._bucket(sub.query.route).earn(sub.query.hedge_budget)
+        self._bucket(sub).earn(sub.query.hedge_budget)
         self._subs_by_query.setdefault(sub.query.query_id, []).append(sub)
         self._wake_at(sub.deadline, lambda out: self._expire(state, sub, out))
         state.push(sub)
@@ -146,7 +177,7 @@
         """Starts calls while servers have room and sub-requests wait."""
         now = self._clock.monotonic()
         deferred: list[shard.SubRequest] = []
-        while any(server_state.has_room(now) for server_state in state.server_by_id.values()):
+        while state.waiting and state.has_room(now):
             sub = state.pop()
             if sub is None:
                 break
@@ -190,31 +221,34 @@
     ) -> None:
         """Starts a call at the best candidate and plans its hedge."""
         now = self._clock.monotonic()
-        chosen = shard.choose(self._policies.balance, candidates, self._zone)
+        hedge_policy = self._hedge_policy(sub)
+        chosen = shard.choose(
+            self._policies.balance, candidates, self._zone, hedge_policy.typical_seconds(), now
+        )
         call = shard.Call(next(self._call_ids), sub, chosen, now)
         if not sub.calls:
             sub.queue_delay_seconds = now - sub.arrived
         sub.calls += 1
         sub.tried.append(chosen.server.server_id)
         sub.call_by_id[call.call_id] = call
-        chosen.outstanding += 1
+        chosen.started_by_call[call.call_id] = now
         self._call_by_id[call.call_id] = call
         commands.append(
             events.StartCall(call.call_id, chosen.server, sub.query, sub.snapshot, sub.deadline)
         )
-        delay = state.hedge.delay_seconds(sub.query.hedge_budget)
-        if delay is not None and sub.calls <= HEDGES_MAX:
+        delay = hedge_policy.delay_seconds(sub.query.hedge_budget)
+        if delay is not None and sub.query.repeatable and self._may_call_again(sub):
             self._wake_at(now + delay, lambda out: self._hedge(state, sub, out))
 
     def _hedge(
         self, state: shard.ShardState, sub: shard.SubRequest, commands: list[events.Command]
     ) -> None:
         """Calls a second server if the first is late and the budget allows."""
-        if sub.closed or sub.waiting or not sub.call_by_id or not sub.query.repeatable:
+        if sub.closed or sub.waiting or not sub.call_by_id or not self._may_call_again(sub):
             return
         now = self._clock.monotonic()
         candidates = state.hedge_candidates(sub, now)
-        if candidates and self._bucket(sub.query.route).spend_on_hedge():
+        if candidates and self._bucket(sub).spend_on_hedge():
             commands.append(events.CountRetry(data.RetryReason.HEDGE))
             self._call(state, sub, candidates, commands)
         else:
@@ -227,9 +261,10 @@
         now = self._clock.monotonic()
         state = self._shard_by_key[(call.sub.query.pool, call.sub.service)]
         latency = now - call.started
-        call.server.note_success(latency)
+        hedge_policy = self._hedge_policy(call.sub)
+        call.server.note_success(latency, hedge_policy.typical_seconds(), now)
         call.server.learn(event.holdings, now)
-        state.hedge.record(latency)
+        hedge_policy.record(latency)
         if event.draining:
             call.server.note_draining(now)
         if not call.sub.closed:
@@ -237,8 +272,10 @@
                 call.sub.service,
                 call.sub.attempt,
                 event.snapshot,
-                event.keys,
+                state.keys or event.keys,
                 state.holdings(),
+                event.proof,
+                event.response,
             )
             self._replies.add_part(call.sub, part, event.results)
             self._close(state, call.sub, commands)
@@ -251,11 +288,16 @@
         now = self._clock.monotonic()
         sub = call.sub
         state = self._shard_by_key[(sub.query.pool, sub.service)]
-        state.note_failure(call, event, now)
+        hedge_policy = self._hedge_policy(sub)
+        if event.reason is data.Refusal.CANCELLED:
+            hedge_policy.record(now - call.started)
+        state.note_failure(call, event, hedge_policy.typical_seconds(), now)
         if not call.cancelled:
             commands.append(events.CountRefusal(event.reason))
         sub.may_have_run = sub.may_have_run or event.may_have_run
+        sub.unused_calls += not event.may_have_run
         sub.last_failure = event.reason
+        sub.last_response = event.response or sub.last_response
         if not sub.closed and not sub.call_by_id and not sub.waiting:
             self._retry(state, sub, event, commands)
         self._pump(state, commands)
@@ -271,7 +313,8 @@
         now = self._clock.monotonic()
         safe = sub.query.repeatable or not sub.may_have_run
         reason = data.RetryReason.LOST if event.may_have_run else data.RetryReason.REFUSED
-        useful = sub.calls < CALLS_MAX and now < sub.deadline and state.has_untried(sub, now)
+        is_left = sub.calls - sub.unused_calls < sub.query.attempts
+        useful = is_left and now < sub.deadline and state.has_untried(sub, now)
         if safe and useful and self._may_spend(sub, event):
             commands.append(events.CountRetry(reason))
             state.push(sub)
@@ -279,8 +322,14 @@
             self._give_up(state, sub, event.reason, commands)
 
     def _may_spend(self, sub: shard.SubRequest, event: events.CallFailed) -> bool:
-        """Returns whether the budget allows a retry; a refusal cost no work and is free."""
-        return not event.may_have_run or self._bucket(sub.query.route).spend_on_retry()
+        """Returns whether the budget allows a retry."""
+        is_free = not event.may_have_run and not self._options.extra_calls.refusals_cost
+        return is_free or self._bucket(sub).spend_on_retry()
+
+    def _may_call_again(self, sub: shard.SubRequest) -> bool:
+        """Returns whether a hedge is within the attempts of the route."""
+        used = sub.calls - sub.unused_calls
+        return used < min(sub.query.attempts, HEDGES_MAX + 1)
 
     def _expire(
         self, state: shard.ShardState, sub: shard.SubRequest, commands: list[events.Command]
@@ -312,7 +361,14 @@
         state.withdraw(sub)
         if sub.last_failure is not None and reason is data.Refusal.NO_SERVER:
             reason = sub.last_failure
-        failure = data.Failure(sub.service, sub.attempt, reason, sub.may_have_run, state.holdings())
+        failure = data.Failure(
+            sub.service,
+            sub.attempt,
+            reason,
+            sub.may_have_run,
+            state.holdings(),
+            sub.last_response,
+        )
         self._replies.add_failure(sub, failure)
         self._close(state, sub, commands)
 
@@ -341,7 +397,7 @@
     def _end_call(self, call_id: int) -> shard.Call | None:
         call = self._call_by_id.pop(call_id, None)
         if call is not None:
-            call.server.outstanding -= 1
+            del call.server.started_by_call[call_id]
             del call.sub.call_by_id[call_id]
         return call
 
@@ -364,14 +420,43 @@
         if servers is None:
             return None
         state = shard.ShardState(
-            pool_id, service, self._policies.make_order(), self._policies.make_hedge()
+            pool_id,
+            service,
+            self._policies.make_order(),
+            self._options.leaving_grace_seconds,
         )
-        state.update(servers, self._share)
+        state.keys = _fixed_keys(pool, service)
+        state.update(servers, self._share, self._clock.monotonic())
         self._shard_by_key[(pool_id, service)] = state
         return state
 
-    def _bucket(self, route: data.RouteId) -> budget.TokenBucket:
-        return self._bucket_by_route.setdefault(route, budget.TokenBucket())
+    def _bucket(self, sub: shard.SubRequest) -> budget.TokenBucket:
+        """Returns the budget that extra calls for a sub-request draw on."""
+        key: ShardKey | data.RouteId = sub.query.route
+        if self._options.extra_calls.by_service:
+            key = (sub.query.pool, sub.service)
+        bucket = self._bucket_by_key.get(key)
+        if bucket is None:
+            bucket = budget.TokenBucket(self._options.extra_calls, self._share.budget)
+            self._bucket_by_key[key] = bucket
+        return bucket
+
+    def _hedge_policy(self, sub: shard.SubRequest) -> hedge.Hedge:
+        """Returns the policy that learns the latencies of a route's calls."""
+        key = (sub.query.pool, sub.query.route)
+        policy = self._hedge_by_route.get(key)
+        if policy is None:
+            policy = self._policies.make_hedge()
+            self._hedge_by_route[key] = policy
+        return policy
+
+
+def _fixed_keys(pool: data.Pool, service: data.ServiceId) -> data.KeyRange | None:
+    """Returns a shard's keys where the table fixes them, else None."""
+    if not pool.snapshot or service not in pool.servers_by_service:
+        return None
+    position = list(pool.servers_by_service).index(service)
+    return data.KeyRange(position, position + 1)
 
 
 def _is_hopeless(state: shard.ShardState, sub: shard.SubRequest, now: float) -> bool:
--- a/monsoonhoist/core/query.py
+++ b/monsoonhoist/core/query.py
@@ -2,7 +2,10 @@
 
 import dataclasses
 
-from monsoonhoist.core import coverage, data, merge, messages
+import msgspec
+
+from monsoonhoist.core import coverage, data, exchange, messages
+from monsoonhoist.policy import merge
 
 
 @dataclasses.dataclass
@@ -31,7 +34,7 @@
 
     Attributes:
         spec: The query as sent to owners.
-        request: The caller's request.
+        request_id: The caller's name for the request.
         route: Its route.
         pool: Its pool as of the query's start.
         services: Shards that are asked.
@@ -48,7 +51,7 @@
     def __init__(
         self,
         spec: data.QuerySpec,
-        request: data.Request,
+        request_id: str,
         route: data.Route,
         pool: data.Pool,
         services: tuple[data.ServiceId, ...],
@@ -58,7 +61,7 @@
         snapshot: data.Snapshot,
     ):
         self.spec = spec
-        self.request = request
+        self.request_id = request_id
         self.route = route
         self.pool = pool
         self.services = services
@@ -70,7 +73,8 @@
         self.shard_by_service = {service: ShardProgress() for service in services}
         self.sub_requests = 0
         self.pressure = 0.0
-        self._results_by_snapshot: dict[data.Snapshot, tuple[data.Result, ...]] = {}
+        self._merge_policy = merge.named(spec.merge)
+        self._results_by_snapshot: dict[data.Snapshot, tuple[data.ResultEntry, ...]] = {}
         self._covered_keys_by_snapshot: dict[data.Snapshot, int] = {}
 
     def take_reply(self, reply: messages.SubReply) -> int:
@@ -78,8 +82,10 @@
 
         Returns:
             The number of parts and failures that were expected; others are late or
-            duplicates and change nothing but the results, which are merged by key.
+            duplicates and change nothing but results that may be merged twice.
         """
+        if not self._may_merge(reply):
+            reply = _without_parts(reply)
         expected = 0
         for part in reply.parts:
             shard = self.shard_by_service.get(part.service)
@@ -178,7 +184,7 @@
             return _single_coverage(keys_by_service, self.services)
         return coverage.measure(self.pool.key_space, keys_by_service, self.services)
 
-    def results(self) -> tuple[data.Result, ...]:
+    def results(self) -> tuple[data.ResultEntry, ...]:
         """Returns the best results from the snapshot."""
         return self._results_by_snapshot.get(self.snapshot, ())
 
@@ -189,10 +195,54 @@
             self._covered_keys_by_snapshot[part.snapshot] = covered + size
         shard.part_by_snapshot[part.snapshot] = part
 
-    def _merge(self, results_by_snapshot: dict[data.Snapshot, tuple[data.Result, ...]]) -> None:
+    def parts(self) -> tuple[data.Part, ...]:
+        """Returns the parts from the snapshot, in the order of the shards."""
+        return tuple(
+            shard.part_by_snapshot[self.snapshot]
+            for shard in self.shard_by_service.values()
+            if self.snapshot in shard.part_by_snapshot
+        )
+
+    def failure_response(self) -> exchange.Response | None:
+        """Returns a server's own failure, where the work concerns one shard."""
+        if len(self.services) != 1:
+            return None
+        failure = self.shard_by_service[self.services[0]].failure
+        return failure.response if failure is not None else None
+
+    def _may_merge(self, reply: messages.SubReply) -> bool:
+        """Returns whether a reply's results can be taken in.
+
+        Where equal results all count, merged results of several parts can be taken only
+        if none of the parts is late or there already.
+        """
+        if self._merge_policy.is_idempotent:
+            return True
+        return all(self._is_expected(part) for part in reply.parts)
+
+    def _is_expected(self, part: data.Part) -> bool:
+        shard = self.shard_by_service.get(part.service)
+        if shard is None or part.attempt not in shard.pending_by_attempt:
+            return False
+        return part.snapshot not in shard.part_by_snapshot
+
+    def _merge(
+        self, results_by_snapshot: dict[data.Snapshot, tuple[data.ResultEntry, ...]]
+    ) -> None:
         for snapshot, results in results_by_snapshot.items():
             merged = self._results_by_snapshot.get(snapshot, ()) + results
-            self._results_by_snapshot[snapshot] = merge.best(merged, self.spec.limit)
+            self._results_by_snapshot[snapshot] = self._merge_policy.best(merged, self.spec.limit)
+
+
+def _without_parts(reply: messages.SubReply) -> messages.SubReply:
+    """Returns a reply with its parts turned into lost ones."""
+    lost = tuple(
+        data.Failure(part.service, part.attempt, data.Refusal.PEER_LOST, True)
+        for part in reply.parts
+    )
+    return msgspec.structs.replace(
+        reply, parts=(), failures=reply.failures + lost, results_by_snapshot={}
+    )
 
 
 def _single_coverage(
--- a/monsoonhoist/core/replies.py
+++ b/monsoonhoist/core/replies.py
@@ -2,7 +2,8 @@
 
 import dataclasses
 
-from monsoonhoist.core import data, events, merge, messages, shard
+from monsoonhoist.core import data, events, messages, shard
+from monsoonhoist.policy import merge
 
 MS_PER_SECOND = 1000
 
@@ -14,13 +15,14 @@
         self._pending_by_key: dict[tuple[data.InstanceId, data.QueryId], PendingReply] = {}
 
     def add_part(
-        self, sub: shard.SubRequest, part: data.Part, results: tuple[data.Result, ...]
+        self, sub: shard.SubRequest, part: data.Part, results: tuple[data.ResultEntry, ...]
     ) -> None:
         """Adds a shard's results."""
         pending = self._pending(sub)
         pending.parts.append(part)
         merged = pending.results_by_snapshot.get(part.snapshot, ()) + results
-        pending.results_by_snapshot[part.snapshot] = merge.best(merged, sub.query.limit)
+        best = merge.named(sub.query.merge).best(merged, sub.query.limit)
+        pending.results_by_snapshot[part.snapshot] = best
 
     def add_failure(self, sub: shard.SubRequest, failure: data.Failure) -> None:
         """Adds a shard's failure."""
@@ -49,7 +51,7 @@
 
     parts: list[data.Part] = dataclasses.field(default_factory=list)
     failures: list[data.Failure] = dataclasses.field(default_factory=list)
-    results_by_snapshot: dict[data.Snapshot, tuple[data.Result, ...]] = dataclasses.field(
+    results_by_snapshot: dict[data.Snapshot, tuple[data.ResultEntry, ...]] = dataclasses.field(
         default_factory=dict
     )
     queue_delay_seconds: float = 0.0
--- a/monsoonhoist/core/server.py
+++ b/monsoonhoist/core/server.py
@@ -4,16 +4,20 @@
 
 from monsoonhoist.core import data
 
-LATENCY_WEIGHT = 0.1
 BACKOFF_MIN_SECONDS = 0.1
 BACKOFF_MAX_SECONDS = 5.0
 DRAIN_MEMORY_SECONDS = 10.0
 # Age from which a server's word on its snapshots is asked for again.
 HOLDINGS_FRESH_SECONDS = 0.5
 SUCCESSES_PER_STEP = 4
-# Share of a server's connections that one owner uses, so that two instances that both
-# believe themselves the owner stay within the limit together.
-CONNECTION_SHARE = 0.5
+# Weight of the newest reply in the smoothed latency, which estimates the time of a reply.
+LATENCY_WEIGHT = 0.1
+# Weight of the newest reply in the smoothed slowness, which ranks servers: larger, so
+# that a server that has become slow is avoided after a few calls.
+SLOWNESS_WEIGHT = 0.3
+# A server that is not called is taken for usual again with this time constant, so that
+# it is tried now and then.
+SLOWNESS_MEMORY_SECONDS = 3.0
 
 
 class ServerState:
@@ -21,47 +25,74 @@
 
     Attributes:
         server: The server as in the table.
-        outstanding: Calls in flight.
         latency_seconds: Smoothed latency of replies.
         holdings: Snapshots that the server said it holds; empty if unknown.
+        started_by_call: Start of each call in flight, oldest first.
     """
 
-    def __init__(self, server: data.Server, share: float):
+    def __init__(self, server: data.Server, limit_max: int):
         self.server = server
-        self.outstanding = 0
         self.latency_seconds = 0.0
         self.holdings: tuple[data.Holding, ...] = ()
+        self.started_by_call: dict[int, float] = {}
         self._learned_at = -math.inf
-        self._share = share
+        self._limit_max = limit_max
         self._limit = 1
         self._successes = 0
         self._failures = 0
         self._closed_until = 0.0
         self._draining_until = 0.0
+        self._left_at: float | None = None
+        self._slowness = 1.0
+        self._slowness_at = -math.inf
 
     @property
     def limit(self) -> int:
-        """Calls that may be in flight; grows from 1 to the server's slots."""
+        """Calls that may be in flight; grows from 1 to the most allowed."""
         return self._limit
 
-    def update(self, server: data.Server, share: float) -> None:
+    @property
+    def outstanding(self) -> int:
+        """Number of calls in flight."""
+        return len(self.started_by_call)
+
+    def update(self, server: data.Server, limit_max: int) -> None:
         """Takes over the server's record from a newer table; the address is the same."""
         self.server = server
-        self._share = share
-        self._limit = min(self._limit, self._ceiling())
+        self._limit_max = limit_max
+        self._limit = min(self._limit, limit_max)
+
+    def note_left(self, now: float) -> None:
+        """Takes note that the table takes the server out of service."""
+        if self._left_at is None:
+            self._left_at = now
+
+    def note_back(self) -> None:
+        """Takes note that the table has the server in service."""
+        self._left_at = None
 
     def is_open(self, now: float) -> bool:
         """Returns whether new calls may be made."""
-        closed = max(self._closed_until, self._draining_until)
-        return not self.server.leaving and now >= closed
+        return self._left_at is None and now >= self.opens_at()
+
+    def is_last_resort(self, now: float, grace_seconds: float) -> bool:
+        """Returns whether a server that left lately may still be called."""
+        if self._left_at is None or now < self._closed_until:
+            return False
+        return now - self._left_at < grace_seconds
 
     def opens_at(self) -> float:
         """Returns when a closed server may be tried again, in monotonic seconds."""
         return max(self._closed_until, self._draining_until)
 
-    def has_room(self, now: float) -> bool:
-        """Returns whether a call may start now."""
-        return self.outstanding < self._limit and self.is_open(now)
+    @property
+    def is_leaving(self) -> bool:
+        """Whether the table takes the server out of service."""
+        return self._left_at is not None
+
+    def has_room(self) -> bool:
+        """Returns whether one more call is within the limit."""
+        return len(self.started_by_call) < self._limit
 
     def may_hold(self, snapshot: data.Snapshot, now: float) -> bool:
         """Returns whether the server holds a snapshot or has not said so lately."""
@@ -75,19 +106,36 @@
             self.holdings = holdings
             self._learned_at = now
 
-    def note_success(self, latency_seconds: float) -> None:
+    def slowness(self, now: float, typical_seconds: float) -> float:
+        """Returns the expected latency as a multiple of the usual one.
+
+        Args:
+            now: The time, in monotonic seconds.
+            typical_seconds: Usual latency of calls like the one to be made; 0 if unknown.
+        """
+        idle = now - self._slowness_at
+        faded = 1.0 + (self._slowness - 1.0) * math.exp(-max(0.0, idle) / SLOWNESS_MEMORY_SECONDS)
+        if not self.started_by_call or typical_seconds <= 0.0:
+            return faded
+        oldest = now - next(iter(self.started_by_call.values()))
+        return max(faded, oldest / typical_seconds)
+
+    def note_success(self, latency_seconds: float, typical_seconds: float, now: float) -> None:
         """Takes note of a reply."""
         self._failures = 0
         self._successes += 1
-        if self._limit < self._ceiling() and self._successes % SUCCESSES_PER_STEP == 0:
+        if self._limit < self._limit_max and self._successes % SUCCESSES_PER_STEP == 0:
             self._limit += 1
         change = latency_seconds - self.latency_seconds
         self.latency_seconds += change * LATENCY_WEIGHT
+        self._note_slowness(latency_seconds, typical_seconds, now)
 
-    def note_late(self, age_seconds: float) -> None:
+    def note_late(self, age_seconds: float, typical_seconds: float, now: float) -> None:
         """Takes note of a call that was given up at an age without a reply."""
         if age_seconds > self.latency_seconds:
             self.latency_seconds += (age_seconds - self.latency_seconds) * LATENCY_WEIGHT
+        if age_seconds > typical_seconds * self.slowness(now, 0.0):
+            self._note_slowness(age_seconds, typical_seconds, now)
 
     def note_failure(self, now: float) -> None:
         """Closes the server for a while, longer after each failure in a row."""
@@ -97,6 +145,10 @@
         self._limit = 1
         self._successes = 0
 
+    def note_wrong(self) -> None:
+        """Closes the server for good: another one answers at its address."""
+        self._closed_until = math.inf
+
     def note_shed(self) -> None:
         """Lowers the limit after the server refused a call for load."""
         self._limit = max(1, self._limit - 1)
@@ -106,7 +158,9 @@
         """Closes the server because it said that it is leaving."""
         self._draining_until = now + DRAIN_MEMORY_SECONDS
 
-    def _ceiling(self) -> int:
-        """Returns the most calls that this instance may have in flight."""
-        by_connections = int(self.server.connections * CONNECTION_SHARE)
-        return max(1, min(int(self.server.slots * self._share), by_connections))
+    def _note_slowness(self, latency_seconds: float, typical_seconds: float, now: float) -> None:
+        if typical_seconds > 0.0:
+            before = self.slowness(now, 0.0)
+            ratio = latency_seconds / typical_seconds
+            self._slowness = before + (ratio - before) * SLOWNESS_WEIGHT
+            self._slowness_at = now
--- a/monsoonhoist/core/shard.py
+++ b/monsoonhoist/core/shard.py
@@ -3,8 +3,8 @@
 import dataclasses
 import math
 
-from monsoonhoist.core import data, events, server
-from monsoonhoist.policy import balance, hedge, order
+from monsoonhoist.core import data, events, exchange, limits, server
+from monsoonhoist.policy import balance, order
 
 # A timed-out call speaks against its server only if it was given this many latencies.
 TIMEOUT_LATENCIES = 3.0
@@ -50,8 +50,10 @@
         call_by_id: Calls in flight.
         tried: Servers called so far.
         calls: Number of calls made.
+        unused_calls: Number of these that are proved to have run nothing.
         queue_delay_seconds: Wait before the first call.
         last_failure: Most recent failed call's reason.
+        last_response: Most recent failure that a server gave itself.
         may_have_run: Whether any call may have run.
         closed: Whether the origin has been answered.
         waiting: Whether it stands in the queue.
@@ -67,8 +69,10 @@
     call_by_id: dict[int, Call] = dataclasses.field(default_factory=dict)
     tried: list[data.ServerId] = dataclasses.field(default_factory=list)
     calls: int = 0
+    unused_calls: int = 0
     queue_delay_seconds: float = 0.0
     last_failure: data.Refusal | None = None
+    last_response: exchange.Response | None = None
     may_have_run: bool = False
     closed: bool = False
     waiting: bool = False
@@ -83,7 +87,7 @@
         server_by_id: Its servers.
         queue: Sub-requests that wait for a server.
         waiting: Number of sub-requests that wait and are not closed.
-        hedge: Learns the shard's latencies.
+        keys: Keys of the shard, where the table fixes them.
     """
 
     def __init__(
@@ -91,28 +95,42 @@
         pool: data.PoolId,
         service: data.ServiceId,
         queue: order.Order[SubRequest],
-        hedge_policy: hedge.Hedge,
+        leaving_grace_seconds: float,
     ):
         self.pool = pool
         self.service = service
         self.server_by_id: dict[data.ServerId, server.ServerState] = {}
         self.queue = queue
         self.waiting = 0
-        self.hedge = hedge_policy
+        self.keys: data.KeyRange | None = None
+        self._leaving_grace_seconds = leaving_grace_seconds
 
-    def update(self, servers: tuple[data.Server, ...], share: float) -> None:
+    def update(
+        self, servers: tuple[data.Server, ...], share: limits.LimitShare, now: float
+    ) -> None:
         """Takes over the shard's servers from a newer table.
 
         A server at a new address is another one; calls in flight stay with the old state.
+        A server that the table no longer has is kept as long as it may be a last resort.
         """
         state_by_id: dict[data.ServerId, server.ServerState] = {}
         for record in servers:
             state = self.server_by_id.get(record.server_id)
+            limit_max = share.calls_max(record)
             if state is None or state.server.address != record.address:
-                state = server.ServerState(record, share)
+                state = server.ServerState(record, limit_max)
             else:
-                state.update(record, share)
+                state.update(record, limit_max)
+            if record.leaving:
+                state.note_left(now)
+            else:
+                state.note_back()
             state_by_id[record.server_id] = state
+        for server_id, state in self.server_by_id.items():
+            if server_id not in state_by_id:
+                state.note_left(now)
+                if state.is_last_resort(now, self._leaving_grace_seconds):
+                    state_by_id[server_id] = state
         self.server_by_id = state_by_id
 
     def push(self, sub: SubRequest) -> None:
@@ -141,7 +159,7 @@
         holding_by_snapshot = {
             holding.snapshot: holding
             for state in self.server_by_id.values()
-            if not state.server.leaving
+            if not state.is_leaving
             for holding in state.holdings
         }
         return tuple(
@@ -154,38 +172,45 @@
 
     def is_any_open(self, now: float) -> bool:
         """Returns whether at least one server takes new calls."""
-        return any(state.is_open(now) for state in self.server_by_id.values())
+        grace = self._leaving_grace_seconds
+        return any(
+            state.is_open(now) or state.is_last_resort(now, grace)
+            for state in self.server_by_id.values()
+        )
 
     def opens_at(self) -> float:
         """Returns when the first closed server may be tried again; infinity for never."""
         instants = [
-            state.opens_at() for state in self.server_by_id.values() if not state.server.leaving
+            state.opens_at() for state in self.server_by_id.values() if not state.is_leaving
         ]
         return min(instants, default=math.inf)
 
-    def note_failure(self, call: Call, event: events.CallFailed, now: float) -> None:
+    def note_failure(
+        self, call: Call, event: events.CallFailed, typical_seconds: float, now: float
+    ) -> None:
         """Takes note of what a failed call tells of its server."""
         call.server.learn(event.holdings, now)
         age = now - call.started
         if event.reason in _UNHEALTHY:
             call.server.note_failure(now)
         elif event.reason is data.Refusal.TIMEOUT:
-            self._note_timeout(call, age, now)
+            self._note_timeout(call, age, typical_seconds, now)
         elif event.reason is data.Refusal.CANCELLED:
             # The age is the least that the latency would have been.
-            self.hedge.record(age)
-            call.server.note_late(age)
+            call.server.note_late(age, typical_seconds, now)
+        elif event.reason is data.Refusal.WRONG_SERVER:
+            call.server.note_wrong()
         elif event.reason in (data.Refusal.SHED, data.Refusal.CONNECTIONS):
             call.server.note_shed()
         elif event.reason is data.Refusal.DRAINING:
             call.server.note_draining(now)
 
-    def _note_timeout(self, call: Call, age: float, now: float) -> None:
+    def _note_timeout(self, call: Call, age: float, typical_seconds: float, now: float) -> None:
         """Takes a timeout as a failure unless the call started shortly before it."""
         if age >= TIMEOUT_LATENCIES * self.latency_seconds():
             call.server.note_failure(now)
         else:
-            call.server.note_late(age)
+            call.server.note_late(age, typical_seconds, now)
 
     def candidates(self, sub: SubRequest, now: float) -> list[server.ServerState]:
         """Returns the servers with room that a sub-request may be sent to now.
@@ -193,13 +218,23 @@
         Servers that hold the snapshot and have not been tried go before others; a server
         that has been tried is used again only if no untried one may hold the snapshot.
         """
-        usable = [
+        return [state for state in self._untried(sub, now) if state.has_room()]
+
+    def _untried(self, sub: SubRequest, now: float) -> list[server.ServerState]:
+        """Returns the open servers that a sub-request has not been sent to.
+
+        Servers that left lately are used only where no other server is open at all.
+        """
+        states = list(self.server_by_id.values())
+        usable = [state for state in states if state.is_open(now)]
+        if not usable:
+            grace = self._leaving_grace_seconds
+            usable = [state for state in states if state.is_last_resort(now, grace)]
+        return [
             state
-            for state in self.server_by_id.values()
-            if state.is_open(now) and state.may_hold(sub.snapshot, now)
+            for state in usable
+            if state.server.server_id not in sub.tried and state.may_hold(sub.snapshot, now)
         ]
-        untried = [state for state in usable if state.server.server_id not in sub.tried]
-        return [state for state in untried if state.has_room(now)]
 
     def hedge_candidates(self, sub: SubRequest, now: float) -> list[server.ServerState]:
         """Returns the servers for a hedge: untried ones, else tried ones not in use for it."""
@@ -209,7 +244,7 @@
         return [
             state
             for state in self.server_by_id.values()
-            if state.has_room(now) and state.may_hold(sub.snapshot, now)
+            if state.has_room() and state.is_open(now) and state.may_hold(sub.snapshot, now)
         ]
 
     def refusal_without_server(self, sub: SubRequest, now: float) -> data.Refusal:
@@ -219,16 +254,23 @@
 
     def has_untried(self, sub: SubRequest, now: float) -> bool:
         """Returns whether an untried server may still serve a sub-request."""
+        return bool(self._untried(sub, now))
+
+    def has_room(self, now: float) -> bool:
+        """Returns whether any server may take a call now."""
+        grace = self._leaving_grace_seconds
         return any(
-            state.is_open(now)
-            and state.may_hold(sub.snapshot, now)
-            and state.server.server_id not in sub.tried
+            state.has_room() and (state.is_open(now) or state.is_last_resort(now, grace))
             for state in self.server_by_id.values()
         )
 
 
 def choose(
-    policy: balance.Balance, states: list[server.ServerState], zone: data.ZoneId
+    policy: balance.Balance,
+    states: list[server.ServerState],
+    zone: data.ZoneId,
+    typical_seconds: float,
+    now: float,
 ) -> server.ServerState:
     """Returns the server that the policy prefers.
 
@@ -236,7 +278,11 @@
         policy: The policy.
         states: Servers with room; not empty.
         zone: Availability zone of this instance.
+        typical_seconds: Usual latency of such calls; 0 if unknown.
+        now: The time, in monotonic seconds.
     """
+    if len(states) == 1:
+        return states[0]
     state_by_id = {state.server.server_id: state for state in states}
     candidates = [
         balance.Candidate(
@@ -245,6 +291,7 @@
             limit=state.limit,
             latency_seconds=state.latency_seconds,
             same_zone=state.server.zone == zone,
+            slowness=state.slowness(now, typical_seconds),
         )
         for state in states
     ]
--- /dev/null
+++ b/monsoonhoist/core/splits.py
@@ -0,0 +1,28 @@
+"""Division of a route's requests among pools by weight."""
+
+from monsoonhoist.core import data
+
+
+class Splitter:
+    """Chooses the pool of each request.
+
+    Smooth weighted round robin: each request credits every pool with its weight, and the
+    pool with the largest credit is chosen and pays the sum. So the shares hold over any
+    short run of requests, and the choice depends on the requests alone.
+    """
+
+    def __init__(self) -> None:
+        self._credit_by_route: dict[data.RouteId, dict[data.PoolId, float]] = {}
+
+    def choose(self, route: data.Route) -> data.PoolId:
+        """Returns the pool that serves the next request of a route."""
+        if not route.splits:
+            return route.pool
+        before = self._credit_by_route.get(route.route_id, {})
+        credit_by_pool = {
+            split.pool: before.get(split.pool, 0.0) + split.weight for split in route.splits
+        }
+        chosen = max(credit_by_pool, key=credit_by_pool.get)
+        credit_by_pool[chosen] -= sum(split.weight for split in route.splits)
+        self._credit_by_route[route.route_id] = credit_by_pool
+        return chosen
--- a/monsoonhoist/core/tickets.py
+++ b/monsoonhoist/core/tickets.py
@@ -124,7 +124,7 @@
             return _unknown(request, data.Refusal.TICKET_HOLDER_GONE, detail)
         if ticket.sequence < 1 or ticket.sequence > self._last_sequence:
             detail = "the ticket was never issued"
-            answer = outcome.not_run(request, data.Refusal.TICKET_MALFORMED, detail)
+            answer = outcome.not_run(request.request_id, data.Refusal.TICKET_MALFORMED, detail)
             return Decision(Use.ANSWER, answer)
         entry = self._entry_by_sequence.get(ticket.sequence)
         if entry is None:
@@ -132,7 +132,7 @@
             return _unknown(request, data.Refusal.TICKET_FORGOTTEN, detail)
         if entry.text and entry.text != request.query:
             detail = "the ticket was used for another request"
-            answer = outcome.not_run(request, data.Refusal.TICKET_MALFORMED, detail)
+            answer = outcome.not_run(request.request_id, data.Refusal.TICKET_MALFORMED, detail)
             return Decision(Use.ANSWER, answer)
         if entry.answer is not None:
             answer = msgspec.structs.replace(entry.answer, request_id=request.request_id)
@@ -162,4 +162,4 @@
 
 
 def _unknown(request: data.Request, reason: data.Refusal, detail: str) -> Decision:
-    return Decision(Use.ANSWER, outcome.unknown(request, reason, detail))
+    return Decision(Use.ANSWER, outcome.unknown(request.request_id, reason, detail))
--- a/monsoonhoist/node/curl.py
+++ b/monsoonhoist/node/curl.py
@@ -13,6 +13,8 @@
 import msgspec
 import pycurl
 
+from monsoonhoist.core import exchange
+
 MS_PER_SECOND = 1000
 IDLE_HANDLES_MAX = 256
 RESPONSE_BYTES_MAX = 8_388_608
@@ -25,10 +27,13 @@
     Attributes:
         method: HTTP method.
         url: Where to.
-        body: Request body; sent only with POST.
+        body: Request body; sent only if it is not empty, or with POST.
         timeout: Longest duration of the whole call.
         connect_timeout: Longest duration of connecting.
         own_connection: Whether to use a new connection and to close it afterwards.
+        headers: Header lines; a line that ends with a colon leaves a header out.
+        expected_header: Header that the response must have with just this value, if it
+            has the header at all; another value ends the call and the connection.
     """
 
     method: str
@@ -37,6 +42,8 @@
     timeout: datetime.timedelta
     connect_timeout: datetime.timedelta
     own_connection: bool = False
+    headers: tuple[str, ...] = ()
+    expected_header: exchange.Header | None = None
 
 
 class HttpReply(msgspec.Struct, frozen=True):
@@ -48,6 +55,8 @@
         sent: Whether any byte of the request may have been sent.
         timed_out: Whether the call ended at its timeout.
         error: curl's message; empty with a response.
+        headers: Header fields of the response.
+        is_foreign: Whether the call ended because the response was not to it.
     """
 
     status: int
@@ -55,14 +64,39 @@
     sent: bool
     timed_out: bool
     error: str
+    headers: tuple[exchange.Header, ...] = ()
+    is_foreign: bool = False
 
 
-class _Transfer:
+class Transfer:
     """A call in progress."""
 
-    def __init__(self, done: Callable[[HttpReply], None]):
+    def __init__(
+        self,
+        handle: pycurl.Curl,
+        done: Callable[[HttpReply], None],
+        expected: exchange.Header | None,
+    ):
+        self.handle = handle
         self.done = done
         self.buffer = io.BytesIO()
+        self.headers: list[exchange.Header] = []
+        self.is_foreign = False
+        self._expected = expected
+
+    def take_header(self, line: bytes) -> int | None:
+        """Takes a header line; -1 makes curl end the call and its connection."""
+        name, separator, value = line.decode("latin-1").partition(":")
+        if not separator:
+            if line.startswith(b"HTTP/"):
+                self.headers.clear()
+            return None
+        header = exchange.Header(name.strip(), value.strip())
+        self.headers.append(header)
+        expected = self._expected
+        if expected is not None and header.name.lower() == expected.name.lower():
+            self.is_foreign = header.value != expected.value
+        return -1 if self.is_foreign else None
 
     def write(self, chunk: bytes) -> int:
         """Takes a chunk of the body; a short count makes curl end the call."""
@@ -86,17 +120,25 @@
         self._multi.setopt(pycurl.M_TIMERFUNCTION, self._set_timer)
         self._multi.setopt(pycurl.M_MAXCONNECTS, IDLE_CONNECTIONS_MAX)
         self._timer: asyncio.TimerHandle | None = None
-        self._transfer_by_handle: dict[pycurl.Curl, _Transfer] = {}
+        self._transfer_by_handle: dict[pycurl.Curl, Transfer] = {}
         self._idle_handles: collections.deque[pycurl.Curl] = collections.deque()
         self._watched: set[int] = set()
 
-    def start(self, call: HttpCall, done: Callable[[HttpReply], None]) -> None:
+    def start(self, call: HttpCall, done: Callable[[HttpReply], None]) -> Transfer:
         """Starts a call; ``done`` is called once with its end."""
         handle = self._idle_handles.pop() if self._idle_handles else pycurl.Curl()
-        transfer = _Transfer(done)
+        transfer = Transfer(handle, done, call.expected_header)
         self._transfer_by_handle[handle] = transfer
         self._set_options(handle, call, transfer)
         self._multi.add_handle(handle)
+        return transfer
+
+    def abort(self, transfer: Transfer) -> None:
+        """Ends a call and closes its connection without telling its end."""
+        if self._transfer_by_handle.get(transfer.handle) is not transfer:
+            return
+        del self._transfer_by_handle[transfer.handle]
+        self._release(transfer.handle)
 
     def close(self) -> None:
         """Ends all calls without telling their callers and closes all connections."""
@@ -110,7 +152,7 @@
             self._unwatch(descriptor)
         self._multi.close()
 
-    def _set_options(self, handle: pycurl.Curl, call: HttpCall, transfer: _Transfer) -> None:
+    def _set_options(self, handle: pycurl.Curl, call: HttpCall, transfer: Transfer) -> None:
         handle.setopt(pycurl.URL, call.url)
         handle.setopt(pycurl.NOSIGNAL, 1)
         handle.setopt(pycurl.PROXY, "")
@@ -121,12 +163,17 @@
         handle.setopt(pycurl.MAXAGE_CONN, self._idle_seconds)
         handle.setopt(pycurl.FRESH_CONNECT, int(call.own_connection))
         handle.setopt(pycurl.FORBID_REUSE, int(call.own_connection))
-        if call.method == "POST":
+        handle.setopt(pycurl.HEADERFUNCTION, transfer.take_header)
+        handle.setopt(pycurl.PATH_AS_IS, 1)
+        if call.method == "POST" or call.body:
             handle.setopt(pycurl.POST, 1)
             handle.setopt(pycurl.POSTFIELDS, call.body)
-            handle.setopt(pycurl.HTTPHEADER, ["Content-Type: application/json", "Expect:"])
-        elif call.method != "GET":
+        if call.method not in ("GET", "POST") or (call.method == "GET" and call.body):
             handle.setopt(pycurl.CUSTOMREQUEST, call.method)
+        if call.method == "HEAD":
+            handle.setopt(pycurl.NOBODY, 1)
+        if call.headers:
+            handle.setopt(pycurl.HTTPHEADER, list(call.headers))
 
     def _watch_socket(self, what: int, descriptor: int, multi: object, data: object) -> None:
         """Curl's request to watch a socket, or to stop watching it."""
@@ -159,29 +206,40 @@
         self._multi.socket_action(descriptor, events)
         while True:
             queued, succeeded, failed = self._multi.info_read()
-            for handle in succeeded:
-                self._end(handle, 0, "")
-            for handle, code, message in failed:
-                self._end(handle, code, message)
+            # The end of one call may abort another one that has ended as well.
+            ended = [(self._transfer_by_handle[handle], 0, "") for handle in succeeded]
+            ended += [
+                (self._transfer_by_handle[handle], code, text) for handle, code, text in failed
+            ]
+            for transfer, code, message in ended:
+                if self._transfer_by_handle.get(transfer.handle) is transfer:
+                    self._end(transfer, code, message)
             if not queued:
                 return
 
-    def _end(self, handle: pycurl.Curl, code: int, message: str) -> None:
-        transfer = self._transfer_by_handle.pop(handle)
+    def _end(self, transfer: Transfer, code: int, message: str) -> None:
+        handle = transfer.handle
+        del self._transfer_by_handle[handle]
         reply = HttpReply(
             status=0 if code else handle.getinfo(pycurl.RESPONSE_CODE),
             body=transfer.buffer.getvalue(),
             sent=handle.getinfo(pycurl.REQUEST_SIZE) > 0,
             timed_out=code == pycurl.E_OPERATION_TIMEDOUT,
             error=message,
+            headers=tuple(transfer.headers),
+            is_foreign=transfer.is_foreign,
         )
+        self._release(handle)
+        transfer.done(reply)
+
+    def _release(self, handle: pycurl.Curl) -> None:
+        """Takes a handle off the multi handle and keeps it for another call."""
         self._multi.remove_handle(handle)
         if len(self._idle_handles) < IDLE_HANDLES_MAX:
             handle.reset()
             self._idle_handles.append(handle)
         else:
             handle.close()
-        transfer.done(reply)
 
 
 def _milliseconds(duration: datetime.timedelta) -> int:
--- a/monsoonhoist/node/desk.py
+++ b/monsoonhoist/node/desk.py
@@ -4,13 +4,13 @@
 import itertools
 from collections.abc import Callable
 
-from monsoonhoist.core import data, messages, outcome, tickets
+from monsoonhoist.core import data, events, exchange, messages, outcome, tickets
 
 MS_PER_SECOND = 1000
 # Added to the wait for another instance, so that its own answer at the deadline arrives.
 FORWARD_SLACK_SECONDS = 0.05
 
-Ask = Callable[[data.RouteId, data.Request, int], "asyncio.Future[data.Answer]"]
+Ask = Callable[[data.RouteId, exchange.Question, int], "asyncio.Future[events.Respond]"]
 Send = Callable[[data.InstanceId, messages.Message], bool]
 
 
@@ -67,7 +67,7 @@
         ticket = tickets.decode(request.ticket)
         if ticket is None or ticket.route != route:
             detail = f"the ticket is not one for the route {route!r}"
-            answer = outcome.not_run(request, data.Refusal.TICKET_MALFORMED, detail)
+            answer = outcome.not_run(request.request_id, data.Refusal.TICKET_MALFORMED, detail)
             return self._refused(answer)
         if ticket.instance == self._myself:
             return await self._hold(ticket, request, remaining_ms)
@@ -102,7 +102,8 @@
             return await self._wait(ticket, request, remaining_ms)
         ended = asyncio.get_running_loop().create_future()
         self._ended_by_ticket[ticket] = ended
-        answer = await self._ask(ticket.route, request, remaining_ms)
+        respond = await self._ask(ticket.route, request.question(), remaining_ms)
+        answer = respond.answer
         del self._ended_by_ticket[ticket]
         self._book.finish(ticket, answer)
         ended.set_result(answer)
@@ -145,7 +146,7 @@
 
     def _unknown(self, request: data.Request, reason: data.Refusal, detail: str) -> data.Answer:
         """Returns the counted answer to a request whose end was not heard."""
-        return self._refused(outcome.unknown(request, reason, detail))
+        return self._refused(outcome.unknown(request.request_id, reason, detail))
 
     def _refused(self, answer: data.Answer) -> data.Answer:
         """Counts the reason of an answer given here, and returns the answer."""
--- /dev/null
+++ b/monsoonhoist/node/native.py
@@ -0,0 +1,67 @@
+"""The dialect of our own interface: JSON requests, INI tables, named backend calls."""
+
+from tornado import httpserver
+
+from monsoonhoist import metrics
+from monsoonhoist.node import backends, curl, dialect, node, search, service, tables, web
+from monsoonhoist.tables import native, store
+
+
+class NativeServer(dialect.CallerServer):
+    """The HTTP server of our own interface.
+
+    Args:
+        server: The server.
+        host: Address to listen on.
+        port: Port to listen on.
+    """
+
+    def __init__(self, server: httpserver.HTTPServer, host: str, port: int):
+        self._server = server
+        self._host = host
+        self._port = port
+
+    def start(self) -> None:
+        """Starts listening."""
+        self._server.listen(self._port, address=self._host)
+
+    async def close(self) -> None:
+        """Stops listening and closes all connections."""
+        self._server.stop()
+        await self._server.close_all_connections()
+
+
+@dialect.register("native")
+class NativeDialect(dialect.Dialect):
+    """Our own interface on all sides."""
+
+    def make_format(self) -> store.TableFormat:
+        """Returns the INI format."""
+        return native.NativeFormat()
+
+    def make_protocol(self) -> backends.Protocol:
+        """Returns the JSON protocol."""
+        return search.SearchProtocol(self.config.timing.backend_connect_ms)
+
+    def make_reader(self, driver: curl.CurlDriver, counters: metrics.Metrics) -> tables.TableReader:
+        """Returns the reader of the configuration service."""
+        client = self._make_client(driver, counters)
+        return service.ServiceReader(client, self.config.timing.watch_ms)
+
+    def make_listing(
+        self, driver: curl.CurlDriver, counters: metrics.Metrics, take: dialect.TakeListed
+    ) -> dialect.Listing:
+        """Returns the poller of the instance list."""
+        client = self._make_client(driver, counters)
+        return service.InstancePoller(client, self.config.timing.instances_poll_ms, take)
+
+    def make_server(self, owner: node.Node) -> dialect.CallerServer:
+        """Returns the HTTP server."""
+        instance = self.config.instance
+        return NativeServer(web.make_server(owner), str(instance.host), instance.http_port)
+
+    def _make_client(
+        self, driver: curl.CurlDriver, counters: metrics.Metrics
+    ) -> service.ServiceClient:
+        platform = self.config.platform
+        return service.ServiceClient(platform.config_url, platform.instances_url, driver, counters)
--- a/monsoonhoist/node/node.py
+++ b/monsoonhoist/node/node.py
@@ -10,10 +10,12 @@
     clock,
     data,
     events,
+    exchange,
     kernel,
     membership,
     messages,
     outcome,
+    routing,
     tickets,
     traces,
 )
@@ -21,11 +23,11 @@
     backends,
     curl,
     desk,
+    dialect,
     kernels,
     pause,
     peers,
     phases,
-    platform,
     tables,
     trace,
 )
@@ -74,40 +76,41 @@
         zone = self.members.myself.zone
         names = config.policy.names()
         self._kernel_clock = clock.EventClock(time_source)
-        self._kernel = kernel.make_kernel(self.name, zone, self._kernel_clock, names)
+        self._kernel = kernel.make_kernel(
+            self.name, zone, self._kernel_clock, names, config.owner_options()
+        )
         self._trace: trace.TraceWriter | None = None
         if trace_path is not None:
             self._trace = trace.TraceWriter(trace_path, self.name, zone, names, self._kernel_clock)
         self._entry = self._make_kernel_task(traces.Role.ENTRY, self._kernel.entry)
         self._owner = self._make_kernel_task(traces.Role.OWNER, self._kernel.owner)
+        self.dialect = dialect.make_dialect(config)
         self._driver = curl.CurlDriver(config.timing.backend_idle_ms)
         self._backends = backends.BackendTask(
             f"{self.name}.{incarnation}",
             time_source,
             self._driver,
-            config.timing.backend_connect_ms,
+            self.dialect.make_protocol(),
             self.counters,
             self._owner.tell,
         )
         self._hub = peers.PeerHub(peers.make_options(config), time_source, self.counters, self)
-        self._client = platform.PlatformClient(
-            config.platform.config_url,
-            config.platform.instances_url,
-            self._driver,
-            self.counters,
-        )
         self.spread = tables.TableSpread(
-            time_source, self.counters, self.send, self._hub.connected, self._refresh_view
-        )
-        self._instances = platform.InstancePoller(
-            self._client, config.timing.instances_poll_ms, self._take_listed
+            self.dialect.make_format(),
+            time_source,
+            self.counters,
+            self.send,
+            self._hub.connected,
+            self._refresh_view,
         )
+        self._instances = self.dialect.make_listing(self._driver, self.counters, self._take_listed)
         self._watcher = tables.ServiceWatcher(
-            tables.TableOptions(watch=config.timing.watch_ms, retry=config.timing.service_retry_ms),
-            self._client,
+            config.timing.service_retry_ms,
+            self.dialect.make_reader(self._driver, self.counters),
             self.spread,
             self._is_watcher,
         )
+        self._routes = routing.RouteIndex()
         self._pauses = pause.PauseWatch(time_source, config.timing.pause_ms, self._on_pause)
         self.tickets = desk.TicketDesk(
             self.name,
@@ -117,7 +120,7 @@
             self.counters.count_refusal,
         )
         self._query_ids = itertools.count(1)
-        self._ended_by_query: dict[data.QueryId, asyncio.Future[data.Answer]] = {}
+        self._ended_by_query: dict[data.QueryId, asyncio.Future[events.Respond]] = {}
         self._background: set[asyncio.Task[None]] = set()
         self._view: events.ViewChanged | None = None
 
@@ -171,7 +174,7 @@
             runner.cancel()
         await self._hub.close()
         for part in (self._entry, self._owner, self._backends):
-            await part.stop()
+            part.stop()
         self._driver.close()
         if self._trace is not None:
             self._trace.close()
@@ -204,20 +207,50 @@
         """Returns a route in force, or None."""
         return self.spread.store.tables.route_by_id.get(route_id)
 
+    def match(self, host: str, path: str) -> data.Route | None:
+        """Returns the route in force for a host and a path, or None."""
+        return self._routes.find(host, path)
+
+    def admission_state(self) -> data.Refusal | None:
+        """Returns why no request is taken at present, or None."""
+        if self.phase is phases.Phase.CLOSED:
+            return data.Refusal.LEAVING
+        if not self.spread.store.tables.route_by_id:
+            return data.Refusal.NOT_READY
+        return None
+
+    def note_answer(self, rank: data.Rank | None, answer: data.Answer) -> None:
+        """Counts an answer to a caller, and logs one that is not whole."""
+        self.counters.count_answer(answer.outcome, rank)
+        if answer.outcome is not data.Outcome.ANSWERED:
+            extra = {
+                "request_id": answer.request_id,
+                "outcome": answer.outcome.value,
+                "reason": answer.reason.value if answer.reason else "",
+            }
+            _log.info("request not answered whole", extra=extra)
+
+    def abandon(self, ended: asyncio.Future[events.Respond]) -> None:
+        """Ends a query whose caller has left."""
+        for query_id, found in list(self._ended_by_query.items()):
+            if found is ended:
+                del self._ended_by_query[query_id]
+                self._entry.tell(events.CallerLeft(query_id))
+
     def ask(
-        self, route: data.RouteId, request: data.Request, remaining_ms: int = 0
-    ) -> asyncio.Future[data.Answer]:
+        self, route: data.RouteId, question: exchange.Question, remaining_ms: int = 0
+    ) -> asyncio.Future[events.Respond]:
         """Starts a query; the future gets its answer.
 
         Args:
             route: Route of the request.
-            request: The request.
+            question: The request.
             remaining_ms: Time left, if the request came from another instance; else 0.
         """
         query_id = data.QueryId(f"{self.name}.{self.incarnation}.{next(self._query_ids)}")
-        ended: asyncio.Future[data.Answer] = asyncio.get_running_loop().create_future()
+        ended: asyncio.Future[events.Respond] = asyncio.get_running_loop().create_future()
         self._ended_by_query[query_id] = ended
-        self._entry.tell(events.QueryArrived(query_id, route, request, remaining_ms))
+        self._entry.tell(events.QueryArrived(query_id, route, question, remaining_ms))
         return ended
 
     def send(self, instance: data.InstanceId, message: messages.Message) -> bool:
@@ -246,9 +279,12 @@
                 self.spread.on_revisions(sender, message)
             case messages.WantTables():
                 self.spread.on_want(sender, message)
-            case messages.PackedTable():
-                value = messages.unpack_table(message, store.VALUE_BYTES_MAX)
-                self.spread.offer(value, "peer")
+            case messages.PackedTables():
+                values = [
+                    messages.unpack_table(packed, store.VALUE_BYTES_MAX)
+                    for packed in message.tables
+                ]
+                self.spread.offer(values, "peer")
             case messages.Members():
                 self._take_members(sender, message)
             case messages.TicketUse():
@@ -298,7 +334,7 @@
             case events.Respond():
                 ended = self._ended_by_query.pop(command.query_id, None)
                 if ended is not None and not ended.done():
-                    ended.set_result(command.answer)
+                    ended.set_result(command)
             case events.StartCall() | events.CancelCall():
                 self._backends.tell(command)
 
@@ -334,7 +370,7 @@
         """Runs a forwarded request; refuses it if it may be from before a pause."""
         if self._pauses.is_suspect():
             detail = "the holder of the ticket was paused"
-            answer = outcome.not_run(use.request, data.Refusal.EXPIRED_IN_QUEUE, detail)
+            answer = outcome.not_run(use.request.request_id, data.Refusal.EXPIRED_IN_QUEUE, detail)
             self.send(sender, messages.TicketAnswer(use.forward_id, answer))
             return
         self._spawn(self.tickets.serve(sender, use))
@@ -344,6 +380,8 @@
         view = events.ViewChanged(self.spread.store.tables, self.members.live())
         self._hub.set_targets(self.members.neighbours(self.config.spread.neighbours))
         if view != self._view:
+            if self._view is None or view.tables is not self._view.tables:
+                self._routes = routing.RouteIndex(view.tables.route_by_id.values())
             self._view = view
             self._entry.tell(view)
             self._owner.tell(view)
@@ -378,9 +416,9 @@
     def _on_pause(self, seconds: float) -> None:
         """Refreshes the views after a pause before new work is taken."""
         self.counters.count_pause()
-        if self.phase is phases.Phase.READY:
+        self._watcher.refresh()
+        if self.phase is phases.Phase.READY and self.config.timing.hold_after_pause:
             self.phase = phases.Phase.STARTING
-            self._watcher.refresh()
             self._started = self._clock.monotonic()
             self._spawn(self._become_ready())
 
--- a/monsoonhoist/node/process.py
+++ b/monsoonhoist/node/process.py
@@ -8,7 +8,7 @@
 
 from monsoonhoist import logs, settings
 from monsoonhoist.core import clock, data
-from monsoonhoist.node import node, web
+from monsoonhoist.node import node
 
 _log = logging.getLogger(__name__)
 
@@ -30,11 +30,10 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
     instance = node.Node(config, incarnation, clock.SystemClock(), trace_path)
-    server = web.make_server(instance)
-    server.listen(config.instance.http_port, address=str(config.instance.host))
+    server = instance.dialect.make_server(instance)
+    server.start()
     instance.start()
-    _log.info("listening", extra={"http_port": config.instance.http_port})
+    _log.info("listening", extra={"host": str(config.instance.host)})
     await stopping.wait()
     await instance.leave()
-    server.stop()
-    await server.close_all_connections()
+    await server.close()
--- a/monsoonhoist/node/platform.py
+++ b/monsoonhoist/node/service.py
@@ -11,9 +11,10 @@
 
 import msgspec
 
-from monsoonhoist import errors, metrics
+from monsoonhoist import metrics
 from monsoonhoist.core import data, membership, messages
-from monsoonhoist.node import curl
+from monsoonhoist.node import curl, dialect, tables
+from monsoonhoist.tables import store
 
 CONNECT_TIMEOUT = datetime.timedelta(seconds=1)
 READ_TIMEOUT = datetime.timedelta(seconds=5)
@@ -24,10 +25,6 @@
 _log = logging.getLogger(__name__)
 
 
-class PlatformError(errors.MonsoonError):
-    """The platform gave no usable reply."""
-
-
 class Index(msgspec.Struct, frozen=True):
     """Revisions of all keys.
 
@@ -47,8 +44,8 @@
     text: str
 
 
-class PlatformClient:
-    """Reads the platform's services.
+class ServiceClient:
+    """Reads our own configuration service and instance list.
 
     Args:
         config_url: Base of the configuration service.
@@ -73,7 +70,7 @@
         """Returns the revisions once the index is not ``after``, or after ``wait``.
 
         Raises:
-            PlatformError: If the service gave no usable reply.
+            tables.ServiceError: If the service gave no usable reply.
         """
         self._counters.count_service_read("watch")
         wait_ms = int(wait.total_seconds() * MS_PER_SECOND)
@@ -84,7 +81,7 @@
         """Returns the value of a key.
 
         Raises:
-            PlatformError: If the service gave no usable reply.
+            tables.ServiceError: If the service gave no usable reply.
         """
         self._counters.count_service_read("value")
         body = await self._get(f"{self._config_url}/v1/values/{key}", READ_TIMEOUT)
@@ -95,7 +92,7 @@
         """Returns the instance list.
 
         Raises:
-            PlatformError: If the list gave no usable reply.
+            tables.ServiceError: If the list gave no usable reply.
         """
         body = await self._get(self._instances_url, READ_TIMEOUT)
         return _decode(body, tuple[membership.ListedInstance, ...])
@@ -106,11 +103,39 @@
         self._driver.start(call, lambda reply: ended.done() or ended.set_result(reply))
         reply = await ended
         if reply.status != STATUS_OK:
-            raise PlatformError(f"{url}: status {reply.status} {reply.error}".rstrip())
+            raise tables.ServiceError(f"{url}: status {reply.status} {reply.error}".rstrip())
         return reply.body
 
 
-class InstancePoller:
+class ServiceReader(tables.TableReader):
+    """Reads the keys that have newer revisions, after waiting for a change.
+
+    Args:
+        client: Client of the service.
+        watch: Longest wait of one call.
+    """
+
+    def __init__(self, client: ServiceClient, watch: datetime.timedelta):
+        self._client = client
+        self._watch = watch
+        self._index = 0
+
+    async def read(self, table_store: store.TableStore) -> tuple[messages.TableValue, ...]:
+        """Returns the values that are newer than those in the store."""
+        index = await self._client.watch(self._index, self._watch)
+        values = []
+        for key, number in sorted(index.number_by_key.items()):
+            if not table_store.is_settled(key, number):
+                values.append(await self._client.value(key))
+        self._index = index.index
+        return tuple(values)
+
+    def reset(self) -> None:
+        """Makes the next reading cover all keys."""
+        self._index = 0
+
+
+class InstancePoller(dialect.Listing):
     """Reads the instance list at intervals.
 
     Args:
@@ -121,7 +146,7 @@
 
     def __init__(
         self,
-        client: PlatformClient,
+        client: ServiceClient,
         period: datetime.timedelta,
         take: Callable[[tuple[membership.ListedInstance, ...]], None],
     ):
@@ -143,7 +168,7 @@
         while True:
             try:
                 self._take(await self._client.instances())
-            except PlatformError as error:
+            except tables.ServiceError as error:
                 _log.warning("instance list not read", extra={"error": str(error)})
             await asyncio.sleep(self._period.total_seconds())
 
@@ -152,4 +177,4 @@
     try:
         return msgspec.json.decode(body, type=kind)
     except msgspec.MsgspecError as error:
-        raise PlatformError(f"malformed reply: {error}") from error
+        raise tables.ServiceError(f"malformed reply: {error}") from error
--- a/monsoonhoist/node/tables.py
+++ b/monsoonhoist/node/tables.py
@@ -1,23 +1,21 @@
 """Tasks that keep the tables in force: watching the service and spreading to peers.
 
-A few watchers in each availability zone watch the service. An instance announces each
-newly accepted revision to its neighbours, which ask for the value if it is newer than
-theirs and announce it in turn. Heartbeats carry a digest of all revisions, so that a
+A few watchers in each availability zone watch the service. An instance announces
+newly accepted revisions to its neighbours, which ask for the values that are newer than
+theirs and announce them in turn. Heartbeats carry a digest of all revisions, so that a
 lost announcement is noticed. An instance that is not a watcher reads the service only
 if it has no peer with tables.
 """
 
+import abc
 import asyncio
 import datetime
 import logging
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
-import msgspec
-
-from monsoonhoist import metrics
+from monsoonhoist import errors, metrics
 from monsoonhoist.core import clock, data, messages
-from monsoonhoist.node import platform
 from monsoonhoist.tables import store
 
 WANT_REPEAT_SECONDS = 0.5
@@ -27,22 +25,33 @@
 _log = logging.getLogger(__name__)
 
 
-class TableOptions(msgspec.Struct, frozen=True):
-    """Settings of the tables' tasks.
+class ServiceError(errors.MonsoonError):
+    """The configuration service gave no usable reply."""
 
-    Attributes:
-        watch: Longest wait of one watch call.
-        retry: Shortest pause after a failed call; doubled with jitter at random.
-    """
 
-    watch: datetime.timedelta
-    retry: datetime.timedelta
+class TableReader(abc.ABC):
+    """Reads table values from the configuration service."""
+
+    @abc.abstractmethod
+    async def read(self, table_store: store.TableStore) -> tuple[messages.TableValue, ...]:
+        """Waits for a change, at most for the watch's length, and returns new values.
+
+        The first reading after ``reset`` does not wait and covers all keys.
+
+        Raises:
+            ServiceError: If the service gave no usable reply.
+        """
+
+    @abc.abstractmethod
+    def reset(self) -> None:
+        """Makes the next reading cover all keys."""
 
 
 class TableSpread:
     """Takes in values and announcements and answers peers.
 
     Args:
+        table_format: Reads the values.
         time_source: The clock.
         counters: Metrics.
         send: Sends a message to one instance.
@@ -55,13 +64,14 @@
 
     def __init__(
         self,
+        table_format: store.TableFormat,
         time_source: clock.Clock,
         counters: metrics.Metrics,
         send: Callable[[data.InstanceId, messages.Message], bool],
         neighbours: Callable[[], tuple[data.InstanceId, ...]],
         changed: Callable[[], None],
     ):
-        self.store = store.TableStore()
+        self.store = store.TableStore(table_format)
         self._clock = time_source
         self._counters = counters
         self._send = send
@@ -76,23 +86,35 @@
         """Digest of all revisions in force."""
         return self._summary
 
-    def offer(self, value: messages.TableValue, source: str) -> None:
-        """Takes in a value from ``service`` or ``peer`` and announces it if accepted."""
+    def offer(self, values: Iterable[messages.TableValue], source: str) -> None:
+        """Takes in values from ``service`` or ``peer`` and announces those accepted."""
+        accepted = [value.key for value in values if self._offer_one(value, source)]
+        if not accepted:
+            return
+        self.store.join()
+        self._summary = self.store.summary()
+        self._changed()
+        announcement = messages.Revisions(
+            tuple(self.store.revision_by_key[key] for key in accepted)
+        )
+        for instance in self._neighbours():
+            self._send(instance, announcement)
+
+    def _offer_one(self, value: messages.TableValue, source: str) -> bool:
+        """Offers one value to the store; returns whether it was accepted."""
         verdict = self.store.offer(value)
         self._counters.count_value(verdict.acceptance, source)
         extra = {"key": value.key, "number": value.number, "source": source}
-        if verdict.acceptance is store.Acceptance.REJECTED:
+        if verdict.findings:
             findings = [finding.describe() for finding in verdict.findings]
-            _log.error("table value rejected", extra={**extra, "findings": findings})
+            is_rejected = verdict.acceptance is store.Acceptance.REJECTED
+            message = "table value rejected" if is_rejected else "table value has findings"
+            _log.error(message, extra={**extra, "findings": findings})
         if verdict.acceptance is not store.Acceptance.ACCEPTED:
-            return
+            return False
         _log.info("table value in force", extra=extra)
-        self._summary = self.store.summary()
         self._wanted_at_by_key.pop(value.key, None)
-        self._changed()
-        announcement = messages.Revisions((self.store.revision_by_key[value.key],))
-        for instance in self._neighbours():
-            self._send(instance, announcement)
+        return True
 
     def on_revisions(self, sender: data.InstanceId, message: messages.Revisions) -> None:
         """Asks the sender for what it has newer."""
@@ -109,10 +131,10 @@
 
     def on_want(self, sender: data.InstanceId, message: messages.WantTables) -> None:
         """Sends the values asked for."""
-        for key in message.keys:
-            value = self.store.value(key)
-            if value is not None:
-                self._send(sender, messages.pack_table(value))
+        values = [self.store.value(key) for key in message.keys]
+        packed = tuple(messages.pack_table(value) for value in values if value is not None)
+        if packed:
+            self._send(sender, messages.PackedTables(packed))
 
     def on_digest(self, sender: data.InstanceId, digest: bytes) -> None:
         """Tells a peer all revisions if its digest differs, at most at intervals."""
@@ -127,8 +149,8 @@
     """Reads the configuration service while this instance is a watcher.
 
     Args:
-        options: Settings.
-        client: Client of the platform.
+        retry: Shortest pause after a failed call; doubled with jitter at random.
+        reader: Reads the service.
         spread: Takes in the values.
         is_needed: Returns whether this instance should read the service now.
 
@@ -138,17 +160,16 @@
 
     def __init__(
         self,
-        options: TableOptions,
-        client: platform.PlatformClient,
+        retry: datetime.timedelta,
+        reader: TableReader,
         spread: TableSpread,
         is_needed: Callable[[], bool],
     ):
         self.has_read = False
-        self._options = options
-        self._client = client
+        self._retry_seconds = retry.total_seconds()
+        self._reader = reader
         self._spread = spread
         self._is_needed = is_needed
-        self._index = 0
         self._runner: asyncio.Task[None] | None = None
 
     def start(self) -> None:
@@ -164,31 +185,23 @@
         """Ends a waiting watch and reads the service anew."""
         self.stop()
         self.has_read = False
-        self._index = 0
+        self._reader.reset()
         self.start()
 
     async def _run(self) -> None:
+        is_lost = False
         while True:
             if self.has_read and not self._is_needed():
-                self._index = 0
+                self._reader.reset()
                 await asyncio.sleep(ROLE_CHECK_SECONDS)
                 continue
             try:
-                await self._read()
-            except platform.PlatformError as error:
+                self._spread.offer(await self._reader.read(self._spread.store), "service")
+                self.has_read = True
+                if is_lost:
+                    is_lost = False
+                    _log.info("configuration service read again")
+            except ServiceError as error:
+                is_lost = True
                 _log.warning("configuration service not read", extra={"error": str(error)})
-                self._index = 0
-                await asyncio.sleep(self._pause())
-
-    async def _read(self) -> None:
-        """Waits for a change and reads the keys that have newer revisions."""
-        index = await self._client.watch(self._index, self._options.watch)
-        for key, number in sorted(index.number_by_key.items()):
-            if not self._spread.store.is_settled(key, number):
-                self._spread.offer(await self._client.value(key), "service")
-        self._index = index.index
-        self.has_read = True
-
-    def _pause(self) -> float:
-        """Returns seconds to wait after a failed call."""
-        return self._options.retry.total_seconds() * random.uniform(1.0, 2.0)
+                await asyncio.sleep(self._retry_seconds * random.uniform(1.0, 2.0))
--- a/monsoonhoist/node/task.py
+++ b/monsoonhoist/node/task.py
@@ -1,7 +1,7 @@
 """Base of the tasks of an instance."""
 
 import abc
-import asyncio
+import collections
 import logging
 from typing import Generic, TypeVar
 
@@ -11,34 +11,46 @@
 
 
 class Task(abc.ABC, Generic[MessageT]):
-    """Owns its state and takes messages one at a time from its inbox."""
+    """Owns its state and takes messages one at a time from its inbox.
+
+    A message is handled within the call that brings it, unless the task is at work on
+    another one; so a chain of messages needs no turn of the event loop.
+    """
 
     def __init__(self) -> None:
-        self._inbox: asyncio.Queue[MessageT] = asyncio.Queue()
-        self._runner: asyncio.Task[None] | None = None
+        self._inbox: collections.deque[MessageT] = collections.deque()
+        self._is_started = False
+        self._is_busy = False
 
     def start(self) -> None:
-        """Starts the task in the running event loop."""
-        self._runner = asyncio.create_task(self._run(), name=type(self).__name__)
+        """Starts the task; messages that came before are handled now."""
+        self._is_started = True
+        self._drain()
 
     def tell(self, message: MessageT) -> None:
         """Puts a message into the inbox."""
-        self._inbox.put_nowait(message)
+        self._inbox.append(message)
+        if not self._is_busy and self._is_started:
+            self._drain()
 
-    async def stop(self) -> None:
+    def stop(self) -> None:
         """Ends the task without handling the messages left."""
-        if self._runner is not None:
-            self._runner.cancel()
-            await asyncio.gather(self._runner, return_exceptions=True)
+        self._is_started = False
 
     @abc.abstractmethod
     def handle(self, message: MessageT) -> None:
         """Handles one message without blocking."""
 
-    async def _run(self) -> None:
-        while True:
-            message = await self._inbox.get()
-            try:
-                self.handle(message)
-            except Exception:
-                _log.exception("message not handled", extra={"kind": type(message).__name__})
+    def _drain(self) -> None:
+        self._is_busy = True
+        try:
+            while self._inbox and self._is_started:
+                self._handle_logged(self._inbox.popleft())
+        finally:
+            self._is_busy = False
+
+    def _handle_logged(self, message: MessageT) -> None:
+        try:
+            self.handle(message)
+        except Exception:
+            _log.exception("message not handled", extra={"kind": type(message).__name__})
--- a/monsoonhoist/node/web.py
+++ b/monsoonhoist/node/web.py
@@ -85,23 +85,16 @@
     def refuse(self, request: data.Request, reason: data.Refusal, detail: str) -> None:
         """Answers that the request did not run."""
         self._node.counters.count_refusal(reason)
-        self.answer(None, outcome.not_run(request, reason, detail))
+        self.answer(None, outcome.not_run(request.request_id, reason, detail))
 
     def answer(self, rank: data.Rank | None, answer: data.Answer) -> None:
         """Sends and counts an answer."""
-        self._node.counters.count_answer(answer.outcome, rank)
+        self._node.note_answer(rank, answer)
         status_code = _STATUS_BY_OUTCOME[answer.outcome]
         if answer.outcome is data.Outcome.NOT_RUN:
             status_code = _STATUS_BY_REFUSAL.get(answer.reason, status_code)
         if status_code in (429, 503):
             self.set_header("Retry-After", "1")
-        if answer.outcome is not data.Outcome.ANSWERED:
-            extra = {
-                "request_id": answer.request_id,
-                "outcome": answer.outcome.value,
-                "reason": answer.reason.value if answer.reason else "",
-            }
-            _log.info("request not answered whole", extra=extra)
         self.reply(status_code, answer)
 
     def is_closed(self) -> bool:
@@ -137,8 +130,8 @@
         if self._node.active >= self._node.config.limits.callers:
             self.refuse(request, data.Refusal.OVERLOAD, "too many requests at this instance")
         elif record is None or record.repeatable:
-            answer = await self._node.ask(data.RouteId(route), request)
-            self.answer(record.rank if record else None, answer)
+            respond = await self._node.ask(data.RouteId(route), request.question())
+            self.answer(record.rank if record else None, respond.answer)
         elif not request.ticket:
             detail = f"the route {route!r} is not repeatable; ask for a ticket first"
             self.refuse(request, data.Refusal.TICKET_REQUIRED, detail)
--- /dev/null
+++ b/monsoonhoist/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The users' platform: its names, formats and calls. Nothing here decides."""
--- /dev/null
+++ b/monsoonhoist/platform/callers.py
@@ -0,0 +1,235 @@
+"""Callers' requests and their answers as the platform writes them."""
+
+import asyncio
+import logging
+
+from tornado import httpserver, httputil, iostream
+
+from monsoonhoist import metrics
+from monsoonhoist.core import data, events, exchange
+from monsoonhoist.node import node, phases
+from monsoonhoist.platform import names
+
+HEADER_BYTES_MAX = 65_536
+BODY_BYTES_MAX = 16_777_216
+STATUS_OK = 200
+STATUS_BAD_REQUEST = 400
+STATUS_NOT_FOUND = 404
+STATUS_BAD_GATEWAY = 502
+STATUS_UNAVAILABLE = 503
+STATUS_TIMEOUT = 504
+# Header fields of a request that are not passed on as they are.
+NOT_PASSED_ON = names.CONNECTION_HEADERS | {
+    "content-length",
+    "expect",
+    names.TIME_LEFT.lower(),
+    names.SERVER_NAME.lower(),
+}
+
+_log = logging.getLogger(__name__)
+
+
+class CallerExchange(httputil.HTTPMessageDelegate):
+    """One request of a caller and its answer.
+
+    Args:
+        owner: The node.
+        connection: The caller's connection.
+    """
+
+    def __init__(self, owner: node.Node, connection: httputil.HTTPConnection):
+        self._node = owner
+        self._connection = connection
+        self._chunks: list[bytes] = []
+        self._start: httputil.RequestStartLine | None = None
+        self._headers = httputil.HTTPHeaders()
+        self._ended: asyncio.Future[events.Respond] | None = None
+
+    def headers_received(
+        self, start_line: httputil.RequestStartLine, headers: httputil.HTTPHeaders
+    ) -> None:
+        """Takes the head of the request."""
+        self._start = start_line
+        self._headers = headers
+
+    def data_received(self, chunk: bytes) -> None:
+        """Takes a piece of the body."""
+        self._chunks.append(chunk)
+
+    def finish(self) -> None:
+        """Asks the node once the request is whole."""
+        request_id = self._headers.get(names.REQUEST_ID, "")
+        state = self._node.admission_state()
+        if state is not None:
+            self._refuse(data.Answer(request_id, data.Outcome.NOT_RUN, state))
+            return
+        path = self._start.path.partition("?")[0]
+        route = self._node.match(self._headers.get("Host", ""), path)
+        if route is None:
+            self._refuse(data.Answer(request_id, data.Outcome.NOT_RUN, data.Refusal.UNKNOWN_ROUTE))
+            return
+        question = exchange.Question(
+            request_id=request_id,
+            content=self._content(),
+            deadline_ms=_time_left_ms(self._headers),
+            is_clamped=True,
+        )
+        self._ended = self._node.ask(route.route_id, question)
+        self._ended.add_done_callback(lambda ended: self._answer(route, ended))
+
+    def on_connection_close(self) -> None:
+        """Ends the query of a caller that has left."""
+        if self._ended is not None and not self._ended.done():
+            self._node.abandon(self._ended)
+
+    def _content(self) -> exchange.Content:
+        headers = tuple(
+            exchange.Header(name, value)
+            for name, value in self._headers.get_all()
+            if name.lower() not in NOT_PASSED_ON
+        )
+        return exchange.Content(
+            self._start.method, self._start.path, headers, b"".join(self._chunks)
+        )
+
+    def _refuse(self, answer: data.Answer) -> None:
+        self._node.counters.count_refusal(answer.reason)
+        self._node.note_answer(None, answer)
+        self._send(response_for(events.Respond(data.QueryId(""), answer)))
+
+    def _answer(self, route: data.Route, ended: asyncio.Future[events.Respond]) -> None:
+        if ended.cancelled():
+            return
+        respond = ended.result()
+        self._node.note_answer(route.rank, respond.answer)
+        self._send(response_for(respond))
+
+    def _send(self, response: exchange.Response) -> None:
+        """Writes a response, unless the caller has left."""
+        headers = httputil.HTTPHeaders()
+        for header in response.headers:
+            headers.add(header.name, header.value)
+        headers["Content-Length"] = str(len(response.body))
+        if self._node.phase is not phases.Phase.READY:
+            headers["Connection"] = "close"
+        start_line = httputil.ResponseStartLine(
+            "HTTP/1.1", response.status, httputil.responses.get(response.status, "Unknown")
+        )
+        try:
+            self._connection.write_headers(start_line, headers, response.body)
+            self._connection.finish()
+        except (iostream.StreamClosedError, httputil.HTTPOutputError) as error:
+            _log.debug("answer not sent", extra={"error": str(error)})
+
+
+class CallerConnections(httputil.HTTPServerConnectionDelegate):
+    """Makes an exchange for each request.
+
+    Args:
+        owner: The node.
+    """
+
+    def __init__(self, owner: node.Node):
+        self._node = owner
+
+    def start_request(
+        self, server_conn: object, request_conn: httputil.HTTPConnection
+    ) -> httputil.HTTPMessageDelegate:
+        """Returns the exchange of a new request."""
+        return CallerExchange(self._node, request_conn)
+
+
+class ControlExchange(httputil.HTTPMessageDelegate):
+    """A request of the balancer or of an operator: ready, or the metrics.
+
+    Args:
+        owner: The node.
+        connection: The connection.
+    """
+
+    def __init__(self, owner: node.Node, connection: httputil.HTTPConnection):
+        self._node = owner
+        self._connection = connection
+        self._path = ""
+
+    def headers_received(
+        self, start_line: httputil.RequestStartLine, headers: httputil.HTTPHeaders
+    ) -> None:
+        """Takes the path."""
+        self._path = start_line.path
+
+    def finish(self) -> None:
+        """Answers."""
+        status, kind, body = STATUS_NOT_FOUND, "text/plain", b""
+        if self._path == names.READY_PATH:
+            is_ready = self._node.phase is phases.Phase.READY
+            status = STATUS_OK if is_ready else STATUS_UNAVAILABLE
+            body = self._node.phase.value.encode()
+        elif self._path == "/metrics":
+            status, kind, body = STATUS_OK, metrics.CONTENT_TYPE, self._node.counters.export()
+        headers = httputil.HTTPHeaders({"Content-Type": kind, "Content-Length": str(len(body))})
+        reason = httputil.responses[status]
+        start_line = httputil.ResponseStartLine("HTTP/1.1", status, reason)
+        self._connection.write_headers(start_line, headers, body)
+        self._connection.finish()
+
+
+class ControlConnections(CallerConnections):
+    """Makes an exchange for each request of the balancer or an operator."""
+
+    def start_request(
+        self, server_conn: object, request_conn: httputil.HTTPConnection
+    ) -> httputil.HTTPMessageDelegate:
+        """Returns the exchange of a new request."""
+        return ControlExchange(self._node, request_conn)
+
+
+def response_for(respond: events.Respond) -> exchange.Response:
+    """Returns the response that an answer is written as."""
+    answer = respond.answer
+    evidence = respond.evidence
+    if evidence is not None and evidence.response is not None:
+        return evidence.response
+    if answer.outcome in (data.Outcome.ANSWERED, data.Outcome.PARTIAL):
+        headers = (
+            exchange.Header(names.PROOFS, ", ".join(evidence.proofs)),
+            exchange.Header(names.MISSING, str(evidence.missing)),
+            exchange.Header("Content-Type", "application/octet-stream"),
+        )
+        return exchange.Response(STATUS_OK, headers, b"".join(evidence.records))
+    status = _failure_status(answer)
+    headers = (exchange.Header("Content-Type", "text/plain"),)
+    if answer.outcome is data.Outcome.NOT_RUN and status == STATUS_UNAVAILABLE:
+        seconds = f"{respond.retry_after_seconds:.3f}"
+        headers = (*headers, exchange.Header("Retry-After", seconds))
+    reason = answer.reason.value if answer.reason else ""
+    return exchange.Response(status, headers, f"{reason}\n".encode())
+
+
+def make_server(
+    delegate: httputil.HTTPServerConnectionDelegate, idle_seconds: float
+) -> httpserver.HTTPServer:
+    """Returns an HTTP server that hands requests to a delegate as they come."""
+    return httpserver.HTTPServer(
+        delegate,
+        max_header_size=HEADER_BYTES_MAX,
+        max_body_size=BODY_BYTES_MAX,
+        idle_connection_timeout=idle_seconds,
+    )
+
+
+def _failure_status(answer: data.Answer) -> int:
+    """Returns the status of an answer without results."""
+    if answer.reason is data.Refusal.UNKNOWN_ROUTE:
+        return STATUS_NOT_FOUND
+    if answer.reason is data.Refusal.BAD_REQUEST:
+        return STATUS_BAD_REQUEST
+    if answer.outcome is data.Outcome.NOT_RUN:
+        return STATUS_UNAVAILABLE
+    return STATUS_TIMEOUT if answer.reason is data.Refusal.TIMEOUT else STATUS_BAD_GATEWAY
+
+
+def _time_left_ms(headers: httputil.HTTPHeaders) -> int:
+    """Returns how long the caller waits; 0 where it does not say so."""
+    text = headers.get(names.TIME_LEFT, "")
+    return int(text) if text.isdecimal() else 0
--- /dev/null
+++ b/monsoonhoist/platform/entries.py
@@ -0,0 +1,210 @@
+"""The store's configuration and server entries, decoded into the tables' records."""
+
+import datetime
+from collections.abc import Collection, Iterable, Mapping
+
+import msgspec
+
+from monsoonhoist.core import data, hashing
+from monsoonhoist.platform import names
+from monsoonhoist.tables import store
+
+RANKS = data.RANK_ORDER
+MERGE = "greatest-records"
+UNLIMITED_CONNECTIONS = 10_000
+
+
+class SplitEntry(msgspec.Struct, frozen=True, rename="pascal"):
+    """A service that gets a share of a route's requests."""
+
+    service: str
+    weight: float
+
+
+class RouteEntry(msgspec.Struct, frozen=True, rename="pascal"):
+    """A route as the operator writes it; durations are in milliseconds."""
+
+    name: str
+    host: str
+    prefix: str
+    type: str
+    timeout_ms: float
+    goal_ms: float = 0.0
+    priority: int = 0
+    attempts: int = 1
+    service: str = ""
+    split: tuple[SplitEntry, ...] = ()
+    gather: tuple[str, ...] = ()
+    top_k: int = 0
+    min_shard_share: float = 0.0
+
+
+class ServiceEntry(msgspec.Struct, frozen=True, rename="pascal"):
+    """A service as the operator writes it."""
+
+    name: str
+    max_conns: int = UNLIMITED_CONNECTIONS
+
+
+class LimitsEntry(msgspec.Struct, frozen=True, rename="pascal"):
+    """What callers may send."""
+
+    max_header_bytes: int = 0
+    max_body_bytes: int = 0
+    header_timeout_ms: float = 0
+    idle_timeout_ms: float = 0
+
+
+class ConfigEntry(msgspec.Struct, frozen=True, rename="pascal"):
+    """The whole configuration."""
+
+    version: int
+    routes: tuple[RouteEntry, ...]
+    services: tuple[ServiceEntry, ...] = ()
+    limits: LimitsEntry = LimitsEntry()
+
+
+class ServerEntry(msgspec.Struct, frozen=True, rename="pascal"):
+    """What a backend server says of itself."""
+
+    service: str
+    addr: str
+    zone: str
+    slots: int
+    state: str
+    warmup_left_ms: float = 0
+
+
+class PlatformFormat(store.TableFormat):
+    """Joins the configuration and the server entries to routes and pools.
+
+    An entry that cannot be read names no server; an empty value is a removed entry.
+
+    Args:
+        hedge_budget: Extra calls allowed, as a share of the first ones.
+    """
+
+    def __init__(self, hedge_budget: float):
+        self._hedge_budget = hedge_budget
+
+    def parse(self, key: data.TableKey, file: str, text: str) -> store.ParsedValue:
+        """Parses a value; only a configuration that cannot be read is refused."""
+        if key.startswith(names.SERVER_PREFIX):
+            return _parse_server(key, file, text)
+        if key != names.CONFIG_KEY:
+            return store.ParsedValue(())
+        try:
+            return store.ParsedValue((), msgspec.json.decode(text, type=ConfigEntry))
+        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+            return store.ParsedValue((data.Finding(data.Place(file), str(error)),))
+
+    def join(
+        self,
+        content_by_key: Mapping[data.TableKey, object],
+        changed: Collection[data.TableKey],
+        tables: data.Tables,
+    ) -> data.Tables:
+        """Returns the tables; without a configuration they are empty."""
+        config = content_by_key.get(names.CONFIG_KEY)
+        if not isinstance(config, ConfigEntry):
+            return tables
+        connections = {entry.name: entry.max_conns for entry in config.services}
+        by_service: dict[data.ServiceId, list[data.Server]] = {}
+        for content in content_by_key.values():
+            if isinstance(content, data.Server):
+                limit = connections.get(content.service, UNLIMITED_CONNECTIONS)
+                server = msgspec.structs.replace(content, connections=limit)
+                by_service.setdefault(server.service, []).append(server)
+        servers_by_service = {
+            service: tuple(sorted(servers, key=lambda server: server.server_id))
+            for service, servers in by_service.items()
+        }
+        version = data.Snapshot(config.version)
+        pool_by_id: dict[data.PoolId, data.Pool] = {}
+        for entry in config.routes:
+            for services in _shard_sets(entry):
+                pool = _pool(services, servers_by_service, version, bool(entry.gather))
+                pool_by_id.setdefault(pool.pool_id, pool)
+        route_by_id = {
+            data.RouteId(entry.name): _route(entry, self._hedge_budget) for entry in config.routes
+        }
+        return data.Tables(route_by_id, pool_by_id)
+
+
+def _parse_server(key: data.TableKey, file: str, text: str) -> store.ParsedValue:
+    """Parses a server entry; one that cannot be read is accepted as no server."""
+    if not text:
+        return store.ParsedValue(())
+    try:
+        entry = msgspec.json.decode(text, type=ServerEntry)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        return store.ParsedValue((), None, (data.Finding(data.Place(file), str(error)),))
+    if entry.state not in ("ready", "draining"):
+        finding = data.Finding(data.Place(file), f"unknown state {entry.state!r}")
+        return store.ParsedValue((), None, (finding,))
+    server = data.Server(
+        server_id=data.ServerId(key.removeprefix(names.SERVER_PREFIX)),
+        service=data.ServiceId(entry.service),
+        address=entry.addr,
+        zone=data.ZoneId(entry.zone),
+        slots=max(1, entry.slots),
+        connections=UNLIMITED_CONNECTIONS,
+        leaving=entry.state == "draining",
+    )
+    return store.ParsedValue((), server)
+
+
+def _shard_sets(entry: RouteEntry) -> Iterable[tuple[str, ...]]:
+    """Returns the sets of services that a route's requests go to."""
+    if entry.gather:
+        return (tuple(sorted(set(entry.gather))),)
+    if entry.split:
+        return tuple((split.service,) for split in entry.split)
+    return ((entry.service,),)
+
+
+def _pool_id(services: tuple[str, ...], is_gathered: bool) -> data.PoolId:
+    """Returns the name of a set of services; the same set has the same name."""
+    if not is_gathered:
+        return data.PoolId(f"service/{services[0]}")
+    return data.PoolId(f"set/{hashing.weight(*services):016x}")
+
+
+def _pool(
+    services: tuple[str, ...],
+    servers_by_service: Mapping[data.ServiceId, tuple[data.Server, ...]],
+    version: data.Snapshot,
+    is_gathered: bool,
+) -> data.Pool:
+    return data.Pool(
+        pool_id=_pool_id(services, is_gathered),
+        key_space=len(services),
+        servers_by_service={
+            data.ServiceId(service): servers_by_service.get(data.ServiceId(service), ())
+            for service in services
+        },
+        snapshot=version,
+        merge=MERGE,
+    )
+
+
+def _route(entry: RouteEntry, hedge_budget: float) -> data.Route:
+    is_gathered = bool(entry.gather)
+    pools = [_pool_id(services, is_gathered) for services in _shard_sets(entry)]
+    return data.Route(
+        route_id=data.RouteId(entry.name),
+        rank=RANKS[min(max(0, entry.priority), len(RANKS) - 1)],
+        pool=pools[0],
+        repeatable=entry.type == "idempotent" or is_gathered,
+        deadline=datetime.timedelta(milliseconds=entry.timeout_ms),
+        minimum_coverage=entry.min_shard_share if is_gathered else 1.0,
+        hedge_budget=hedge_budget,
+        goal=datetime.timedelta(milliseconds=entry.goal_ms) if entry.goal_ms else None,
+        attempts=max(1, entry.attempts),
+        results=max(1, entry.top_k),
+        passes_response=not is_gathered,
+        match=data.PathMatch(entry.host, entry.prefix),
+        splits=tuple(
+            data.Split(_pool_id((split.service,), False), split.weight) for split in entry.split
+        ),
+    )
--- a/monsoonhoist/policy/balance.py
+++ b/monsoonhoist/policy/balance.py
@@ -18,6 +18,7 @@
         limit: Calls that this instance may have in flight there.
         latency_seconds: Smoothed latency of its replies.
         same_zone: Whether it is in this instance's availability zone.
+        slowness: Expected latency as a multiple of the usual one.
     """
 
     server: data.Server
@@ -25,6 +26,7 @@
     limit: int
     latency_seconds: float
     same_zone: bool
+    slowness: float = 1.0
 
 
 class Balance(abc.ABC):
@@ -55,6 +57,33 @@
         return (load, latency_steps, not candidate.same_zone, candidate.server.server_id)
 
 
+@registry.register(registry.Kind.BALANCE, "expected-latency")
+class ExpectedLatencyBalance(Balance):
+    """Prefers the server whose reply is expected first.
+
+    The expected latency is the server's slowness, which the age of its oldest call in
+    flight raises, times the calls that share it (least expected latency, as in the C3
+    replica ranking: Suresh et al., NSDI 2015, with a linear instead of a cubic penalty).
+    """
+
+    # A server in another availability zone must be faster by this factor.
+    other_zone_factor = 1.15
+
+    def __init__(self) -> None:
+        self._turn = 0
+
+    def choose(self, candidates: Sequence[Candidate]) -> Candidate:
+        """Returns the candidate with the least expected latency; equal ones take turns."""
+        self._turn += 1
+        start = self._turn % len(candidates)
+        turned = (*candidates[start:], *candidates[:start])
+        return min(turned, key=self._cost)
+
+    def _cost(self, candidate: Candidate) -> float:
+        factor = 1.0 if candidate.same_zone else self.other_zone_factor
+        return candidate.slowness * (1 + candidate.outstanding) * factor
+
+
 @registry.register(registry.Kind.BALANCE, "round-robin")
 class RoundRobinBalance(Balance):
     """Takes a shard's servers in turn; the baseline for measurements."""
--- a/monsoonhoist/policy/hedge.py
+++ b/monsoonhoist/policy/hedge.py
@@ -5,6 +5,7 @@
 """
 
 import abc
+import collections
 
 from hdrh import histogram
 
@@ -31,6 +32,10 @@
             budget: Extra sub-requests allowed, as a share of the first ones.
         """
 
+    @abc.abstractmethod
+    def typical_seconds(self) -> float:
+        """Returns the median latency, or 0 while it is not known."""
+
 
 @registry.register(registry.Kind.HEDGE, "quantile")
 class QuantileHedge(Hedge):
@@ -50,6 +55,7 @@
         self._recent = _histogram()
         self._previous = _histogram()
         self._delay_by_budget: dict[float, float | None] = {}
+        self._typical_seconds: float | None = None
 
     def record(self, latency_seconds: float) -> None:
         """Takes note of a latency; each full window starts a new histogram."""
@@ -57,6 +63,7 @@
         count = self._recent.get_total_count()
         if count % self.minimum_samples == 0:
             self._delay_by_budget.clear()
+            self._typical_seconds = None
         if count >= self.window_samples:
             self._previous = self._recent
             self._recent = _histogram()
@@ -69,6 +76,12 @@
             self._delay_by_budget[budget] = self._delay(budget)
         return self._delay_by_budget[budget]
 
+    def typical_seconds(self) -> float:
+        """Returns the median latency, or 0 without enough samples."""
+        if self._typical_seconds is None:
+            self._typical_seconds = self._quantile(0.5) or 0.0
+        return self._typical_seconds
+
     def _delay(self, budget: float) -> float | None:
         plain = self._quantile(1.0 - budget)
         if plain is None:
@@ -97,6 +110,54 @@
         """Returns None."""
         return None
 
+    def typical_seconds(self) -> float:
+        """Returns 0."""
+        return 0.0
+
+
+@registry.register(registry.Kind.HEDGE, "recent-quantile")
+class RecentQuantileHedge(Hedge):
+    """Hedges after a quantile of the newest latencies, so as to spend the whole budget.
+
+    Hedging at the quantile of one minus the budget would spend it all if no call failed;
+    the quantile is a little lower, since tokens are also earned where no server is free
+    for a hedge, and the budget itself bounds what is spent.
+    """
+
+    window_samples = 240
+    minimum_samples = 30
+    refresh_samples = 15
+    budget_factor = 2.0 / 3.0
+    # Delay before anything is known, in seconds.
+    start_delay_seconds = 0.06
+
+    def __init__(self) -> None:
+        self._latencies: collections.deque[float] = collections.deque(maxlen=self.window_samples)
+        self._count = 0
+        self._sorted: list[float] = []
+
+    def record(self, latency_seconds: float) -> None:
+        """Takes note of a latency."""
+        self._latencies.append(latency_seconds)
+        self._count += 1
+        if self._count % self.refresh_samples == 0:
+            self._sorted = sorted(self._latencies)
+
+    def delay_seconds(self, budget: float) -> float | None:
+        """Returns the delay, or None without a budget."""
+        if budget <= 0:
+            return None
+        if len(self._sorted) < self.minimum_samples:
+            return self.start_delay_seconds
+        share = 1.0 - budget * self.budget_factor
+        return self._sorted[int(len(self._sorted) * share)]
+
+    def typical_seconds(self) -> float:
+        """Returns the median latency, or 0 without enough samples."""
+        if len(self._sorted) < self.minimum_samples:
+            return 0.0
+        return self._sorted[len(self._sorted) // 2]
+
 
 def _histogram() -> histogram.HdrHistogram:
     return histogram.HdrHistogram(LATENCY_MIN_US, LATENCY_MAX_US, SIGNIFICANT_DIGITS)
--- /dev/null
+++ b/monsoonhoist/policy/merge.py
@@ -0,0 +1,64 @@
+"""Policies that merge the results of several shards."""
+
+import abc
+import functools
+import heapq
+from collections.abc import Iterable
+
+from monsoonhoist.core import data
+from monsoonhoist.policy import registry
+
+
+class Merge(abc.ABC):
+    """Merges results.
+
+    Attributes:
+        is_idempotent: Whether merging the same results twice changes nothing.
+    """
+
+    is_idempotent: bool
+
+    @abc.abstractmethod
+    def best(self, entries: Iterable[data.ResultEntry], limit: int) -> tuple[data.ResultEntry, ...]:
+        """Returns the ``limit`` best entries, best first."""
+
+
+@registry.register(registry.Kind.MERGE, "ranked")
+class RankedMerge(Merge):
+    """Orders scored results by score, one for each key.
+
+    Equal scores are ordered by key, so that the order does not depend on arrival.
+    """
+
+    is_idempotent = True
+
+    def best(self, entries: Iterable[data.ResultEntry], limit: int) -> tuple[data.ResultEntry, ...]:
+        """Returns the best results."""
+        by_key = {result.key: result for result in entries}
+        return tuple(heapq.nsmallest(limit, by_key.values(), key=_score_order))
+
+
+@registry.register(registry.Kind.MERGE, "greatest-records")
+class GreatestRecordsMerge(Merge):
+    """Orders records by their bytes, greatest first; equal records all count."""
+
+    is_idempotent = False
+
+    def best(self, entries: Iterable[data.ResultEntry], limit: int) -> tuple[data.ResultEntry, ...]:
+        """Returns the greatest records."""
+        return tuple(sorted(entries, reverse=True)[:limit])
+
+
+@functools.cache
+def named(name: str) -> Merge:
+    """Returns the merge policy with a name.
+
+    Raises:
+        UnknownPolicyError: If no plug-in has registered the name.
+    """
+    registry.load()
+    return registry.find(registry.Kind.MERGE, name)()
+
+
+def _score_order(result: data.Result) -> tuple[float, int]:
+    return (-result.score, result.key)
--- a/monsoonhoist/policy/ownership.py
+++ b/monsoonhoist/policy/ownership.py
@@ -3,9 +3,16 @@
 import abc
 from collections.abc import Sequence
 
-from monsoonhoist.core import data, hashing
+from monsoonhoist.core import data, hashing, limits
 from monsoonhoist.policy import registry
 
+# Share of a server's connections that one owner uses, so that two instances that both
+# believe themselves the owner stay within the limit together.
+OWNER_CONNECTION_SHARE = 0.5
+# Share of a server's connections that all instances together use; the rest is for those
+# that an instance has closed and the server has not.
+CONNECTIONS_USED = 0.9
+
 
 class Ownership(abc.ABC):
     """Chooses the instances that may call the servers of a shard."""
@@ -23,8 +30,8 @@
         """
 
     @abc.abstractmethod
-    def share(self, instance_count: int) -> float:
-        """Returns the share of a server's limits that one instance may use, from 0 to 1."""
+    def share(self, instance_count: int) -> limits.LimitShare:
+        """Returns the shares of the servers' limits that one instance may use."""
 
 
 @registry.register(registry.Kind.OWNERSHIP, "rendezvous")
@@ -55,9 +62,9 @@
             self._cell_by_pool[pool] = cell
         return cell.owners(pool, service)
 
-    def share(self, instance_count: int) -> float:
-        """Returns 1: all load of a server passes through its owner."""
-        return 1.0
+    def share(self, instance_count: int) -> limits.LimitShare:
+        """Returns all slots: all load of a server passes through its owner."""
+        return limits.LimitShare(1.0, OWNER_CONNECTION_SHARE, 1.0)
 
     def _change(self, instances: tuple[data.InstanceId, ...]) -> None:
         """Forgets the cells that a change of instances concerns."""
@@ -110,9 +117,24 @@
         """Returns the instance itself, without a stand-by."""
         return (self._myself,)
 
-    def share(self, instance_count: int) -> float:
+    def share(self, instance_count: int) -> limits.LimitShare:
         """Returns one part of as many as there are instances."""
-        return 1.0 / max(1, instance_count)
+        part = 1.0 / max(1, instance_count)
+        return limits.LimitShare(part, OWNER_CONNECTION_SHARE, part)
+
+
+@registry.register(registry.Kind.OWNERSHIP, "each-entry")
+class EachEntryOwnership(DirectOwnership):
+    """Lets each instance call every server, where the servers themselves queue.
+
+    The instance may fill all slots of a server, since the others are seldom busy there at
+    the same moment, but no more than its part of the connections.
+    """
+
+    def share(self, instance_count: int) -> limits.LimitShare:
+        """Returns all slots, and one part of the connections and budgets."""
+        part = 1.0 / max(1, instance_count)
+        return limits.LimitShare(1.0, part * CONNECTIONS_USED, part)
 
 
 def _heaviest(name: str, instances: Sequence[data.InstanceId]) -> list[data.InstanceId]:
--- a/monsoonhoist/policy/registry.py
+++ b/monsoonhoist/policy/registry.py
@@ -17,6 +17,7 @@
     "monsoonhoist.policy.hedge",
     "monsoonhoist.policy.admission",
     "monsoonhoist.policy.order",
+    "monsoonhoist.policy.merge",
 )
 
 
@@ -28,6 +29,7 @@
     HEDGE = "hedge"
     ADMISSION = "admission"
     ORDER = "order"
+    MERGE = "merge"
 
 
 ClassT = TypeVar("ClassT", bound=type)
--- a/monsoonhoist/settings.py
+++ b/monsoonhoist/settings.py
@@ -11,10 +11,12 @@
 import pydantic
 
 from monsoonhoist import errors
-from monsoonhoist.core import data, kernel
+from monsoonhoist.core import budget, data, kernel, owner
 from monsoonhoist.policy import registry
 from monsoonhoist.tables import ini
 
+_ADDRESS_OR_NONE = r"^([0-9.]+:[0-9]{1,5})?$"
+
 
 class _Section(pydantic.BaseModel):
     """Base of the sections; unknown options are errors."""
@@ -45,10 +47,50 @@
 
 
 class PlatformSection(_Section):
-    """``[platform]``: where the platform's services are."""
+    """``[platform]``: which dialect is spoken, and where the platform's services are.
+
+    The native dialect has a configuration service and an instance list. The other one
+    has a store, and ``seeds`` names instances by which the others are found.
+    """
+
+    dialect: str = pydantic.Field(default="native", pattern=r"^(native|platform)$")
+    config_url: str = pydantic.Field(default="", pattern=r"^(https?://.*)?$")
+    instances_url: str = pydantic.Field(default="", pattern=r"^(https?://.*)?$")
+    store: str = pydantic.Field(default="", pattern=_ADDRESS_OR_NONE)
+    seeds: str = pydantic.Field(default="", pattern=r"^[0-9.:, ]*$")
+
+    @pydantic.model_validator(mode="after")
+    def _complete(self) -> "PlatformSection":
+        needed = ("config_url", "instances_url") if self.dialect == "native" else ("store",)
+        missing = [name for name in needed if not getattr(self, name)]
+        if missing:
+            raise ValueError(f"{missing[0]}: needed with dialect = {self.dialect}")
+        return self
+
+    def seed_hosts(self) -> tuple[str, ...]:
+        """Returns the IP numbers of the seeds."""
+        return tuple(seed.strip().split(":")[0] for seed in self.seeds.split(",") if seed.strip())
+
+
+class ListenSection(_Section):
+    """``[listen]``: addresses of the servers where each has its own."""
+
+    callers: str = pydantic.Field(default="", pattern=_ADDRESS_OR_NONE)
+    ready: str = pydantic.Field(default="", pattern=_ADDRESS_OR_NONE)
+    control: str = pydantic.Field(default="", pattern=_ADDRESS_OR_NONE)
+
+
+class ExtraCallsSection(_Section):
+    """``[extra_calls]``: budgets of calls beyond the first of each sub-request.
+
+    All instances together may make ``allowance`` extra calls to a shard in the length of
+    the window, besides ``ratio`` of the first ones.
+    """
 
-    config_url: str = pydantic.Field(pattern=r"^https?://")
-    instances_url: str = pydantic.Field(pattern=r"^https?://")
+    by_service: bool = False
+    ratio: float = pydantic.Field(default=0.05, ge=0, le=1)
+    allowance: float = pydantic.Field(default=40.0, ge=0)
+    refusals_cost: bool = False
 
 
 class LimitsSection(_Section):
@@ -70,11 +112,15 @@
     backend_idle_ms: ini.Milliseconds = datetime.timedelta(seconds=30)
     instances_poll_ms: ini.Milliseconds = datetime.timedelta(seconds=1)
     watch_ms: ini.Milliseconds = datetime.timedelta(seconds=10)
+    watch_settle_ms: ini.Milliseconds = datetime.timedelta(0)
     service_retry_ms: ini.Milliseconds = datetime.timedelta(milliseconds=500)
     balancer_lag_ms: ini.Milliseconds = datetime.timedelta(seconds=2)
     drain_max_ms: ini.Milliseconds = datetime.timedelta(seconds=60)
     pause_ms: ini.Milliseconds = datetime.timedelta(milliseconds=500)
     caller_body_ms: ini.Milliseconds = datetime.timedelta(seconds=5)
+    caller_idle_ms: ini.Milliseconds = datetime.timedelta(seconds=75)
+    leaving_grace_ms: ini.Milliseconds = datetime.timedelta(0)
+    hold_after_pause: bool = True
 
     @pydantic.model_validator(mode="after")
     def _silence_spans_heartbeats(self) -> "TimingSection":
@@ -102,7 +148,7 @@
     @pydantic.model_validator(mode="after")
     def _registered(self) -> "PolicySection":
         registry.load()
-        for kind in registry.Kind:
+        for kind in map(registry.Kind, type(self).model_fields):
             name = getattr(self, kind.value)
             if name not in registry.names(kind):
                 known = ", ".join(registry.names(kind))
@@ -123,6 +169,18 @@
     timing: TimingSection = TimingSection()
     spread: SpreadSection = SpreadSection()
     policy: PolicySection = PolicySection()
+    listen: ListenSection = ListenSection()
+    extra_calls: ExtraCallsSection = ExtraCallsSection()
+
+    def owner_options(self) -> owner.OwnerOptions:
+        """Returns the owner's part of the settings."""
+        extra = self.extra_calls
+        extra_calls = budget.BudgetOptions(
+            capacity_tokens=extra.allowance,
+            by_service=extra.by_service,
+            refusals_cost=extra.refusals_cost,
+        )
+        return owner.OwnerOptions(extra_calls, self.timing.leaving_grace_ms.total_seconds())
 
 
 def parse(file: str, text: str) -> tuple[Settings | None, tuple[data.Finding, ...]]:
--- /dev/null
+++ b/monsoonhoist/tables/native.py
@@ -0,0 +1,49 @@
+"""Format of the tables in INI, as operators write them for our own interface."""
+
+from collections.abc import Collection, Mapping
+
+from monsoonhoist.core import data
+from monsoonhoist.tables import pools, routes, store
+
+
+class NativeFormat(store.TableFormat):
+    """One value for the table of routes, and one or more for each pool."""
+
+    def parse(self, key: data.TableKey, file: str, text: str) -> store.ParsedValue:
+        """Parses and checks a value."""
+        return parse(key, file, text)
+
+    def join(
+        self,
+        content_by_key: Mapping[data.TableKey, object],
+        changed: Collection[data.TableKey],
+        tables: data.Tables,
+    ) -> data.Tables:
+        """Replaces the table of routes, and joins the pools that have changed."""
+        route_by_id = tables.route_by_id
+        if routes.KEY in changed:
+            route_by_id = content_by_key[routes.KEY].route_by_id
+        pool_by_id = dict(tables.pool_by_id)
+        for pool_id in {pools.pool_of(key) for key in changed if pools.is_pool_key(key)}:
+            parts = [
+                content_by_key[key]
+                for key in sorted(content_by_key)
+                if pools.is_pool_key(key) and pools.pool_of(key) == pool_id
+            ]
+            pool_by_id[pool_id] = pools.join(pool_id, parts)
+        return data.Tables(route_by_id, pool_by_id)
+
+
+def parse(key: data.TableKey, file: str, text: str) -> store.ParsedValue:
+    """Parses and checks a value; the result depends on the value alone."""
+    if len(text.encode()) > store.VALUE_BYTES_MAX:
+        message = f"the value is larger than {store.VALUE_BYTES_MAX} bytes"
+        return store.ParsedValue((data.Finding(data.Place(file), message),))
+    if key == routes.KEY:
+        table = routes.parse(file, text)
+        return store.ParsedValue(table.findings, table)
+    if pools.is_pool_key(key):
+        part = pools.parse(key, file, text)
+        return store.ParsedValue(part.findings, part)
+    message = f"the key {key!r} is neither routes nor a pool"
+    return store.ParsedValue((data.Finding(data.Place(file), message),))
--- a/monsoonhoist/tables/review.py
+++ b/monsoonhoist/tables/review.py
@@ -3,7 +3,7 @@
 import pathlib
 
 from monsoonhoist.core import data
-from monsoonhoist.tables import pools, routes, store
+from monsoonhoist.tables import native, pools, routes
 
 
 def review_files(
@@ -25,17 +25,17 @@
         key = data.TableKey(f"{pools.KEY_PREFIX}{name}")
         text = _read(file, findings)
         if text is not None:
-            parsed = store.parse(key, file, text)
+            parsed = native.parse(key, file, text)
             findings.extend(parsed.findings)
-            if parsed.part is not None:
-                parts.append(parsed.part)
+            if isinstance(parsed.content, pools.PoolPart):
+                parts.append(parsed.content)
     if routes_path is not None:
         text = _read(str(routes_path), findings)
         if text is not None:
-            parsed = store.parse(routes.KEY, str(routes_path), text)
+            parsed = native.parse(routes.KEY, str(routes_path), text)
             findings.extend(parsed.findings)
-            if pool_specs and parsed.table is not None:
-                findings.extend(_dangling(str(routes_path), parsed.table, parts))
+            if pool_specs and isinstance(parsed.content, routes.RoutesTable):
+                findings.extend(_dangling(str(routes_path), parsed.content, parts))
     return tuple(findings)
 
 
--- a/monsoonhoist/tables/store.py
+++ b/monsoonhoist/tables/store.py
@@ -6,13 +6,14 @@
 back to an older revision.
 """
 
+import abc
 import enum
 import hashlib
+from collections.abc import Collection, Mapping
 
 import msgspec
 
 from monsoonhoist.core import data, messages
-from monsoonhoist.tables import pools, routes
 
 VALUE_BYTES_MAX = 1_000_000
 
@@ -31,71 +32,83 @@
 
     Attributes:
         acceptance: What became of it.
-        findings: Everything wrong with it, if rejected.
+        findings: Everything wrong with it.
     """
 
     acceptance: Acceptance
     findings: tuple[data.Finding, ...] = ()
 
 
-class Tables(msgspec.Struct, frozen=True):
-    """The two tables in force, joined from the accepted values."""
-
-    route_by_id: dict[data.RouteId, data.Route]
-    pool_by_id: dict[data.PoolId, data.Pool]
-
-
 def digest_of(text: str) -> bytes:
     """Returns the digest that orders values with the same revision number."""
     return hashlib.sha256(text.encode()).digest()[:16]
 
 
 class ParsedValue(msgspec.Struct, frozen=True):
-    """What a value holds; one of the tables, or findings.
+    """What a value holds.
 
     Attributes:
         findings: Everything wrong with the value; empty if it may be accepted.
-        table: The table of routes, if the key is the routes'.
-        part: The part of a pool, if the key is a pool's.
+        content: What the format makes of the value; None if it names nothing.
+        warnings: What is wrong with a value that is accepted all the same.
     """
 
     findings: tuple[data.Finding, ...]
-    table: routes.RoutesTable | None = None
-    part: pools.PoolPart | None = None
+    content: object = None
+    warnings: tuple[data.Finding, ...] = ()
+
 
+class TableFormat(abc.ABC):
+    """Reads table values and joins them to the two tables."""
 
-def parse(key: data.TableKey, file: str, text: str) -> ParsedValue:
-    """Parses and checks a value; the result depends on the value alone."""
-    if len(text.encode()) > VALUE_BYTES_MAX:
-        message = f"the value is larger than {VALUE_BYTES_MAX} bytes"
-        return ParsedValue((data.Finding(data.Place(file), message),))
-    if key == routes.KEY:
-        table = routes.parse(file, text)
-        return ParsedValue(table.findings, table=table)
-    if pools.is_pool_key(key):
-        part = pools.parse(key, file, text)
-        return ParsedValue(part.findings, part=part)
-    message = f"the key {key!r} is neither routes nor a pool"
-    return ParsedValue((data.Finding(data.Place(file), message),))
+    @abc.abstractmethod
+    def parse(self, key: data.TableKey, file: str, text: str) -> ParsedValue:
+        """Parses and checks a value; the result depends on the value alone.
+
+        Args:
+            key: Table key of the value.
+            file: Name used in findings.
+            text: The value.
+        """
+
+    @abc.abstractmethod
+    def join(
+        self,
+        content_by_key: Mapping[data.TableKey, object],
+        changed: Collection[data.TableKey],
+        tables: data.Tables,
+    ) -> data.Tables:
+        """Returns the tables after some values have changed.
+
+        Args:
+            content_by_key: What the values in force hold, the changed ones included.
+            changed: Keys of the changed values.
+            tables: The tables before.
+        """
 
 
 class TableStore:
     """Accepted values of one instance.
 
+    Args:
+        table_format: Reads the values.
+
     Attributes:
         revision_by_key: Revisions in force.
         tables: The tables joined from the values in force.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, table_format: TableFormat) -> None:
         self.revision_by_key: dict[data.TableKey, messages.Revision] = {}
-        self.tables = Tables({}, {})
+        self.tables = data.Tables({}, {})
+        self._format = table_format
         self._text_by_key: dict[data.TableKey, str] = {}
-        self._part_by_key: dict[data.TableKey, pools.PoolPart] = {}
+        self._content_by_key: dict[data.TableKey, object] = {}
+        self._changed: set[data.TableKey] = set()
         self._rejected_by_key: dict[data.TableKey, messages.Revision] = {}
 
     def offer(self, value: messages.TableValue) -> Verdict:
-        """Takes a value into force if it is well-formed and newer.
+        """Takes a value if it is well-formed and newer; ``join`` brings it into force.
 
         Args:
             value: A value from the service or from a peer.
@@ -110,14 +123,25 @@
             return Verdict(Acceptance.KNOWN if known else Acceptance.OLDER)
         if self._rejected_by_key.get(value.key) == revision:
             return Verdict(Acceptance.KNOWN)
-        parsed = parse(value.key, value.key, value.text)
+        parsed = self._format.parse(value.key, value.key, value.text)
         if parsed.findings:
             self._rejected_by_key[value.key] = revision
             return Verdict(Acceptance.REJECTED, parsed.findings)
         self.revision_by_key[value.key] = revision
         self._text_by_key[value.key] = value.text
-        self._rebuild(value.key, parsed)
-        return Verdict(Acceptance.ACCEPTED)
+        self._content_by_key[value.key] = parsed.content
+        self._changed.add(value.key)
+        return Verdict(Acceptance.ACCEPTED, parsed.warnings)
+
+    def join(self) -> None:
+        """Brings the accepted values into force."""
+        if self._changed:
+            self.tables = self._format.join(self._content_by_key, self._changed, self.tables)
+            self._changed.clear()
+
+    def live_keys(self) -> tuple[data.TableKey, ...]:
+        """Returns the keys that have a value which is not empty."""
+        return tuple(key for key, text in self._text_by_key.items() if text)
 
     def value(self, key: data.TableKey) -> messages.TableValue | None:
         """Returns the value in force of a key, or None."""
@@ -158,21 +182,6 @@
     def _is_newer(theirs: messages.Revision, mine: messages.Revision | None) -> bool:
         return mine is None or _order(theirs) > _order(mine)
 
-    def _rebuild(self, key: data.TableKey, parsed: ParsedValue) -> None:
-        """Replaces the tables by ones that hold the accepted value."""
-        if parsed.table is not None:
-            self.tables = Tables(parsed.table.route_by_id, self.tables.pool_by_id)
-            return
-        self._part_by_key[key] = parsed.part
-        pool_id = parsed.part.pool_id
-        parts = [
-            self._part_by_key[name]
-            for name in sorted(self._part_by_key)
-            if pools.pool_of(name) == pool_id
-        ]
-        pool_by_id = {**self.tables.pool_by_id, pool_id: pools.join(pool_id, parts)}
-        self.tables = Tables(self.tables.route_by_id, pool_by_id)
-
 
 def _order(revision: messages.Revision) -> tuple[int, bytes]:
     return (revision.number, revision.digest)
--- a/standins/backends.py
+++ b/standins/backends.py
@@ -14,7 +14,7 @@
 from tornado import httpserver, httputil, iostream
 
 from monsoonhoist.core import data
-from monsoonhoist.node import backends as protocol
+from monsoonhoist.node import search as protocol
 from monsoonhoist.tables import pools
 from standins import index
 
