Hold only what serving needs

Cause: a serving process held pydantic and its models (9 MB) for settings that it reads once, and the OpenTelemetry SDK with its exporter (4.5 MB) to add numbers. Ruled out: leaving the exporter out, since operators scrape it. Change: settings and tables are checked by msgspec, option by option, with the findings and their order as before; counts are plain numbers, read by observable instruments that are made when the metrics are first asked for.

--- a/monsoonhoist/node/node.py
+++ b/monsoonhoist/node/node.py
@@ -1,9 +1,11 @@
 """One instance: its tasks and how they are wired."""
 
 import asyncio
+import importlib
 import itertools
 import logging
 import pathlib
+from typing import TYPE_CHECKING
 
 from monsoonhoist import metrics, settings
 from monsoonhoist.core import (
@@ -33,6 +35,9 @@
 )
 from monsoonhoist.tables import store
 
+if TYPE_CHECKING:
+    from monsoonhoist import export
+
 READY_CHECK_SECONDS = 0.05
 PEERS_ONLY_READY_SECONDS = 2.0
 
@@ -111,6 +116,7 @@
             self._is_watcher,
         )
         self._routes = routing.RouteIndex()
+        self._exporter: export.Exporter | None = None
         self._pauses = pause.PauseWatch(time_source, config.timing.pause_ms, self._on_pause)
         self.tickets = desk.TicketDesk(
             self.name,
@@ -211,6 +217,12 @@
         """Returns the route in force for a host and a path, or None."""
         return self._routes.find(host, path)
 
+    def export_metrics(self) -> bytes:
+        """Returns all metrics as Prometheus text."""
+        if self._exporter is None:
+            self._exporter = importlib.import_module("monsoonhoist.export").Exporter(self.counters)
+        return self._exporter.text()
+
     def admission_state(self) -> data.Refusal | None:
         """Returns why no request is taken at present, or None."""
         if self.phase is phases.Phase.CLOSED:
--- a/monsoonhoist/node/web.py
+++ b/monsoonhoist/node/web.py
@@ -192,7 +192,7 @@
     def get(self) -> None:
         """Replies with all metrics."""
         self.set_header("Content-Type", metrics.CONTENT_TYPE)
-        self.finish(self._node.counters.export())
+        self.finish(self._node.export_metrics())
 
 
 class StatusHandler(Handler):
--- a/monsoonhoist/platform/callers.py
+++ b/monsoonhoist/platform/callers.py
@@ -166,7 +166,7 @@
             status = STATUS_OK if is_ready else STATUS_UNAVAILABLE
             body = self._node.phase.value.encode()
         elif self._path == "/metrics":
-            status, kind, body = STATUS_OK, metrics.CONTENT_TYPE, self._node.counters.export()
+            status, kind, body = STATUS_OK, metrics.CONTENT_TYPE, self._node.export_metrics()
         headers = httputil.HTTPHeaders({"Content-Type": kind, "Content-Length": str(len(body))})
         reason = httputil.responses[status]
         start_line = httputil.ResponseStartLine("HTTP/1.1", status, reason)
--- a/monsoonhoist/settings.py
+++ b/monsoonhoist/settings.py
@@ -7,8 +7,9 @@
 import datetime
 import ipaddress
 import pathlib
+from typing import Annotated
 
-import pydantic
+import msgspec
 
 from monsoonhoist import errors
 from monsoonhoist.core import budget, data, kernel, owner
@@ -18,69 +19,64 @@
 _ADDRESS_OR_NONE = r"^([0-9.]+:[0-9]{1,5})?$"
 
 
-class _Section(pydantic.BaseModel):
-    """Base of the sections; unknown options are errors."""
-
-    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
-
-
-class InstanceSection(_Section):
+class InstanceSection(ini.Model):
     """``[instance]``: names and addresses of this process.
 
     Others reach its instance streams at ``peer_port``; where a port mapping lies between,
     ``peer_listen_port`` is the port that the process itself listens on.
     """
 
-    name: str = pydantic.Field(pattern=r"^[A-Za-z0-9._-]+$")
-    deployment: str = pydantic.Field(pattern=r"^[A-Za-z0-9._-]+$")
-    zone: str = pydantic.Field(min_length=1)
+    name: Annotated[str, msgspec.Meta(pattern=r"^[A-Za-z0-9._-]+$")]
+    deployment: Annotated[str, msgspec.Meta(pattern=r"^[A-Za-z0-9._-]+$")]
+    zone: Annotated[str, msgspec.Meta(min_length=1)]
     host: ipaddress.IPv4Address
-    http_port: int = pydantic.Field(ge=1, le=65535)
-    peer_port: int = pydantic.Field(ge=1, le=65535)
-    peer_listen_port: int = pydantic.Field(default=0, ge=0, le=65535)
+    http_port: Annotated[int, msgspec.Meta(ge=1, le=65535)]
+    peer_port: Annotated[int, msgspec.Meta(ge=1, le=65535)]
+    peer_listen_port: Annotated[int, msgspec.Meta(ge=0, le=65535)] = 0
 
-    @pydantic.model_validator(mode="after")
-    def _distinct_ports(self) -> "InstanceSection":
+    def problems(self) -> tuple[ini.Problem, ...]:
+        """Returns what is wrong with the addresses."""
         if self.http_port == self.peer_port:
-            raise ValueError("http_port and peer_port must differ")
-        return self
+            return (ini.Problem("", "http_port and peer_port must differ"),)
+        return ()
 
 
-class PlatformSection(_Section):
+class PlatformSection(ini.Model):
     """``[platform]``: which dialect is spoken, and where the platform's services are.
 
     The native dialect has a configuration service and an instance list. The other one
     has a store, and ``seeds`` names instances by which the others are found.
     """
 
-    dialect: str = pydantic.Field(default="native", pattern=r"^(native|platform)$")
-    config_url: str = pydantic.Field(default="", pattern=r"^(https?://.*)?$")
-    instances_url: str = pydantic.Field(default="", pattern=r"^(https?://.*)?$")
-    store: str = pydantic.Field(default="", pattern=_ADDRESS_OR_NONE)
-    seeds: str = pydantic.Field(default="", pattern=r"^[0-9.:, ]*$")
+    dialect: Annotated[str, msgspec.Meta(pattern=r"^(native|platform)$")] = "native"
+    config_url: Annotated[str, msgspec.Meta(pattern=r"^(https?://.*)?$")] = ""
+    instances_url: Annotated[str, msgspec.Meta(pattern=r"^(https?://.*)?$")] = ""
+    store: Annotated[str, msgspec.Meta(pattern=_ADDRESS_OR_NONE)] = ""
+    seeds: Annotated[str, msgspec.Meta(pattern=r"^[0-9.:, ]*$")] = ""
 
-    @pydantic.model_validator(mode="after")
-    def _complete(self) -> "PlatformSection":
+    def problems(self) -> tuple[ini.Problem, ...]:
+        """Returns the addresses that are missing."""
         needed = ("config_url", "instances_url") if self.dialect == "native" else ("store",)
-        missing = [name for name in needed if not getattr(self, name)]
-        if missing:
-            raise ValueError(f"{missing[0]}: needed with dialect = {self.dialect}")
-        return self
+        return tuple(
+            ini.Problem(name, f"needed with dialect = {self.dialect}")
+            for name in needed
+            if not getattr(self, name)
+        )
 
     def seed_hosts(self) -> tuple[str, ...]:
         """Returns the IP numbers of the seeds."""
         return tuple(seed.strip().split(":")[0] for seed in self.seeds.split(",") if seed.strip())
 
 
-class ListenSection(_Section):
+class ListenSection(ini.Model):
     """``[listen]``: addresses of the servers where each has its own."""
 
-    callers: str = pydantic.Field(default="", pattern=_ADDRESS_OR_NONE)
-    ready: str = pydantic.Field(default="", pattern=_ADDRESS_OR_NONE)
-    control: str = pydantic.Field(default="", pattern=_ADDRESS_OR_NONE)
+    callers: Annotated[str, msgspec.Meta(pattern=_ADDRESS_OR_NONE)] = ""
+    ready: Annotated[str, msgspec.Meta(pattern=_ADDRESS_OR_NONE)] = ""
+    control: Annotated[str, msgspec.Meta(pattern=_ADDRESS_OR_NONE)] = ""
 
 
-class ExtraCallsSection(_Section):
+class ExtraCallsSection(ini.Model):
     """``[extra_calls]``: budgets of calls beyond the first of each sub-request.
 
     All instances together may make ``allowance`` extra calls to a shard in the length of
@@ -88,55 +84,55 @@
     """
 
     by_service: bool = False
-    ratio: float = pydantic.Field(default=0.05, ge=0, le=1)
-    allowance: float = pydantic.Field(default=40.0, ge=0)
+    ratio: Annotated[float, msgspec.Meta(ge=0, le=1)] = 0.05
+    allowance: Annotated[float, msgspec.Meta(ge=0)] = 40.0
     refusals_cost: bool = False
 
 
-class LimitsSection(_Section):
+class LimitsSection(ini.Model):
     """``[limits]``: sizes that are refused above."""
 
-    body_bytes: int = pydantic.Field(default=65_536, ge=256, le=16_777_216)
-    frame_bytes: int = pydantic.Field(default=4_194_304, ge=65_536, le=67_108_864)
-    stream_buffer_bytes: int = pydantic.Field(default=33_554_432, ge=65_536)
-    callers: int = pydantic.Field(default=10_000, ge=1)
-    results: int = pydantic.Field(default=1_000, ge=1, le=100_000)
+    body_bytes: Annotated[int, msgspec.Meta(ge=256, le=16_777_216)] = 65_536
+    frame_bytes: Annotated[int, msgspec.Meta(ge=65_536, le=67_108_864)] = 4_194_304
+    stream_buffer_bytes: Annotated[int, msgspec.Meta(ge=65_536)] = 33_554_432
+    callers: Annotated[int, msgspec.Meta(ge=1)] = 10_000
+    results: Annotated[int, msgspec.Meta(ge=1, le=100_000)] = 1_000
 
 
-class TimingSection(_Section):
+class TimingSection(ini.Model):
     """``[timing]``: periods and limits of time, in milliseconds."""
 
-    heartbeat_ms: ini.Milliseconds = datetime.timedelta(milliseconds=200)
-    silence_ms: ini.Milliseconds = datetime.timedelta(milliseconds=800)
-    backend_connect_ms: ini.Milliseconds = datetime.timedelta(milliseconds=150)
-    backend_idle_ms: ini.Milliseconds = datetime.timedelta(seconds=30)
-    instances_poll_ms: ini.Milliseconds = datetime.timedelta(seconds=1)
-    watch_ms: ini.Milliseconds = datetime.timedelta(seconds=10)
-    watch_settle_ms: ini.Milliseconds = datetime.timedelta(0)
-    service_retry_ms: ini.Milliseconds = datetime.timedelta(milliseconds=500)
-    balancer_lag_ms: ini.Milliseconds = datetime.timedelta(seconds=2)
-    drain_max_ms: ini.Milliseconds = datetime.timedelta(seconds=60)
-    pause_ms: ini.Milliseconds = datetime.timedelta(milliseconds=500)
-    caller_body_ms: ini.Milliseconds = datetime.timedelta(seconds=5)
-    caller_idle_ms: ini.Milliseconds = datetime.timedelta(seconds=75)
-    leaving_grace_ms: ini.Milliseconds = datetime.timedelta(0)
+    heartbeat_ms: datetime.timedelta = datetime.timedelta(milliseconds=200)
+    silence_ms: datetime.timedelta = datetime.timedelta(milliseconds=800)
+    backend_connect_ms: datetime.timedelta = datetime.timedelta(milliseconds=150)
+    backend_idle_ms: datetime.timedelta = datetime.timedelta(seconds=30)
+    instances_poll_ms: datetime.timedelta = datetime.timedelta(seconds=1)
+    watch_ms: datetime.timedelta = datetime.timedelta(seconds=10)
+    watch_settle_ms: datetime.timedelta = datetime.timedelta(0)
+    service_retry_ms: datetime.timedelta = datetime.timedelta(milliseconds=500)
+    balancer_lag_ms: datetime.timedelta = datetime.timedelta(seconds=2)
+    drain_max_ms: datetime.timedelta = datetime.timedelta(seconds=60)
+    pause_ms: datetime.timedelta = datetime.timedelta(milliseconds=500)
+    caller_body_ms: datetime.timedelta = datetime.timedelta(seconds=5)
+    caller_idle_ms: datetime.timedelta = datetime.timedelta(seconds=75)
+    leaving_grace_ms: datetime.timedelta = datetime.timedelta(0)
     hold_after_pause: bool = True
 
-    @pydantic.model_validator(mode="after")
-    def _silence_spans_heartbeats(self) -> "TimingSection":
+    def problems(self) -> tuple[ini.Problem, ...]:
+        """Returns what is wrong with the periods together."""
         if self.silence_ms < 2 * self.heartbeat_ms:
-            raise ValueError("silence_ms must be at least twice heartbeat_ms")
-        return self
+            return (ini.Problem("", "silence_ms must be at least twice heartbeat_ms"),)
+        return ()
 
 
-class SpreadSection(_Section):
+class SpreadSection(ini.Model):
     """``[spread]``: streams between instances."""
 
-    neighbours: int = pydantic.Field(default=16, ge=2, le=64)
-    watchers_per_zone: int = pydantic.Field(default=2, ge=1, le=8)
+    neighbours: Annotated[int, msgspec.Meta(ge=2, le=64)] = 16
+    watchers_per_zone: Annotated[int, msgspec.Meta(ge=1, le=8)] = 2
 
 
-class PolicySection(_Section):
+class PolicySection(ini.Model):
     """``[policy]``: names of the policies to use."""
 
     ownership: str = "rendezvous"
@@ -145,22 +141,22 @@
     admission: str = "window"
     order: str = "ranked"
 
-    @pydantic.model_validator(mode="after")
-    def _registered(self) -> "PolicySection":
+    def problems(self) -> tuple[ini.Problem, ...]:
+        """Returns the names that no policy has."""
         registry.load()
-        for kind in map(registry.Kind, type(self).model_fields):
-            name = getattr(self, kind.value)
-            if name not in registry.names(kind):
-                known = ", ".join(registry.names(kind))
-                raise ValueError(f"{kind.value}: {name!r} is not known; known: {known}")
-        return self
+        return tuple(
+            ini.Problem(name, f"{getattr(self, name)!r} is not known; known: {known}")
+            for name in self.__struct_fields__
+            if getattr(self, name) not in (found := registry.names(registry.Kind(name)))
+            for known in [", ".join(found)]
+        )
 
     def names(self) -> kernel.PolicyNames:
         """Returns the names for the kernel."""
-        return kernel.PolicyNames(**self.model_dump())
+        return kernel.PolicyNames(**msgspec.structs.asdict(self))
 
 
-class Settings(_Section):
+class Settings(ini.Model):
     """All settings of an instance, one attribute for each section."""
 
     instance: InstanceSection
@@ -195,19 +191,20 @@
     """
     source = ini.read(file, text)
     findings = list(source.findings)
-    model_by_name: dict[str, pydantic.BaseModel] = {}
-    for name, field in Settings.model_fields.items():
+    model_by_name: dict[str, ini.Model] = {}
+    field_by_name = {field.name: field for field in msgspec.structs.fields(Settings)}
+    for name, field in field_by_name.items():
         section = source.section_by_name.get(name)
         if section is not None:
-            model, errors_found = ini.check(source, section, field.annotation)
+            model, errors_found = ini.check(source, section, field.type)
             findings.extend(errors_found)
             if model is not None:
                 model_by_name[name] = model
-        elif field.is_required() and not source.findings:
+        elif field.required and not source.findings:
             place = data.Place(file, name)
             findings.append(data.Finding(place, f"the section [{name}] is missing"))
     for name, section in source.section_by_name.items():
-        if name not in Settings.model_fields:
+        if name not in field_by_name:
             place = data.Place(file, name, section.line)
             findings.append(data.Finding(place, "no such section"))
     if findings:
--- a/monsoonhoist/tables/ini.py
+++ b/monsoonhoist/tables/ini.py
@@ -7,36 +7,47 @@
 import configparser
 import datetime
 import re
-from typing import Annotated, TypeVar
+from collections.abc import Iterator
+from typing import Annotated, TypeVar, get_args, get_origin, get_type_hints
 
 import msgspec
-import pydantic
 
 from monsoonhoist.core import data
 
 _SECTION = re.compile(r"^\[(?P<name>[^\]]+)\]")
 _OPTION = re.compile(r"^(?P<name>[^\s:=#;][^:=]*?)\s*[:=]")
 
-ModelT = TypeVar("ModelT", bound=pydantic.BaseModel)
+ModelT = TypeVar("ModelT", bound="Model")
 
 
-def _milliseconds(value: object) -> datetime.timedelta:
-    """Returns the duration that a whole number of milliseconds stands for."""
-    return datetime.timedelta(milliseconds=int(str(value)))
+class Bounds(msgspec.Struct, frozen=True):
+    """Bounds of a duration, in milliseconds."""
 
-
-Milliseconds = Annotated[datetime.timedelta, pydantic.BeforeValidator(_milliseconds)]
+    low_ms: int
+    high_ms: int
 
 
 def bounded_milliseconds(low_ms: int, high_ms: int) -> object:
     """Returns the type of a duration from ``low_ms`` to ``high_ms``."""
+    return Annotated[datetime.timedelta, Bounds(low_ms, high_ms)]
+
+
+class Problem(msgspec.Struct, frozen=True):
+    """What is wrong with an option, or with several together, where it is empty."""
+
+    option: str
+    message: str
+
 
-    def check_bounds(value: datetime.timedelta) -> datetime.timedelta:
-        if not low_ms <= value / datetime.timedelta(milliseconds=1) <= high_ms:
-            raise ValueError(f"must be from {low_ms} to {high_ms}")
-        return value
+class Model(msgspec.Struct, frozen=True, kw_only=True):
+    """Base of the sections' models: one field for each option.
 
-    return Annotated[Milliseconds, pydantic.AfterValidator(check_bounds)]
+    Durations are written as whole milliseconds.
+    """
+
+    def problems(self) -> tuple[Problem, ...]:
+        """Returns what is wrong with options that are right by themselves."""
+        return ()
 
 
 class Section(msgspec.Struct, frozen=True):
@@ -102,19 +113,79 @@
     Returns:
         The checked values, or None and everything that is wrong with them.
     """
-    try:
-        return model.model_validate(section.value_by_option), []
-    except pydantic.ValidationError as error:
-        return None, [_finding(source, section, detail) for detail in error.errors()]
-
-
-def _finding(source: Source, section: Section, detail: dict) -> data.Finding:
-    """Returns one of the model's errors with its place."""
-    option = str(detail["loc"][0]) if detail["loc"] else ""
-    line = section.line_by_option.get(option, section.line)
-    text = detail["msg"].removeprefix("Value error, ")
-    message = f"{option}: {text}" if option else text
-    return data.Finding(data.Place(source.file, section.name, line), message)
+    types = get_type_hints(model, include_extras=True)
+    problems: list[Problem] = []
+    value_by_option: dict[str, object] = {}
+    for field in msgspec.structs.fields(model):
+        text = section.value_by_option.get(field.name)
+        if text is None:
+            if field.required:
+                problems.append(Problem(field.name, "Field required"))
+            continue
+        try:
+            value_by_option[field.name] = _convert(text, types[field.name])
+        except (ValueError, msgspec.ValidationError) as error:
+            problems.append(Problem(field.name, str(error)))
+    unknown = [option for option in section.value_by_option if option not in types]
+    problems += [Problem(option, "no such option") for option in unknown]
+    checked = None
+    if not problems:
+        checked = model(**value_by_option)
+        problems += checked.problems()
+    findings = [_finding(source, section, problem) for problem in problems]
+    return (None if findings else checked), findings
+
+
+def _convert(text: str, kind: object) -> object:
+    """Returns the value that an option's text stands for.
+
+    Raises:
+        ValueError: If the text is no duration within its bounds.
+        ValidationError: If the text does not fit another type.
+    """
+    base = get_args(kind)[0] if get_origin(kind) is Annotated else kind
+    if base is bool:
+        return _boolean(text)
+    if not _is_duration(kind):
+        return msgspec.convert(text, kind, strict=False, dec_hook=_construct)
+    duration = datetime.timedelta(milliseconds=int(text))
+    for bounds in _bounds(kind):
+        if not bounds.low_ms <= int(text) <= bounds.high_ms:
+            raise ValueError(f"must be from {bounds.low_ms} to {bounds.high_ms}")
+    return duration
+
+
+def _construct(kind: type, text: str) -> object:
+    """Returns an object of a type that is made from text, such as an IP number."""
+    return kind(text)
+
+
+def _boolean(text: str) -> bool:
+    """Returns what one of the words that INI has for true and false stands for."""
+    state = configparser.ConfigParser.BOOLEAN_STATES.get(text.lower())
+    if state is None:
+        raise ValueError("must be yes or no")
+    return state
+
+
+def _is_duration(kind: object) -> bool:
+    """Returns whether an annotation is a duration, or one that may be left out."""
+    return kind is datetime.timedelta or any(_is_duration(part) for part in get_args(kind))
+
+
+def _bounds(kind: object) -> Iterator[Bounds]:
+    """Yields the bounds within an annotation."""
+    if isinstance(kind, Bounds):
+        yield kind
+    for part in get_args(kind):
+        yield from _bounds(part)
+
+
+def _finding(source: Source, section: Section, problem: Problem) -> data.Finding:
+    """Returns a problem as a finding with its place."""
+    line = section.line_by_option.get(problem.option, section.line)
+    prefix = f"{problem.option}: " if problem.option else ""
+    return data.Finding(data.Place(source.file, section.name, line), f"{prefix}{problem.message}")
 
 
 def _locate(text: str) -> dict[str, Section]:
--- a/monsoonhoist/tables/pools.py
+++ b/monsoonhoist/tables/pools.py
@@ -5,9 +5,9 @@
 """
 
 from collections.abc import Sequence
+from typing import Annotated
 
 import msgspec
-import pydantic
 
 from monsoonhoist.core import data
 from monsoonhoist.tables import ini
@@ -15,33 +15,30 @@
 KEY_PREFIX = "pool/"
 _SERVER_PREFIX = "server "
 _ADDRESS = r"^[0-9.]+:[0-9]{1,5}$"
+_Name = Annotated[str, msgspec.Meta(min_length=1)]
 
 
-class PoolModel(pydantic.BaseModel):
+class PoolModel(ini.Model):
     """Options of the ``[pool]`` section."""
 
-    model_config = pydantic.ConfigDict(extra="forbid")
+    key_space: Annotated[int, msgspec.Meta(ge=1, le=2**62)]
 
-    key_space: int = pydantic.Field(ge=1, le=2**62)
 
-
-class ServerModel(pydantic.BaseModel):
+class ServerModel(ini.Model):
     """Options of a ``[server NAME]`` section."""
 
-    model_config = pydantic.ConfigDict(extra="forbid")
-
-    service: str = pydantic.Field(min_length=1)
-    address: str = pydantic.Field(pattern=_ADDRESS)
-    zone: str = pydantic.Field(min_length=1)
-    slots: int = pydantic.Field(ge=1, le=10_000)
-    connections: int = pydantic.Field(ge=1, le=100_000)
+    service: _Name
+    address: Annotated[str, msgspec.Meta(pattern=_ADDRESS)]
+    zone: _Name
+    slots: Annotated[int, msgspec.Meta(ge=1, le=10_000)]
+    connections: Annotated[int, msgspec.Meta(ge=1, le=100_000)]
     leaving: bool = False
 
-    @pydantic.model_validator(mode="after")
-    def _connections_for_slots(self) -> "ServerModel":
+    def problems(self) -> tuple[ini.Problem, ...]:
+        """Returns what is wrong with the limits together."""
         if self.connections < self.slots:
-            raise ValueError("connections must not be fewer than slots")
-        return self
+            return (ini.Problem("", "connections must not be fewer than slots"),)
+        return ()
 
 
 class PoolPart(msgspec.Struct, frozen=True):
--- a/monsoonhoist/tables/routes.py
+++ b/monsoonhoist/tables/routes.py
@@ -1,7 +1,8 @@
 """Table of routes: INI text to ``data.Route`` records."""
 
+from typing import Annotated
+
 import msgspec
-import pydantic
 
 from monsoonhoist.core import data
 from monsoonhoist.tables import ini
@@ -9,34 +10,33 @@
 KEY = data.TableKey("routes")
 DEADLINE_MIN_MS = 10
 DEADLINE_MAX_MS = 60_000
+# Extra sub-requests of a route that does not say otherwise, as a share of the first ones.
+HEDGE_BUDGET = 0.05
 _PREFIX = "route "
 _Deadline = ini.bounded_milliseconds(DEADLINE_MIN_MS, DEADLINE_MAX_MS)
 
 
-class RouteModel(pydantic.BaseModel):
+class RouteModel(ini.Model):
     """Options of a ``[route NAME]`` section."""
 
-    model_config = pydantic.ConfigDict(extra="forbid")
-
     rank: data.Rank
-    pool: str = pydantic.Field(min_length=1)
-    repeatable: bool = True
+    pool: Annotated[str, msgspec.Meta(min_length=1)]
     deadline_ms: _Deadline
-    minimum_coverage: float = pydantic.Field(default=0.0, ge=0.0, le=1.0)
-    hedge_budget: float = pydantic.Field(default=0.05, ge=0.0, le=0.5)
+    repeatable: bool = True
+    minimum_coverage: Annotated[float, msgspec.Meta(ge=0.0, le=1.0)] = 0.0
+    hedge_budget: Annotated[float, msgspec.Meta(ge=0.0, le=0.5)] | None = None
     partial_after_ms: _Deadline | None = None
 
-    @pydantic.model_validator(mode="after")
-    def _partial_before_deadline(self) -> "RouteModel":
+    def problems(self) -> tuple[ini.Problem, ...]:
+        """Returns what is wrong with the options together."""
+        found: list[ini.Problem] = []
         if self.partial_after_ms is not None and self.partial_after_ms > self.deadline_ms:
-            raise ValueError("partial_after_ms must not be longer than deadline_ms")
-        return self
-
-    @pydantic.model_validator(mode="after")
-    def _no_hedge_without_repeat(self) -> "RouteModel":
-        if not self.repeatable and "hedge_budget" in self.model_fields_set and self.hedge_budget:
-            raise ValueError("a route that is not repeatable must have hedge_budget = 0")
-        return self
+            message = "partial_after_ms must not be longer than deadline_ms"
+            found.append(ini.Problem("", message))
+        if not self.repeatable and self.hedge_budget:
+            message = "a route that is not repeatable must have hedge_budget = 0"
+            found.append(ini.Problem("", message))
+        return tuple(found)
 
 
 class RoutesTable(msgspec.Struct, frozen=True):
@@ -74,6 +74,7 @@
 
 
 def _route(route_id: data.RouteId, model: RouteModel) -> data.Route:
+    hedge_budget = HEDGE_BUDGET if model.hedge_budget is None else model.hedge_budget
     return data.Route(
         route_id=route_id,
         rank=model.rank,
@@ -81,6 +82,6 @@
         repeatable=model.repeatable,
         deadline=model.deadline_ms,
         minimum_coverage=model.minimum_coverage,
-        hedge_budget=model.hedge_budget if model.repeatable else 0.0,
+        hedge_budget=hedge_budget if model.repeatable else 0.0,
         partial_after=model.partial_after_ms,
     )
