Do not call a shard whose servers have left before it is first asked for

Ruled out: late news of the leaving (in force 11 ms after the store had it, by the log). Change: servers that are leaving when a shard's state is made have no such moment.

--- a/features/server_choice.feature
+++ b/features/server_choice.feature
@@ -36,3 +36,15 @@
     And a budget of 20 of 100 calls and 8 more in 10 s
     When 600 sub-requests come, one each 20 ms
     Then no 10 s have more extra calls than the budget
+
+  Scenario: Servers that leave are called for a moment where no other is left
+    Given a shard of two servers with a grace of 1500 ms for those that leave
+    When 10 sub-requests come, one each 20 ms
+    And the table takes both servers out of service
+    Then a sub-request 1000 ms later is called
+    And a sub-request 2000 ms later is not called
+
+  Scenario: A shard that is first asked for after its servers have left is not called
+    Given a shard of two servers with a grace of 1500 ms for those that leave
+    And the table takes both servers out of service
+    Then a sub-request 2000 ms later is not called
--- a/features/steps/server_choice.py
+++ b/features/steps/server_choice.py
@@ -64,8 +64,12 @@
         """Makes the owner."""
         made = kernel.make_kernel(MYSELF, ZONE, self.clock, POLICIES, self.options)
         self.owner = made.owner
+        self.publish(leaving=False)
+
+    def publish(self, leaving):
+        """Gives the owner the table of servers."""
         servers = tuple(
-            data.Server(data.ServerId(name), SERVICE, f"{name}:1", ZONE, 4, 100, False)
+            data.Server(data.ServerId(name), SERVICE, f"{name}:1", ZONE, 4, 100, leaving)
             for name in self.server_by_name
         )
         pool = data.Pool(POOL, 1, {SERVICE: servers}, data.Snapshot(1), "greatest-records")
@@ -251,3 +255,39 @@
         extra = sum(start <= instant < end for instant in load.extra_at)
         first = sum(start <= instant < end for instant in load.first_at)
         assert extra <= load.ratio * first + context.allowance, (start, extra, first)
+
+
+@given("a shard of two servers with a grace of {grace:d} ms for those that leave")
+def make_leaving(context, grace):
+    """Makes usual servers."""
+    context.load = LoadBench({"a": Server(), "b": Server()})
+    context.load.options = owner.OwnerOptions(leaving_grace_seconds=grace / 1000)
+
+
+@given("the table takes both servers out of service")
+@when("the table takes both servers out of service")
+def take_out(context):
+    """Publishes the servers as leaving."""
+    if context.load.owner is None:
+        context.load.start()
+    context.load.publish(leaving=True)
+
+
+@then("a sub-request {ms:d} ms later is called")
+def check_called_later(context, ms):
+    """Sends a sub-request later than the one before."""
+    assert calls_after(context.load, ms) == 1
+
+
+@then("a sub-request {ms:d} ms later is not called")
+def check_not_called_later(context, ms):
+    """Sends a sub-request later than the one before."""
+    assert calls_after(context.load, ms) == 0
+
+
+def calls_after(load, ms):
+    """Returns the first calls made by a sub-request after a pause."""
+    load.reset_counts()
+    load.advance(load.clock.now_seconds + ms / 1000)
+    load.send()
+    return sum(load.first_by_server.values())
--- a/monsoonhoist/core/owner.py
+++ b/monsoonhoist/core/owner.py
@@ -3,6 +3,7 @@
 import dataclasses
 import heapq
 import itertools
+import math
 from collections.abc import Callable
 
 import msgspec
@@ -429,7 +430,8 @@
             self._options.leaving_grace_seconds,
         )
         state.keys = _fixed_keys(pool, service)
-        state.update(servers, self._share, self._clock.monotonic())
+        # Nothing tells for how long servers that are leaving by now have been leaving.
+        state.update(servers, self._share, -math.inf)
         self._shard_by_key[(pool_id, service)] = state
         return state
 
