Read the settings again on SIGHUP and when the file changes

Ruled out: memory and crashes; the log ends at the signal. Change: the settings file is read again on SIGHUP and when its text changes; the seeds are taken over at once, other sections are named in the log as waiting for a new start; settings with errors change nothing.

--- a/features/leaving.feature
+++ b/features/leaving.feature
@@ -28,6 +28,14 @@
     And 40 more answers have come
     Then all answers are whole
 
+  @site_three
+  Scenario: An instance reads its settings again under load
+    Given callers keep asking route "boat-search" at instances 1 and 3
+    When the process "node-3" is told to read its settings again
+    And 40 more answers have come
+    Then all answers are whole
+    And the process "node-3" is still running
+
   @site_three
   Scenario: An instance shuts down with its own callers' requests in flight
     Given a ticket for route "book-boat" from instance 3
--- a/features/steps/leaving.py
+++ b/features/steps/leaving.py
@@ -48,6 +48,18 @@
     context.site.signal(name, signal.SIGTERM)
 
 
+@when('the process "{name}" is told to read its settings again')
+def tell_read(context, name):
+    """Sends SIGHUP."""
+    context.site.signal(name, signal.SIGHUP)
+
+
+@then('the process "{name}" is still running')
+def check_running(context, name):
+    """Checks that the process has not ended."""
+    assert context.site.process_by_name[name].poll() is None
+
+
 @when('the process "{name}" has ended by itself')
 @then('the process "{name}" ends by itself')
 def wait_end(context, name):
--- a/monsoonhoist/cli.py
+++ b/monsoonhoist/cli.py
@@ -56,11 +56,10 @@
     Example: monsoonhoist serve zurichsee-1.ini
     """
     try:
-        config = settings.load(path)
+        process.run(path, log_level, trace)
     except errors.SettingsError as error:
         _show_findings(error.findings)
         raise typer.Exit(EXIT_FINDINGS) from error
-    process.run(config, log_level, trace)
 
 
 @app.command()
--- a/monsoonhoist/node/node.py
+++ b/monsoonhoist/node/node.py
@@ -7,6 +7,8 @@
 import pathlib
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from monsoonhoist import metrics, settings
 from monsoonhoist.core import (
     clock,
@@ -150,6 +152,24 @@
         self._spawn(self._become_ready())
         self._refresh_view()
 
+    def reconfigure(self, config: settings.Settings) -> None:
+        """Takes over changed settings; all but the platform's need a new start."""
+        changed = [
+            name
+            for name in config.__struct_fields__
+            if getattr(config, name) != getattr(self.config, name)
+        ]
+        later = [name for name in changed if name != "platform"]
+        _log.info("settings read again", extra={"changed": changed, "after_restart": later})
+        if "platform" in changed:
+            self.config = msgspec.structs.replace(self.config, platform=config.platform)
+            self.dialect.config = self.config
+            self._instances.stop()
+            self._instances = self.dialect.make_listing(
+                self._driver, self.counters, self._take_listed
+            )
+            self._instances.start()
+
     async def leave(self) -> None:
         """Leaves without cutting a request, then closes everything.
 
--- a/monsoonhoist/serve.py
+++ b/monsoonhoist/serve.py
@@ -7,7 +7,7 @@
 import pathlib
 import sys
 
-from monsoonhoist import errors, settings
+from monsoonhoist import errors
 from monsoonhoist.node import process
 
 FILE_VARIABLE = "MONSOONHOIST_NODE_FILE"
@@ -17,11 +17,10 @@
 def main() -> None:
     """Serves until the process is told to end; ends at once if the settings are wrong."""
     try:
-        config = settings.load(pathlib.Path(os.environ[FILE_VARIABLE]))
+        process.run(pathlib.Path(os.environ[FILE_VARIABLE]), "info", None)
     except errors.SettingsError as error:
         print("\n".join(finding.describe() for finding in error.findings), file=sys.stderr)
         sys.exit(EXIT_FINDINGS)
-    process.run(config, "info", None)
 
 
 if __name__ == "__main__":
