Watch all of the store's keys with one call

Cause: one watch for the configuration and one for the server entries doubled the calls. Change: one watch with an empty prefix.

--- a/monsoonhoist/platform/names.py
+++ b/monsoonhoist/platform/names.py
@@ -16,7 +16,7 @@
 CONFIG_KEY = "op/config"
 SERVER_PREFIX = "servers/"
 # Beginnings of all keys that an instance reads.
-KEY_PREFIXES = ("op/", SERVER_PREFIX)
+KEY_PREFIXES = ("",)
 
 RECORD_BYTES = 16
 
