Let two instances watch the store, and others when its word is stale

Ruled out: longer watches alone; a silent connection must be noticed within the time in which a configuration has to be in force. Change: two watchers over all zones; heartbeats carry the newest word of the store with its reader and its age; the next instances in the order take over one after the other when it is stale. Pauses after failed calls double.

--- a/monsoonhoist/core/membership.py
+++ b/monsoonhoist/core/membership.py
@@ -126,6 +126,13 @@
             others.append(self.myself.instance)
         return tuple(sorted(others))
 
+    def watch_place(self) -> int:
+        """Returns this instance's place in the order of watchers, over all zones."""
+        candidates = sorted(self.live(), key=_watch_weight, reverse=True)
+        if self.myself.instance not in candidates:
+            return len(candidates)
+        return candidates.index(self.myself.instance)
+
     def is_watcher(self, watchers_per_zone: int) -> bool:
         """Returns whether this instance is to watch the configuration service.
 
--- a/monsoonhoist/core/messages.py
+++ b/monsoonhoist/core/messages.py
@@ -25,16 +25,30 @@
     member: data.Member
 
 
+class ServiceWord(msgspec.Struct, frozen=True, array_like=True):
+    """That the configuration service has answered an instance.
+
+    Attributes:
+        reader: The instance that was answered.
+        age_ms: Time since then, in milliseconds.
+    """
+
+    reader: data.InstanceId
+    age_ms: int
+
+
 class Beat(msgspec.Struct, frozen=True, array_like=True, tag="beat"):
     """Heartbeat of the side that opened the stream.
 
     Attributes:
         sequence: Counter of the stream.
         tables_digest: Digest of all table revisions in force at the sender.
+        word: The sender's newest word of the configuration service, if it has one.
     """
 
     sequence: int
     tables_digest: bytes
+    word: ServiceWord | None = None
 
 
 class BeatReply(msgspec.Struct, frozen=True, array_like=True, tag="beat-reply"):
--- a/monsoonhoist/node/node.py
+++ b/monsoonhoist/node/node.py
@@ -22,6 +22,7 @@
     routing,
     tickets,
     traces,
+    watching,
 )
 from monsoonhoist.node import (
     backends,
@@ -116,6 +117,14 @@
             self.dialect.make_reader(self._driver, self.counters),
             self.spread,
             self._is_watcher,
+            lambda: self._duty.note_read(time_source.monotonic()),
+        )
+        spread = config.spread
+        self._duty = watching.WatchDuty(
+            self.name,
+            spread.watchers,
+            spread.stale_ms.total_seconds(),
+            spread.stale_step_ms.total_seconds(),
         )
         self._routes = routing.RouteIndex()
         self._exporter: export.Exporter | None = None
@@ -307,6 +316,8 @@
                 self._owner.tell(events.CancelArrived(message.query_id))
             case messages.Beat():
                 self.spread.on_digest(sender, message.tables_digest)
+                if message.word is not None:
+                    self._duty.note_heard(message.word, self._clock.monotonic())
             case messages.Revisions():
                 self.spread.on_revisions(sender, message)
             case messages.WantTables():
@@ -358,6 +369,10 @@
         """Returns the digest of the tables in force."""
         return self.spread.summary
 
+    def newest_word(self) -> messages.ServiceWord | None:
+        """Returns the newest word of the configuration service, or None."""
+        return self._duty.newest_word(self._clock.monotonic())
+
     def _perform(self, command: events.Command) -> None:
         """Carries out a command of a kernel."""
         match command:
@@ -427,7 +442,10 @@
         """Returns whether this instance should read the configuration service."""
         if not self._hub.connected():
             return True
-        return self.members.is_watcher(self.config.spread.watchers_per_zone)
+        spread = self.config.spread
+        if not spread.watchers:
+            return self.members.is_watcher(spread.watchers_per_zone)
+        return self._duty.is_needed(self.members.watch_place(), self._clock.monotonic())
 
     async def _become_ready(self) -> None:
         """Makes the instance ready once it has the newest tables it can know."""
--- a/monsoonhoist/node/peers.py
+++ b/monsoonhoist/node/peers.py
@@ -70,6 +70,9 @@
     def tables_digest(self) -> bytes:
         """Returns the digest of the tables in force."""
 
+    def newest_word(self) -> messages.ServiceWord | None:
+        """Returns the newest word of the configuration service, or None."""
+
 
 class PeerHub:
     """Owns all streams of an instance.
@@ -281,7 +284,9 @@
                 asyncio.get_running_loop().call_soon(self._drop, self.member.instance)
                 return
             sequence += 1
-            beat = messages.Beat(sequence, self._listener.tables_digest())
+            beat = messages.Beat(
+                sequence, self._listener.tables_digest(), self._listener.newest_word()
+            )
             self._counters.count_stream_bytes(self._stream.send(beat), "Beat")
 
     def _is_idle(self) -> bool:
--- a/monsoonhoist/node/tables.py
+++ b/monsoonhoist/node/tables.py
@@ -20,7 +20,8 @@
 
 WANT_REPEAT_SECONDS = 0.5
 DIGEST_ANSWER_SECONDS = 0.5
-ROLE_CHECK_SECONDS = 0.5
+ROLE_CHECK_SECONDS = 0.25
+RETRY_MAX_SECONDS = 1.5
 
 _log = logging.getLogger(__name__)
 
@@ -149,10 +150,12 @@
     """Reads the configuration service while this instance is a watcher.
 
     Args:
-        retry: Shortest pause after a failed call; doubled with jitter at random.
+        retry: Pause after a failed call; it doubles with each failure in a row, up to
+            ``RETRY_MAX_SECONDS``, with jitter.
         reader: Reads the service.
         spread: Takes in the values.
         is_needed: Returns whether this instance should read the service now.
+        on_read: Called after each answer of the service.
 
     Attributes:
         has_read: Whether the service has been read whole since the start.
@@ -164,8 +167,10 @@
         reader: TableReader,
         spread: TableSpread,
         is_needed: Callable[[], bool],
+        on_read: Callable[[], None],
     ):
         self.has_read = False
+        self._on_read = on_read
         self._retry_seconds = retry.total_seconds()
         self._reader = reader
         self._spread = spread
@@ -189,7 +194,7 @@
         self.start()
 
     async def _run(self) -> None:
-        is_lost = False
+        failures = 0
         while True:
             if self.has_read and not self._is_needed():
                 self._reader.reset()
@@ -198,10 +203,12 @@
             try:
                 self._spread.offer(await self._reader.read(self._spread.store), "service")
                 self.has_read = True
-                if is_lost:
-                    is_lost = False
+                self._on_read()
+                if failures:
                     _log.info("configuration service read again")
+                failures = 0
             except ServiceError as error:
-                is_lost = True
                 _log.warning("configuration service not read", extra={"error": str(error)})
-                await asyncio.sleep(self._retry_seconds * random.uniform(1.0, 2.0))
+                pause = min(RETRY_MAX_SECONDS, self._retry_seconds * 2**failures)
+                failures += 1
+                await asyncio.sleep(pause * random.uniform(0.75, 1.25))
--- a/monsoonhoist/platform/reader.py
+++ b/monsoonhoist/platform/reader.py
@@ -18,7 +18,7 @@
 CONNECT_TIMEOUT = datetime.timedelta(seconds=1)
 READ_TIMEOUT = datetime.timedelta(seconds=2)
 # Time that the answer to a watch may take beyond the length of the watch.
-WATCH_SLACK = datetime.timedelta(milliseconds=700)
+WATCH_SLACK = datetime.timedelta(milliseconds=500)
 MS_PER_SECOND = 1000
 STATUS_OK = 200
 STATUS_HISTORY_GONE = 410
--- a/monsoonhoist/settings.py
+++ b/monsoonhoist/settings.py
@@ -126,10 +126,19 @@
 
 
 class SpreadSection(ini.Model):
-    """``[spread]``: streams between instances."""
+    """``[spread]``: streams between instances, and which instances watch the service.
+
+    With ``watchers`` the number is for all zones together, and an instance that hears
+    nothing of the service for ``stale_ms`` watches too; each place further in the order
+    of the instances waits ``stale_step_ms`` longer. Without it, ``watchers_per_zone``
+    instances watch in each zone.
+    """
 
     neighbours: Annotated[int, msgspec.Meta(ge=2, le=64)] = 16
     watchers_per_zone: Annotated[int, msgspec.Meta(ge=1, le=8)] = 2
+    watchers: Annotated[int, msgspec.Meta(ge=0, le=64)] = 0
+    stale_ms: datetime.timedelta = datetime.timedelta(milliseconds=2000)
+    stale_step_ms: datetime.timedelta = datetime.timedelta(milliseconds=300)
 
 
 class PolicySection(ini.Model):
