Test the whole path on the platform against a stand-in of our own

Writing the tests brought out three faults. Mended, each with its scenario: a caller that left did not end the servers' work (the connection's close callback was not set); a server that once answered as another one was never called again; a server that had failed was not tried again while the other one was idle. Ruled out for the last two: the breaker's pause, which is 5 s at most.

--- a/features/environment.py
+++ b/features/environment.py
@@ -1,8 +1,10 @@
 """Fixtures shared by all features."""
 
+import base64
+
 import behave
 
-from standins import site
+from standins import fleet, shards, site
 
 SITE_BY_TAG = {
     "site_three": site.SiteOptions(pools=("allocator", "boathouse")),
@@ -39,8 +41,20 @@
         context.site.stop()
 
 
+@behave.fixture
+def running_fleet(context):
+    """Starts a deployment on the users' platform and ends it after the feature."""
+    context.fleet = fleet.Fleet()
+    try:
+        yield context.fleet.start()
+    finally:
+        context.fleet.stop()
+
+
 def before_tag(context, tag):
     """Starts the deployment that a tag names."""
+    if tag == "fleet":
+        behave.use_fixture(running_fleet, context)
     if tag in SITE_BY_TAG:
         behave.use_fixture(running_site, context, SITE_BY_TAG[tag])
 
@@ -49,3 +63,22 @@
     """Gives each scenario its own collections."""
     context.answers = []
     context.answer_by_name = {}
+    context.replies = []
+    context.request_ids = []
+
+
+def after_scenario(context, scenario):
+    """Mends the servers and the configuration of a deployment that goes on."""
+    if "fleet" in context:
+        for name, server in context.fleet.server_by_name.items():
+            server.behaviour = shards.Behaviour()
+            if not context.fleet.do(lambda name=name: is_registered(context.fleet, name)):
+                context.fleet.set_state(name, "ready")
+        context.fleet.store.fault = ""
+        context.fleet.publish()
+
+
+def is_registered(deployment, name):
+    """Returns whether a server's entry stands as at the start."""
+    item = deployment.store.item_by_key.get(f"servers/{name}")
+    return item is not None and b'"ready"' in base64.b64decode(item["Value"])
--- a/monsoonhoist/core/server.py
+++ b/monsoonhoist/core/server.py
@@ -21,7 +21,10 @@
 # Weight of the newest call in the share of failures, and the time constant with which
 # that share fades while the server is not called.
 FAILURE_WEIGHT = 0.2
-FAILURE_MEMORY_SECONDS = 4.0
+FAILURE_MEMORY_SECONDS = 2.5
+# A share of failures below this is taken for none, so that a server that is idle because
+# it failed is tried again.
+FAILURE_SHARE_MIN = 0.1
 
 
 class ServerState:
@@ -129,7 +132,8 @@
     def failure_share(self, now: float) -> float:
         """Returns the expected share of calls that fail, from 0 to 1."""
         idle = max(0.0, now - self._failure_at)
-        return self._failure_share * math.exp(-idle / FAILURE_MEMORY_SECONDS)
+        faded = self._failure_share * math.exp(-idle / FAILURE_MEMORY_SECONDS)
+        return faded if faded >= FAILURE_SHARE_MIN else 0.0
 
     def note_outcome(self, has_failed: bool, now: float) -> None:
         """Takes note of whether a call failed, for whatever reason of the server's."""
@@ -163,9 +167,9 @@
         self._limit = 1
         self._successes = 0
 
-    def note_wrong(self) -> None:
-        """Closes the server for good: another one answers at its address."""
-        self._closed_until = math.inf
+    def note_wrong(self, now: float) -> None:
+        """Closes the server for long: another one answers at its address."""
+        self._closed_until = now + BACKOFF_MAX_SECONDS
 
     def note_shed(self) -> None:
         """Lowers the limit after the server refused a call for load."""
--- a/monsoonhoist/core/shard.py
+++ b/monsoonhoist/core/shard.py
@@ -201,7 +201,7 @@
             # The age is the least that the latency would have been.
             call.server.note_late(age, typical_seconds, now)
         elif event.reason is data.Refusal.WRONG_SERVER:
-            call.server.note_wrong()
+            call.server.note_wrong(now)
         elif event.reason in (data.Refusal.SHED, data.Refusal.CONNECTIONS):
             call.server.note_shed()
         elif event.reason is data.Refusal.DRAINING:
--- a/monsoonhoist/platform/callers.py
+++ b/monsoonhoist/platform/callers.py
@@ -51,6 +51,7 @@
         """Takes the head of the request."""
         self._start = start_line
         self._headers = headers
+        self._connection.set_close_callback(self.on_connection_close)
 
     def data_received(self, chunk: bytes) -> None:
         """Takes a piece of the body."""
--- /dev/null
+++ b/standins/fleet.py
@@ -0,0 +1,250 @@
+"""A deployment on the users' platform: store and servers in a thread, instances as processes."""
+
+import asyncio
+import http.client
+import json
+import pathlib
+import signal
+import subprocess
+import sys
+import tempfile
+import threading
+from collections.abc import Callable
+
+from standins import shards, site, store
+
+STORE_ADDRESS = ("127.0.2.1", 26100)
+SERVER_HOST = "127.0.2.1"
+SERVER_PORT_BASE = 26200
+CALLERS_PORT = 26001
+READY_PORT = 26002
+CONTROL_PORT = 26003
+PEER_PORT = 26004
+INSTANCES = 3
+SHARDS = ("alpha", "beta", "gamma", "delta")
+PLAIN = "records"
+SPARE_SHARDS = ("epsilon", "zeta")
+HOST_NAME = "club.example"
+MAX_CONNECTIONS = 30
+SLOTS = 4
+CALL_TIMEOUT_SECONDS = 10.0
+
+
+class Reply:
+    """A reply as a caller reads it."""
+
+    def __init__(self, response: http.client.HTTPResponse):
+        self.status = response.status
+        self.headers = response.headers
+        self.body = response.read()
+
+
+class Fleet:
+    """A running deployment.
+
+    Attributes:
+        server_by_name: Backend servers, two for each service.
+        process_by_number: Instances, from 1.
+    """
+
+    def __init__(self) -> None:
+        self.folder = pathlib.Path(tempfile.mkdtemp(prefix="monsoonhoist-fleet-"))
+        self.server_by_name: dict[str, shards.ShardServer] = {}
+        self.process_by_number: dict[int, subprocess.Popen] = {}
+        self.version = 1
+        self._service_by_server: dict[str, str] = {}
+        self._loop = asyncio.new_event_loop()
+        self._thread = threading.Thread(target=self._loop.run_forever, daemon=True)
+
+    def start(self) -> "Fleet":
+        """Starts everything and waits until all instances are ready."""
+        self._thread.start()
+        self.run(self._start_outside())
+        self.publish()
+        for number in range(1, INSTANCES + 1):
+            self.start_instance(number)
+        self.wait_ready()
+        return self
+
+    async def _start_outside(self) -> None:
+        """Starts the store and the servers in the thread's event loop."""
+        self.store = store.StoreStandIn()
+        self.store.listen(*STORE_ADDRESS)
+        port = SERVER_PORT_BASE
+        for service in (*SHARDS, *SPARE_SHARDS, PLAIN):
+            for letter in "ab":
+                server = shards.ShardServer(f"{service}-{letter}", SERVER_HOST, port, SLOTS)
+                await server.start()
+                self.server_by_name[server.name] = server
+                self._service_by_server[server.name] = service
+                self._put_server(server.name, "ready")
+                port += 1
+
+    def run(self, work: object) -> object:
+        """Runs a coroutine in the thread and returns its result."""
+        return asyncio.run_coroutine_threadsafe(work, self._loop).result(CALL_TIMEOUT_SECONDS)
+
+    def do(self, work: Callable[[], object]) -> object:
+        """Calls a function in the thread and returns its result."""
+
+        async def call() -> object:
+            return work()
+
+        return self.run(call())
+
+    def _put_server(self, name: str, state: str) -> None:
+        entry = {
+            "Service": self._service_by_server[name],
+            "Addr": self.server_by_name[name].address,
+            "Zone": "z1",
+            "Version": "v1",
+            "Slots": SLOTS,
+            "State": state,
+            "WarmupLeftMs": 0,
+            "Seq": 1,
+        }
+        self.store.put(f"servers/{name}", json.dumps(entry).encode())
+
+    def set_state(self, name: str, state: str) -> None:
+        """Lets a server register with a state, or removes its entry."""
+        if state == "removed":
+            self.do(lambda: self.store.remove(f"servers/{name}"))
+        else:
+            self.do(lambda: self._put_server(name, state))
+
+    def publish(self, gathered: tuple[str, ...] = SHARDS, extra: tuple[dict, ...] = ()) -> int:
+        """Writes a configuration with a newer version and returns the version."""
+        self.version += 3
+        routes = [
+            {
+                "Name": "gathered",
+                "Host": HOST_NAME,
+                "Prefix": "/find/",
+                "Type": "idempotent",
+                "TimeoutMs": 2000,
+                "GoalMs": 800,
+                "Priority": 0,
+                "Gather": list(gathered),
+                "Attempts": 2,
+                "TopK": 5,
+                "MinShardShare": 0.75,
+            },
+            _plain_route("plain", "/record/", "idempotent"),
+            _plain_route("order", "/order/", "non_idempotent"),
+            *extra,
+        ]
+        services = [
+            {"Name": name, "HealthPath": "/health", "MaxConns": MAX_CONNECTIONS, "Proto": "h1"}
+            for name in (*SHARDS, *SPARE_SHARDS, PLAIN)
+        ]
+        config = {"Version": self.version, "Routes": routes, "Services": services}
+        self.do(lambda: self.store.put("op/config", json.dumps(config).encode()))
+        return self.version
+
+    def start_instance(self, number: int) -> None:
+        """Starts one instance."""
+        path = self.folder / f"instance-{number}.ini"
+        path.write_text(settings_text(number), encoding="utf-8")
+        log = (self.folder / f"instance-{number}.log").open("ab")
+        command = [sys.executable, "-m", "monsoonhoist", "serve", str(path)]
+        self.process_by_number[number] = subprocess.Popen(
+            command, cwd=site.ROOT, stdout=log, stderr=log, stdin=subprocess.DEVNULL
+        )
+        log.close()
+
+    def wait_ready(self) -> None:
+        """Waits until all instances that run are ready."""
+        for number in self.process_by_number:
+            site.wait_until(
+                lambda number=number: self.is_ready(number),
+                f"instance {number} is not ready; logs in {self.folder}",
+            )
+
+    def is_ready(self, number: int) -> bool:
+        """Returns whether an instance answers that it is ready."""
+        return site.fetch(f"http://127.0.1.{number}:{READY_PORT}/api/ready") is not None
+
+    def ask(
+        self,
+        number: int,
+        target: str,
+        method: str = "GET",
+        body: bytes = b"",
+        request_id: str = "r-1",
+        wait_ms: int = 2000,
+        headers: dict[str, str] | None = None,
+    ) -> Reply:
+        """Sends a request to an instance and returns the reply."""
+        connection = http.client.HTTPConnection(
+            f"127.0.1.{number}", CALLERS_PORT, timeout=CALL_TIMEOUT_SECONDS
+        )
+        fields = {
+            "Host": HOST_NAME,
+            "X-Request-Id": request_id,
+            "X-Deadline-Ms": str(wait_ms),
+            **(headers or {}),
+        }
+        try:
+            connection.request(method, target, body or None, fields)
+            return Reply(connection.getresponse())
+        finally:
+            connection.close()
+
+    def seen(self, request_id: str) -> list[shards.Seen]:
+        """Returns what the servers have read of a request."""
+        return [
+            seen
+            for server in self.server_by_name.values()
+            for seen in list(server.seen)
+            if seen.request_id == request_id
+        ]
+
+    def log(self, number: int) -> list[dict]:
+        """Returns the lines that an instance has logged."""
+        text = (self.folder / f"instance-{number}.log").read_text(encoding="utf-8")
+        return [json.loads(line) for line in text.splitlines() if line.startswith("{")]
+
+    def stop(self) -> None:
+        """Ends all processes that this object started, and the thread."""
+        for process in self.process_by_number.values():
+            if process.poll() is None:
+                process.send_signal(signal.SIGKILL)
+        for process in self.process_by_number.values():
+            process.wait()
+        self._loop.call_soon_threadsafe(self._loop.stop)
+        self._thread.join()
+
+
+def _plain_route(name: str, prefix: str, kind: str) -> dict:
+    return {
+        "Name": name,
+        "Host": HOST_NAME,
+        "Prefix": prefix,
+        "Type": kind,
+        "TimeoutMs": 2000,
+        "GoalMs": 500,
+        "Priority": 2,
+        "Service": PLAIN,
+        "Attempts": 2,
+    }
+
+
+def settings_text(number: int) -> str:
+    """Returns the settings of an instance."""
+    host = f"127.0.1.{number}"
+    template = (site.ROOT / "deploy" / "settings.ini").read_text(encoding="utf-8")
+    values = {
+        "Ip": host,
+        "Zone": f"z{number}",
+        "InternalPorts.0": str(PEER_PORT),
+        "platform.Addr": f"{STORE_ADDRESS[0]}:{STORE_ADDRESS[1]}",
+        "Seeds": f"127.0.1.1:{CONTROL_PORT},127.0.1.9:{CONTROL_PORT}",
+        "Listen.Front": f"{host}:{CALLERS_PORT}",
+        "Listen.Ready": f"{host}:{READY_PORT}",
+        "Listen.Control": f"{host}:{CONTROL_PORT}",
+        "Bounds.RetryRatio": "0.2",
+        "Bounds.RetrySlack": "50",
+    }
+    for name, value in values.items():
+        template = template.replace("{{" + name + "}}", value)
+    return template
