Split the kernels, the node and the records by concern

Change: records of shard work, plans of queries, alarms, extra calls, options, reception and readiness are modules of their own; nothing decides otherwise.

--- a/features/steps/server_choice.py
+++ b/features/steps/server_choice.py
@@ -15,7 +15,8 @@
     exchange,
     kernel,
     messages,
-    owner,
+    options,
+    work,
 )
 
 MYSELF = data.InstanceId("instance-1")
@@ -49,7 +50,7 @@
         self.clock = clock.ManualClock()
         self.random = random.Random(7)
         self.ratio = 0.2
-        self.options = owner.OwnerOptions(budget.BudgetOptions(52.0, by_service=True))
+        self.options = options.OwnerOptions(budget.BudgetOptions(52.0, by_service=True))
         self.owner = None
         self.sequence = itertools.count()
         self.pending = []
@@ -90,7 +91,7 @@
         """Gives the owner a sub-request."""
         number = next(self.sequence)
         content = exchange.Content("GET", "/x/", (), b"")
-        spec = data.QuerySpec(
+        spec = work.QuerySpec(
             data.QueryId(str(number)),
             ROUTE,
             POOL,
@@ -205,7 +206,7 @@
 def set_budget(context, share, more):
     """Sets the budget."""
     context.load.ratio = share / 100
-    context.load.options = owner.OwnerOptions(
+    context.load.options = options.OwnerOptions(
         budget.BudgetOptions(float(more), by_service=True, refusals_cost=True)
     )
     context.allowance = more
@@ -261,7 +262,7 @@
 def make_leaving(context, grace):
     """Makes usual servers."""
     context.load = LoadBench({"a": Server(), "b": Server()})
-    context.load.options = owner.OwnerOptions(leaving_grace_seconds=grace / 1000)
+    context.load.options = options.OwnerOptions(leaving_grace_seconds=grace / 1000)
 
 
 @given("the table takes both servers out of service")
--- a/monsoonhoist/core/entry.py
+++ b/monsoonhoist/core/entry.py
@@ -9,26 +9,18 @@
     clock,
     data,
     events,
-    exchange,
-    hashing,
     messages,
     outcome,
+    plan,
     query,
     snapshots,
     splits,
+    work,
 )
 from monsoonhoist.policy import admission, ownership
 
 RERUNS_MAX = 2
 ATTEMPTS_MAX = 4
-# Share of the deadline after which a silent owner's stand-by is asked.
-OWNER_PATIENCE_SHARE = 0.4
-# Share of the deadline kept for sending the answer back to the caller.
-ANSWER_MARGIN_SHARE = 0.05
-# An answer is given this long before the route's goal, for the way to the caller and
-# back, but no earlier than this share of the goal before it.
-GOAL_LEAD_SECONDS = 0.012
-GOAL_LEAD_SHARE = 0.3
 MS_PER_SECOND = 1000
 
 _OVERLOAD_REASONS = (
@@ -61,7 +53,6 @@
         self._admission_class = admission_class
         self._tables = data.Tables({}, {})
         self._instances: tuple[data.InstanceId, ...] = (myself,)
-        self._services_by_pool: dict[data.PoolId, tuple[data.ServiceId, ...]] = {}
         self._admission_by_pool: dict[data.PoolId, admission.Admission] = {}
         self._knowledge_by_pool: dict[data.PoolId, snapshots.PoolKnowledge] = {}
         self._bucket_by_route: dict[data.RouteId, budget.TokenBucket] = {}
@@ -101,10 +92,6 @@
     def _change_view(self, event: events.ViewChanged) -> list[events.Command]:
         self._tables = event.tables
         self._instances = event.instances
-        self._services_by_pool = {
-            pool_id: tuple(sorted(pool.servers_by_service))
-            for pool_id, pool in event.tables.pool_by_id.items()
-        }
         return []
 
     def _start(self, event: events.QueryArrived) -> list[events.Command]:
@@ -130,7 +117,10 @@
         if not self._admission(pool_id).admit(route.rank):
             detail = f"too much {route.rank.value} work for the pool {pool_id!r}"
             return _refuse(event, data.Refusal.OVERLOAD, detail)
-        state = self._new_state(event, route, pool, event.remaining_ms or limit_ms)
+        known = self._knowledge(pool_id)
+        remaining_ms = event.remaining_ms or limit_ms
+        now = self._clock.monotonic()
+        state = plan.make_query(event, route, pool, known, remaining_ms, now)
         self._query_by_id[event.query_id] = state
         heapq.heappush(self._wakes, (state.deadline, event.query_id))
         if route.repeatable:
@@ -140,44 +130,6 @@
         self._send(state, state.services, 0, commands)
         return commands
 
-    def _new_state(
-        self, event: events.QueryArrived, route: data.Route, pool: data.Pool, limit_ms: int
-    ) -> query.QueryState:
-        now = self._clock.monotonic()
-        question = event.question
-        total_ms = min(question.deadline_ms or limit_ms, limit_ms)
-        total_seconds = total_ms / MS_PER_SECOND * (1 - ANSWER_MARGIN_SHARE)
-        services = self._services_by_pool[pool.pool_id]
-        snapshot = pool.snapshot or self._knowledge(pool.pool_id).choice(services)
-        if not route.repeatable:
-            services = (_service_for(question, services),)
-            snapshot = pool.snapshot
-        spec = data.QuerySpec(
-            query_id=event.query_id,
-            route=route.route_id,
-            pool=pool.pool_id,
-            rank=route.rank,
-            content=question.content,
-            limit=route.results or question.limit,
-            remaining_ms=0,
-            hedge_budget=route.hedge_budget,
-            repeatable=route.repeatable,
-            attempts=route.attempts,
-            merge=pool.merge,
-            passes_response=route.passes_response,
-        )
-        return query.QueryState(
-            spec=spec,
-            request_id=question.request_id,
-            route=route,
-            pool=pool,
-            services=services,
-            deadline=now + total_seconds,
-            patience_ends=now + total_seconds * OWNER_PATIENCE_SHARE,
-            partial_from=now + _partial_after_seconds(route, total_seconds),
-            snapshot=snapshot,
-        )
-
     def _send(
         self,
         state: query.QueryState,
@@ -408,25 +360,6 @@
     return [events.CountRefusal(reason), events.Respond(event.query_id, answer)]
 
 
-def _service_for(
-    question: exchange.Question, services: tuple[data.ServiceId, ...]
-) -> data.ServiceId:
-    """Returns the shard of non-repeatable work, chosen by hash of its body."""
-    if len(services) == 1:
-        return services[0]
-    return services[hashing.weight(question.content.body.decode()) % len(services)]
-
-
-def _partial_after_seconds(route: data.Route, total_seconds: float) -> float:
-    """Returns when the minimum coverage is enough, from the query's start."""
-    if route.goal is not None:
-        lead = min(GOAL_LEAD_SECONDS, route.goal.total_seconds() * GOAL_LEAD_SHARE)
-        return min(total_seconds, route.goal.total_seconds() - lead)
-    if route.partial_after is None:
-        return total_seconds
-    return min(total_seconds, route.partial_after.total_seconds())
-
-
-def _with_remaining(spec: data.QuerySpec, remaining_ms: int) -> data.QuerySpec:
+def _with_remaining(spec: work.QuerySpec, remaining_ms: int) -> work.QuerySpec:
     """Returns the query with the time left at sending."""
     return msgspec.structs.replace(spec, remaining_ms=remaining_ms)
--- a/monsoonhoist/core/events.py
+++ b/monsoonhoist/core/events.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from monsoonhoist.core import data, exchange, messages
+from monsoonhoist.core import data, exchange, messages, work
 
 
 class ViewChanged(msgspec.Struct, frozen=True, tag="view-changed"):
@@ -92,8 +92,8 @@
         holdings: All snapshots that the server holds.
         results: The results.
         draining: Whether the server says that it is leaving.
-        proof: See ``data.Part``.
-        response: See ``data.Part``.
+        proof: See ``work.Part``.
+        response: See ``work.Part``.
         load: What the server says of its load, if it does.
     """
 
@@ -174,7 +174,7 @@
 
     call_id: int
     server: data.Server
-    query: data.QuerySpec
+    query: work.QuerySpec
     snapshot: data.Snapshot
     deadline: float
 
--- a/monsoonhoist/core/kernel.py
+++ b/monsoonhoist/core/kernel.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from monsoonhoist.core import clock, data, entry, owner
+from monsoonhoist.core import clock, data, entry, options, owner
 from monsoonhoist.policy import registry
 
 
@@ -35,7 +35,7 @@
     zone: data.ZoneId,
     time_source: clock.Clock,
     names: PolicyNames,
-    options: owner.OwnerOptions | None = None,
+    settings: options.OwnerOptions | None = None,
 ) -> Kernel:
     """Returns a kernel with the named policies.
 
@@ -44,7 +44,7 @@
     """
     registry.load()
     owner_policy = registry.find(registry.Kind.OWNERSHIP, names.ownership)(myself)
-    policies = owner.Policies(
+    policies = options.Policies(
         ownership=owner_policy,
         balance=registry.find(registry.Kind.BALANCE, names.balance)(),
         make_order=registry.find(registry.Kind.ORDER, names.order),
@@ -54,6 +54,6 @@
     return Kernel(
         entry=entry.EntryKernel(myself, time_source, owner_policy, admission_class),
         owner=owner.OwnerKernel(
-            myself, zone, time_source, policies, options or owner.OwnerOptions()
+            myself, zone, time_source, policies, settings or options.OwnerOptions()
         ),
     )
--- a/monsoonhoist/core/messages.py
+++ b/monsoonhoist/core/messages.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from monsoonhoist import errors
-from monsoonhoist.core import data
+from monsoonhoist.core import data, work
 
 
 class Hello(msgspec.Struct, frozen=True, array_like=True, tag="hello"):
@@ -69,7 +69,7 @@
     """
 
     origin: data.InstanceId
-    query: data.QuerySpec
+    query: work.QuerySpec
     snapshot: data.Snapshot
     attempt: int
     services: tuple[data.ServiceId, ...]
@@ -88,8 +88,8 @@
     """
 
     query_id: data.QueryId
-    parts: tuple[data.Part, ...]
-    failures: tuple[data.Failure, ...]
+    parts: tuple[work.Part, ...]
+    failures: tuple[work.Failure, ...]
     results_by_snapshot: dict[data.Snapshot, tuple[data.ResultEntry, ...]]
     queue_delay_ms: int
     calls: int
--- a/monsoonhoist/core/owner.py
+++ b/monsoonhoist/core/owner.py
@@ -1,28 +1,25 @@
 """Kernel of the owner: queues, calls, hedges and retries at backend servers."""
 
-import dataclasses
-import heapq
 import itertools
 import math
-from collections.abc import Callable
 
 import msgspec
 
 from monsoonhoist.core import (
-    budget,
+    alarms,
     clock,
     data,
     events,
+    extra,
     messages,
+    options,
     replies,
     server,
     shard,
+    work,
 )
-from monsoonhoist.policy import balance, hedge, order, ownership
 
 QUEUE_MAX = 512
-# Calls that may be in flight for one sub-request beyond the first.
-HEDGES_MAX = 2
 # Pause before a hedge that found no room or no budget is tried again.
 HEDGE_REPEAT_SECONDS = 0.02
 # Share of its remaining time that a sub-request waits for a closed server to open.
@@ -30,38 +27,6 @@
 MS_PER_SECOND = 1000
 
 ShardKey = tuple[data.PoolId, data.ServiceId]
-RouteKey = tuple[data.PoolId, data.RouteId]
-
-
-@dataclasses.dataclass(frozen=True)
-class OwnerOptions:
-    """Settings of an owner.
-
-    Attributes:
-        extra_calls: Size of the budgets of extra calls.
-        leaving_grace_seconds: How long a server that the table takes out of service is
-            called where no other is left.
-    """
-
-    extra_calls: budget.BudgetOptions = budget.BudgetOptions()
-    leaving_grace_seconds: float = 0.0
-
-
-@dataclasses.dataclass(frozen=True)
-class Policies:
-    """Policies of an owner.
-
-    Attributes:
-        ownership: Chooses owners; gives the share of limits.
-        balance: Chooses between servers.
-        make_order: Makes the queue of a shard.
-        make_hedge: Makes the hedge policy of a route.
-    """
-
-    ownership: ownership.Ownership
-    balance: balance.Balance
-    make_order: Callable[[], order.Order[shard.SubRequest]]
-    make_hedge: Callable[[], hedge.Hedge]
 
 
 class OwnerKernel:
@@ -72,7 +37,7 @@
         zone: Availability zone of this instance.
         time_source: The clock.
         policies: Policies to decide by.
-        options: Settings.
+        settings: Settings.
     """
 
     def __init__(
@@ -80,24 +45,22 @@
         myself: data.InstanceId,
         zone: data.ZoneId,
         time_source: clock.Clock,
-        policies: Policies,
-        options: OwnerOptions,
+        policies: options.Policies,
+        settings: options.OwnerOptions,
     ):
         self._myself = myself
         self._zone = zone
         self._clock = time_source
         self._policies = policies
-        self._options = options
+        self._settings = settings
         self._tables = data.Tables({}, {})
         self._share = policies.ownership.share(1)
         self._shard_by_key: dict[ShardKey, shard.ShardState] = {}
         self._subs_by_query: dict[data.QueryId, list[shard.SubRequest]] = {}
         self._call_by_id: dict[int, shard.Call] = {}
-        self._bucket_by_key: dict[ShardKey | data.RouteId, budget.TokenBucket] = {}
-        self._hedge_by_route: dict[RouteKey, hedge.Hedge] = {}
+        self._extra = extra.ExtraCalls(settings.extra_calls, policies.make_hedge)
         self._call_ids = itertools.count(1)
-        self._wakes: list[tuple[float, int, Callable[[list[events.Command]], None]]] = []
-        self._wake_ids = itertools.count()
+        self._alarms = alarms.Alarms()
         self._replies = replies.ReplyCollector()
 
     @property
@@ -112,7 +75,7 @@
 
     def next_wake(self) -> float | None:
         """Returns when ``TimeReached`` is due, in monotonic seconds, or None."""
-        return self._wakes[0][0] if self._wakes else None
+        return self._alarms.next_at()
 
     def handle(self, event: events.OwnerEvent) -> list[events.Command]:
         """Takes an event and returns the commands to carry out, in order."""
@@ -129,7 +92,8 @@
             case events.ViewChanged():
                 self._change_view(event, commands)
             case events.TimeReached():
-                self._check_times(commands)
+                for action in self._alarms.due(self._clock.monotonic()):
+                    action(commands)
         commands.extend(self._replies.flush())
         return commands
 
@@ -137,8 +101,7 @@
         self._tables = event.tables
         self._share = self._policies.ownership.share(len(event.instances))
         now = self._clock.monotonic()
-        for bucket in self._bucket_by_key.values():
-            bucket.set_share(self._share.budget)
+        self._extra.set_share(self._share.budget)
         for key, state in self._shard_by_key.items():
             pool = self._tables.pool_by_id.get(key[0])
             servers = pool.servers_by_service.get(key[1], ()) if pool else ()
@@ -170,9 +133,9 @@
         if state.waiting >= QUEUE_MAX:
             self._refuse(sub, data.Refusal.QUEUE_FULL, commands)
             return
-        self._bucket(sub).earn(sub.query.hedge_budget)
+        self._extra.bucket(sub).earn(sub.query.hedge_budget)
         self._subs_by_query.setdefault(sub.query.query_id, []).append(sub)
-        self._wake_at(sub.deadline, lambda out: self._expire(state, sub, out))
+        self._alarms.set(sub.deadline, lambda out: self._expire(state, sub, out))
         state.push(sub)
         self._pump(state, commands)
 
@@ -185,7 +148,7 @@
             if sub is None:
                 break
             candidates = state.candidates(sub, now)
-            if _is_hopeless(state, sub, now):
+            if state.is_hopeless(sub, now):
                 self._give_up(state, sub, data.Refusal.EXPIRED_IN_QUEUE, commands)
             elif candidates:
                 self._call(state, sub, candidates, commands)
@@ -213,7 +176,7 @@
         for sub in kept:
             state.push(sub)
         if kept:
-            self._wake_at(opens_at, lambda out: self._pump(state, out))
+            self._alarms.set(opens_at, lambda out: self._pump(state, out))
 
     def _call(
         self,
@@ -224,7 +187,7 @@
     ) -> None:
         """Starts a call at the best candidate and plans its hedge."""
         now = self._clock.monotonic()
-        hedge_policy = self._hedge_policy(sub)
+        hedge_policy = self._extra.hedge_policy(sub)
         chosen = shard.choose(
             self._policies.balance, candidates, self._zone, hedge_policy.typical_seconds(), now
         )
@@ -240,22 +203,22 @@
             events.StartCall(call.call_id, chosen.server, sub.query, sub.snapshot, sub.deadline)
         )
         delay = hedge_policy.delay_seconds(sub.query.hedge_budget)
-        if delay is not None and sub.query.repeatable and self._may_call_again(sub):
-            self._wake_at(now + delay, lambda out: self._hedge(state, sub, out))
+        if delay is not None and sub.query.repeatable and extra.may_call_again(sub):
+            self._alarms.set(now + delay, lambda out: self._hedge(state, sub, out))
 
     def _hedge(
         self, state: shard.ShardState, sub: shard.SubRequest, commands: list[events.Command]
     ) -> None:
         """Calls a second server if the first is late and the budget allows."""
-        if sub.closed or sub.waiting or not sub.call_by_id or not self._may_call_again(sub):
+        if sub.closed or sub.waiting or not sub.call_by_id or not extra.may_call_again(sub):
             return
         now = self._clock.monotonic()
         candidates = state.hedge_candidates(sub, now)
-        if candidates and self._bucket(sub).spend_on_hedge():
+        if candidates and self._extra.bucket(sub).spend_on_hedge():
             commands.append(events.CountRetry(data.RetryReason.HEDGE))
             self._call(state, sub, candidates, commands)
         else:
-            self._wake_at(now + HEDGE_REPEAT_SECONDS, lambda out: self._hedge(state, sub, out))
+            self._alarms.set(now + HEDGE_REPEAT_SECONDS, lambda out: self._hedge(state, sub, out))
 
     def _take_results(self, event: events.CallReplied, commands: list[events.Command]) -> None:
         call = self._end_call(event.call_id)
@@ -264,14 +227,14 @@
         now = self._clock.monotonic()
         state = self._shard_by_key[(call.sub.query.pool, call.sub.service)]
         latency = now - call.started
-        hedge_policy = self._hedge_policy(call.sub)
+        hedge_policy = self._extra.hedge_policy(call.sub)
         call.server.note_success(latency, hedge_policy.typical_seconds(), now)
         call.server.learn(event.holdings, now)
         hedge_policy.record(latency)
         if event.draining:
             call.server.note_draining(now)
         if not call.sub.closed:
-            part = data.Part(
+            part = work.Part(
                 call.sub.service,
                 call.sub.attempt,
                 event.snapshot,
@@ -292,7 +255,7 @@
         now = self._clock.monotonic()
         sub = call.sub
         state = self._shard_by_key[(sub.query.pool, sub.service)]
-        hedge_policy = self._hedge_policy(sub)
+        hedge_policy = self._extra.hedge_policy(sub)
         if event.reason is data.Refusal.CANCELLED:
             hedge_policy.record(now - call.started)
         state.note_failure(call, event, hedge_policy.typical_seconds(), now)
@@ -317,8 +280,7 @@
         now = self._clock.monotonic()
         safe = sub.query.repeatable or not sub.may_have_run
         reason = data.RetryReason.LOST if event.may_have_run else data.RetryReason.REFUSED
-        is_left = sub.calls - sub.unused_calls < sub.query.attempts
-        useful = is_left and now < sub.deadline and state.has_untried(sub, now)
+        useful = extra.is_attempt_left(sub) and now < sub.deadline and state.has_untried(sub, now)
         if safe and useful and self._may_spend(sub, event):
             commands.append(events.CountRetry(reason))
             state.push(sub)
@@ -327,13 +289,8 @@
 
     def _may_spend(self, sub: shard.SubRequest, event: events.CallFailed) -> bool:
         """Returns whether the budget allows a retry."""
-        is_free = not event.may_have_run and not self._options.extra_calls.refusals_cost
-        return is_free or self._bucket(sub).spend_on_retry()
-
-    def _may_call_again(self, sub: shard.SubRequest) -> bool:
-        """Returns whether a hedge is within the attempts of the route."""
-        used = sub.calls - sub.unused_calls
-        return used < min(sub.query.attempts, HEDGES_MAX + 1)
+        is_free = not event.may_have_run and not self._settings.extra_calls.refusals_cost
+        return is_free or self._extra.bucket(sub).spend_on_retry()
 
     def _expire(
         self, state: shard.ShardState, sub: shard.SubRequest, commands: list[events.Command]
@@ -365,7 +322,7 @@
         state.withdraw(sub)
         if sub.last_failure is not None and reason is data.Refusal.NO_SERVER:
             reason = sub.last_failure
-        failure = data.Failure(
+        failure = work.Failure(
             sub.service,
             sub.attempt,
             reason,
@@ -381,7 +338,7 @@
     ) -> None:
         """Answers the origin that a sub-request was not accepted."""
         commands.append(events.CountRefusal(reason))
-        failure = data.Failure(sub.service, sub.attempt, reason, False)
+        failure = work.Failure(sub.service, sub.attempt, reason, False)
         self._replies.add_failure(sub, failure)
 
     def _close(
@@ -405,15 +362,6 @@
             del call.sub.call_by_id[call_id]
         return call
 
-    def _check_times(self, commands: list[events.Command]) -> None:
-        now = self._clock.monotonic()
-        while self._wakes and self._wakes[0][0] <= now:
-            _, _, action = heapq.heappop(self._wakes)
-            action(commands)
-
-    def _wake_at(self, instant: float, action: Callable[[list[events.Command]], None]) -> None:
-        heapq.heappush(self._wakes, (instant, next(self._wake_ids), action))
-
     def _shard(self, pool_id: data.PoolId, service: data.ServiceId) -> shard.ShardState | None:
         """Returns a shard's state, made on first use, or None if no table defines it."""
         state = self._shard_by_key.get((pool_id, service))
@@ -427,7 +375,7 @@
             pool_id,
             service,
             self._policies.make_order(),
-            self._options.leaving_grace_seconds,
+            self._settings.leaving_grace_seconds,
         )
         state.keys = _fixed_keys(pool, service)
         # Nothing tells for how long servers that are leaving by now have been leaving.
@@ -435,26 +383,6 @@
         self._shard_by_key[(pool_id, service)] = state
         return state
 
-    def _bucket(self, sub: shard.SubRequest) -> budget.TokenBucket:
-        """Returns the budget that extra calls for a sub-request draw on."""
-        key: ShardKey | data.RouteId = sub.query.route
-        if self._options.extra_calls.by_service:
-            key = (sub.query.pool, sub.service)
-        bucket = self._bucket_by_key.get(key)
-        if bucket is None:
-            bucket = budget.TokenBucket(self._options.extra_calls, self._share.budget)
-            self._bucket_by_key[key] = bucket
-        return bucket
-
-    def _hedge_policy(self, sub: shard.SubRequest) -> hedge.Hedge:
-        """Returns the policy that learns the latencies of a route's calls."""
-        key = (sub.query.pool, sub.query.route)
-        policy = self._hedge_by_route.get(key)
-        if policy is None:
-            policy = self._policies.make_hedge()
-            self._hedge_by_route[key] = policy
-        return policy
-
 
 def _classify(event: events.CallFailed) -> events.CallFailed:
     """Tells a refusal of a server that says it has free slots from one for load."""
@@ -470,12 +398,3 @@
         return None
     position = list(pool.servers_by_service).index(service)
     return data.KeyRange(position, position + 1)
-
-
-def _is_hopeless(state: shard.ShardState, sub: shard.SubRequest, now: float) -> bool:
-    """Returns whether a sub-request that had to wait cannot meet its deadline any more.
-
-    One that finds a server idle is always sent, since only calls tell of a server that
-    has become fast again.
-    """
-    return now > sub.arrived and sub.deadline - now < state.latency_seconds()
--- /dev/null
+++ b/monsoonhoist/core/plan.py
@@ -0,0 +1,85 @@
+"""Plan of a query: what is asked of which shards, and until when."""
+
+from monsoonhoist.core import data, events, exchange, hashing, query, snapshots, work
+
+# Share of the deadline after which a silent owner's stand-by is asked.
+OWNER_PATIENCE_SHARE = 0.4
+# Share of the deadline kept for sending the answer back to the caller.
+ANSWER_MARGIN_SHARE = 0.05
+# An answer is given this long before the route's goal, for the way to the caller and
+# back, but no earlier than this share of the goal before it.
+GOAL_LEAD_SECONDS = 0.012
+GOAL_LEAD_SHARE = 0.3
+MS_PER_SECOND = 1000
+
+
+def make_query(
+    event: events.QueryArrived,
+    route: data.Route,
+    pool: data.Pool,
+    known: snapshots.PoolKnowledge,
+    limit_ms: int,
+    now: float,
+) -> query.QueryState:
+    """Returns the state of a query that is about to start.
+
+    Args:
+        event: The request.
+        route: Its route.
+        pool: The pool that serves it.
+        known: What is known of the pool's snapshots.
+        limit_ms: Longest time that the request may take.
+        now: The time, in monotonic seconds.
+    """
+    question = event.question
+    total_ms = min(question.deadline_ms or limit_ms, limit_ms)
+    total_seconds = total_ms / MS_PER_SECOND * (1 - ANSWER_MARGIN_SHARE)
+    services = tuple(sorted(pool.servers_by_service))
+    snapshot = pool.snapshot or known.choice(services)
+    if not route.repeatable:
+        services = (_service_for(question, services),)
+        snapshot = pool.snapshot
+    spec = work.QuerySpec(
+        query_id=event.query_id,
+        route=route.route_id,
+        pool=pool.pool_id,
+        rank=route.rank,
+        content=question.content,
+        limit=route.results or question.limit,
+        remaining_ms=0,
+        hedge_budget=route.hedge_budget,
+        repeatable=route.repeatable,
+        attempts=route.attempts,
+        merge=pool.merge,
+        passes_response=route.passes_response,
+    )
+    return query.QueryState(
+        spec=spec,
+        request_id=question.request_id,
+        route=route,
+        pool=pool,
+        services=services,
+        deadline=now + total_seconds,
+        patience_ends=now + total_seconds * OWNER_PATIENCE_SHARE,
+        partial_from=now + _partial_after_seconds(route, total_seconds),
+        snapshot=snapshot,
+    )
+
+
+def _service_for(
+    question: exchange.Question, services: tuple[data.ServiceId, ...]
+) -> data.ServiceId:
+    """Returns the shard of non-repeatable work, chosen by hash of its body."""
+    if len(services) == 1:
+        return services[0]
+    return services[hashing.weight(question.content.body.decode()) % len(services)]
+
+
+def _partial_after_seconds(route: data.Route, total_seconds: float) -> float:
+    """Returns when the minimum coverage is enough, from the query's start."""
+    if route.goal is not None:
+        lead = min(GOAL_LEAD_SECONDS, route.goal.total_seconds() * GOAL_LEAD_SHARE)
+        return min(total_seconds, route.goal.total_seconds() - lead)
+    if route.partial_after is None:
+        return total_seconds
+    return min(total_seconds, route.partial_after.total_seconds())
--- a/monsoonhoist/core/query.py
+++ b/monsoonhoist/core/query.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from monsoonhoist.core import coverage, data, exchange, messages
+from monsoonhoist.core import coverage, data, exchange, messages, work
 from monsoonhoist.policy import merge
 
 
@@ -21,9 +21,9 @@
         stand_by_asked: Whether the stand-by was asked because the owner was silent.
     """
 
-    part_by_snapshot: dict[data.Snapshot, data.Part] = dataclasses.field(default_factory=dict)
+    part_by_snapshot: dict[data.Snapshot, work.Part] = dataclasses.field(default_factory=dict)
     pending_by_attempt: dict[int, data.InstanceId] = dataclasses.field(default_factory=dict)
-    failure: data.Failure | None = None
+    failure: work.Failure | None = None
     may_have_run: bool = False
     attempts: int = 0
     stand_by_asked: bool = False
@@ -50,7 +50,7 @@
 
     def __init__(
         self,
-        spec: data.QuerySpec,
+        spec: work.QuerySpec,
         request_id: str,
         route: data.Route,
         pool: data.Pool,
@@ -130,7 +130,7 @@
             for number in numbers:
                 del shard.pending_by_attempt[number]
                 reason = data.Refusal.PEER_LOST
-                shard.failure = data.Failure(service, number, reason, may_have_run)
+                shard.failure = work.Failure(service, number, reason, may_have_run)
                 shard.may_have_run = shard.may_have_run or may_have_run
             if numbers:
                 lost.append(service)
@@ -188,14 +188,14 @@
         """Returns the best results from the snapshot."""
         return self._results_by_snapshot.get(self.snapshot, ())
 
-    def _add_part(self, shard: ShardProgress, part: data.Part) -> None:
+    def _add_part(self, shard: ShardProgress, part: work.Part) -> None:
         if part.snapshot not in shard.part_by_snapshot:
             size = part.keys.high - part.keys.low
             covered = self._covered_keys_by_snapshot.get(part.snapshot, 0)
             self._covered_keys_by_snapshot[part.snapshot] = covered + size
         shard.part_by_snapshot[part.snapshot] = part
 
-    def parts(self) -> tuple[data.Part, ...]:
+    def parts(self) -> tuple[work.Part, ...]:
         """Returns the parts from the snapshot, in the order of the shards."""
         return tuple(
             shard.part_by_snapshot[self.snapshot]
@@ -220,7 +220,7 @@
             return True
         return all(self._is_expected(part) for part in reply.parts)
 
-    def _is_expected(self, part: data.Part) -> bool:
+    def _is_expected(self, part: work.Part) -> bool:
         shard = self.shard_by_service.get(part.service)
         if shard is None or part.attempt not in shard.pending_by_attempt:
             return False
@@ -237,7 +237,7 @@
 def _without_parts(reply: messages.SubReply) -> messages.SubReply:
     """Returns a reply with its parts turned into lost ones."""
     lost = tuple(
-        data.Failure(part.service, part.attempt, data.Refusal.PEER_LOST, True)
+        work.Failure(part.service, part.attempt, data.Refusal.PEER_LOST, True)
         for part in reply.parts
     )
     return msgspec.structs.replace(
--- a/monsoonhoist/core/replies.py
+++ b/monsoonhoist/core/replies.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from monsoonhoist.core import data, events, messages, shard
+from monsoonhoist.core import data, events, messages, shard, work
 from monsoonhoist.policy import merge
 
 MS_PER_SECOND = 1000
@@ -15,7 +15,7 @@
         self._pending_by_key: dict[tuple[data.InstanceId, data.QueryId], PendingReply] = {}
 
     def add_part(
-        self, sub: shard.SubRequest, part: data.Part, results: tuple[data.ResultEntry, ...]
+        self, sub: shard.SubRequest, part: work.Part, results: tuple[data.ResultEntry, ...]
     ) -> None:
         """Adds a shard's results."""
         pending = self._pending(sub)
@@ -24,7 +24,7 @@
         best = merge.named(sub.query.merge).best(merged, sub.query.limit)
         pending.results_by_snapshot[part.snapshot] = best
 
-    def add_failure(self, sub: shard.SubRequest, failure: data.Failure) -> None:
+    def add_failure(self, sub: shard.SubRequest, failure: work.Failure) -> None:
         """Adds a shard's failure."""
         self._pending(sub).failures.append(failure)
 
@@ -49,8 +49,8 @@
 class PendingReply:
     """A reply that is being put together; the fields are those of ``SubReply``."""
 
-    parts: list[data.Part] = dataclasses.field(default_factory=list)
-    failures: list[data.Failure] = dataclasses.field(default_factory=list)
+    parts: list[work.Part] = dataclasses.field(default_factory=list)
+    failures: list[work.Failure] = dataclasses.field(default_factory=list)
     results_by_snapshot: dict[data.Snapshot, tuple[data.ResultEntry, ...]] = dataclasses.field(
         default_factory=dict
     )
@@ -67,3 +67,11 @@
             round(self.queue_delay_seconds * MS_PER_SECOND),
             self.calls,
         )
+
+
+def refusal(batch: messages.SubBatch, reason: data.Refusal) -> messages.SubReply:
+    """Returns the reply that refuses a whole batch of which nothing ran."""
+    failures = tuple(
+        work.Failure(service, batch.attempt, reason, False) for service in batch.services
+    )
+    return messages.SubReply(batch.query.query_id, (), failures, {}, 0, 0)
--- a/monsoonhoist/core/shard.py
+++ b/monsoonhoist/core/shard.py
@@ -3,7 +3,7 @@
 import dataclasses
 import math
 
-from monsoonhoist.core import data, events, exchange, limits, server
+from monsoonhoist.core import data, events, exchange, limits, server, work
 from monsoonhoist.policy import balance, order
 
 # A timed-out call speaks against its server only if it was given this many latencies.
@@ -60,7 +60,7 @@
     """
 
     origin: data.InstanceId
-    query: data.QuerySpec
+    query: work.QuerySpec
     service: data.ServiceId
     attempt: int
     snapshot: data.Snapshot
@@ -185,6 +185,14 @@
         ]
         return min(instants, default=math.inf)
 
+    def is_hopeless(self, sub: SubRequest, now: float) -> bool:
+        """Returns whether a sub-request that had to wait cannot meet its deadline any more.
+
+        One that finds a server idle is always sent, since only calls tell of a server
+        that has become fast again.
+        """
+        return now > sub.arrived and sub.deadline - now < self.latency_seconds()
+
     def note_failure(
         self, call: Call, event: events.CallFailed, typical_seconds: float, now: float
     ) -> None:
--- a/monsoonhoist/metrics.py
+++ b/monsoonhoist/metrics.py
@@ -7,6 +7,8 @@
 """
 
 import collections
+import importlib
+from typing import Protocol
 
 from monsoonhoist.core import data
 from monsoonhoist.tables import store
@@ -39,6 +41,13 @@
         self.count_by_labels[tuple(labels.items())] += count
 
 
+class TextSource(Protocol):
+    """What makes text of the counters."""
+
+    def text(self) -> bytes:
+        """Returns all metrics as Prometheus text."""
+
+
 class Metrics:
     """Counters of one instance.
 
@@ -53,6 +62,7 @@
     def __init__(self, instance: data.InstanceId):
         self.instance = instance
         self.counter_by_name: dict[str, Counter] = {}
+        self._exporter: TextSource | None = None
         self._answers = self._make("answers", "Answers given")
         self._refusals = self._make("refusals", "Refused or lost work, by reason")
         self._retries = self._make("retries", "Sub-requests sent again, by reason")
@@ -65,6 +75,12 @@
         self._pauses = self._make("pauses", "Pauses of the process that were noticed")
         self._start_at_zero()
 
+    def export(self) -> bytes:
+        """Returns all metrics as Prometheus text; the exporter is made on first use."""
+        if self._exporter is None:
+            self._exporter = importlib.import_module("monsoonhoist.export").Exporter(self)
+        return self._exporter.text()
+
     def _make(self, name: str, description: str, unit: str = "") -> Counter:
         counter = Counter(f"monsoonhoist_{name}", description, unit)
         self.counter_by_name[counter.name] = counter
--- a/monsoonhoist/node/node.py
+++ b/monsoonhoist/node/node.py
@@ -1,11 +1,8 @@
 """One instance: its tasks and how they are wired."""
 
 import asyncio
-import importlib
-import itertools
 import logging
 import pathlib
-from typing import TYPE_CHECKING
 
 import msgspec
 
@@ -14,12 +11,11 @@
     clock,
     data,
     events,
-    exchange,
     kernel,
     membership,
     messages,
     outcome,
-    routing,
+    replies,
     tickets,
     traces,
     watching,
@@ -33,16 +29,14 @@
     pause,
     peers,
     phases,
+    readiness,
+    reception,
     tables,
     trace,
 )
 from monsoonhoist.tables import store
 
-if TYPE_CHECKING:
-    from monsoonhoist import export
-
 READY_CHECK_SECONDS = 0.05
-PEERS_ONLY_READY_SECONDS = 2.0
 
 _log = logging.getLogger(__name__)
 
@@ -63,6 +57,7 @@
         counters: Metrics.
         members: View of the instances.
         spread: Tables in force.
+        reception: Takes callers' requests to the entry.
         tickets: Handling of non-repeatable requests.
     """
 
@@ -79,8 +74,7 @@
         self.name = data.InstanceId(config.instance.name)
         self.counters = metrics.Metrics(self.name)
         self._clock = time_source
-        self._started = time_source.monotonic()
-        self.members = membership.Membership(_make_member(config, incarnation))
+        self.members = membership.Membership(peers.make_member(config, incarnation))
         zone = self.members.myself.zone
         names = config.policy.names()
         self._kernel_clock = clock.EventClock(time_source)
@@ -119,6 +113,9 @@
             self._is_watcher,
             lambda: self._duty.note_read(time_source.monotonic()),
         )
+        self._readiness = readiness.Readiness(
+            time_source, self.spread, self._watcher, self._hub.connected
+        )
         spread = config.spread
         self._duty = watching.WatchDuty(
             self.name,
@@ -126,18 +123,17 @@
             spread.stale_ms.total_seconds(),
             spread.stale_step_ms.total_seconds(),
         )
-        self._routes = routing.RouteIndex()
-        self._exporter: export.Exporter | None = None
         self._pauses = pause.PauseWatch(time_source, config.timing.pause_ms, self._on_pause)
+        self.reception = reception.Reception(
+            f"{self.name}.{incarnation}", self.counters, self._entry.tell
+        )
         self.tickets = desk.TicketDesk(
             self.name,
             tickets.TicketBook(self.name, incarnation, time_source),
-            self.ask,
+            self.reception.ask,
             self.send,
             self.counters.count_refusal,
         )
-        self._query_ids = itertools.count(1)
-        self._ended_by_query: dict[data.QueryId, asyncio.Future[events.Respond]] = {}
         self._background: set[asyncio.Task[None]] = set()
         self._view: events.ViewChanged | None = None
 
@@ -163,11 +159,8 @@
 
     def reconfigure(self, config: settings.Settings) -> None:
         """Takes over changed settings; all but the platform's need a new start."""
-        changed = [
-            name
-            for name in config.__struct_fields__
-            if getattr(config, name) != getattr(self.config, name)
-        ]
+        names = config.__struct_fields__
+        changed = [name for name in names if getattr(config, name) != getattr(self.config, name)]
         later = [name for name in changed if name != "platform"]
         _log.info("settings read again", extra={"changed": changed, "after_restart": later})
         if "platform" in changed:
@@ -220,14 +213,9 @@
         """Number of requests and calls in flight."""
         owner = self._kernel.owner
         entry = self._kernel.entry
-        waiting = len(self._ended_by_query)
-        return (
-            waiting
-            + entry.active_queries
-            + owner.active_queries
-            + owner.active_calls
-            + (self.tickets.active)
-        )
+        waiting = self.reception.waiting
+        kernels_active = entry.active_queries + owner.active_queries + owner.active_calls
+        return waiting + kernels_active + self.tickets.active
 
     @property
     def view(self) -> events.ViewChanged | None:
@@ -238,61 +226,11 @@
         """Returns the instances whose streams are up."""
         return self._hub.connected()
 
-    def route(self, route_id: data.RouteId) -> data.Route | None:
-        """Returns a route in force, or None."""
-        return self.spread.store.tables.route_by_id.get(route_id)
-
-    def match(self, host: str, path: str) -> data.Route | None:
-        """Returns the route in force for a host and a path, or None."""
-        return self._routes.find(host, path)
-
-    def export_metrics(self) -> bytes:
-        """Returns all metrics as Prometheus text."""
-        if self._exporter is None:
-            self._exporter = importlib.import_module("monsoonhoist.export").Exporter(self.counters)
-        return self._exporter.text()
-
-    def admission_state(self) -> data.Refusal | None:
+    def refusal(self) -> data.Refusal | None:
         """Returns why no request is taken at present, or None."""
         if self.phase is phases.Phase.CLOSED:
             return data.Refusal.LEAVING
-        if not self.spread.store.tables.route_by_id:
-            return data.Refusal.NOT_READY
-        return None
-
-    def note_answer(self, rank: data.Rank | None, answer: data.Answer) -> None:
-        """Counts an answer to a caller, and logs one that is not whole."""
-        self.counters.count_answer(answer.outcome, rank)
-        if answer.outcome is not data.Outcome.ANSWERED:
-            extra = {
-                "request_id": answer.request_id,
-                "outcome": answer.outcome.value,
-                "reason": answer.reason.value if answer.reason else "",
-            }
-            _log.info("request not answered whole", extra=extra)
-
-    def abandon(self, ended: asyncio.Future[events.Respond]) -> None:
-        """Ends a query whose caller has left."""
-        for query_id, found in list(self._ended_by_query.items()):
-            if found is ended:
-                del self._ended_by_query[query_id]
-                self._entry.tell(events.CallerLeft(query_id))
-
-    def ask(
-        self, route: data.RouteId, question: exchange.Question, remaining_ms: int = 0
-    ) -> asyncio.Future[events.Respond]:
-        """Starts a query; the future gets its answer.
-
-        Args:
-            route: Route of the request.
-            question: The request.
-            remaining_ms: Time left, if the request came from another instance; else 0.
-        """
-        query_id = data.QueryId(f"{self.name}.{self.incarnation}.{next(self._query_ids)}")
-        ended: asyncio.Future[events.Respond] = asyncio.get_running_loop().create_future()
-        self._ended_by_query[query_id] = ended
-        self._entry.tell(events.QueryArrived(query_id, route, question, remaining_ms))
-        return ended
+        return None if self.reception.has_routes else data.Refusal.NOT_READY
 
     def send(self, instance: data.InstanceId, message: messages.Message) -> bool:
         """Sends a message to an instance, which may be this one.
@@ -379,9 +317,7 @@
             case events.SendMessage():
                 self._perform_send(command)
             case events.Respond():
-                ended = self._ended_by_query.pop(command.query_id, None)
-                if ended is not None and not ended.done():
-                    ended.set_result(command)
+                self.reception.respond(command)
             case events.StartCall() | events.CancelCall():
                 self._backends.tell(command)
 
@@ -393,11 +329,7 @@
         """Hands on sub-requests; refuses old non-repeatable ones after a pause."""
         if not batch.query.repeatable and self._pauses.is_suspect():
             self.counters.count_refusal(data.Refusal.EXPIRED_IN_QUEUE)
-            failures = tuple(
-                data.Failure(service, batch.attempt, data.Refusal.EXPIRED_IN_QUEUE, False)
-                for service in batch.services
-            )
-            reply = messages.SubReply(batch.query.query_id, (), failures, {}, 0, 0)
+            reply = replies.refusal(batch, data.Refusal.EXPIRED_IN_QUEUE)
             self.send(batch.origin, reply)
             return
         self.counters.count_sub_requests(len(batch.services))
@@ -427,8 +359,7 @@
         view = events.ViewChanged(self.spread.store.tables, self.members.live())
         self._hub.set_targets(self.members.neighbours(self.config.spread.neighbours))
         if view != self._view:
-            if self._view is None or view.tables is not self._view.tables:
-                self._routes = routing.RouteIndex(view.tables.route_by_id.values())
+            self.reception.set_tables(view.tables)
             self._view = view
             self._entry.tell(view)
             self._owner.tell(view)
@@ -449,19 +380,10 @@
 
     async def _become_ready(self) -> None:
         """Makes the instance ready once it has the newest tables it can know."""
-        while self.phase is phases.Phase.STARTING:
-            if self._has_newest_tables():
-                self.phase = phases.Phase.READY
-                _log.info("ready")
-                return
-            await asyncio.sleep(READY_CHECK_SECONDS)
-
-    def _has_newest_tables(self) -> bool:
-        if not self.spread.store.tables.route_by_id:
-            return False
-        waited = self._clock.monotonic() - self._started
-        peers_only = bool(self._hub.connected()) and waited >= PEERS_ONLY_READY_SECONDS
-        return self._watcher.has_read or peers_only
+        await self._readiness.wait()
+        if self.phase is phases.Phase.STARTING:
+            self.phase = phases.Phase.READY
+            _log.info("ready")
 
     def _on_pause(self, seconds: float) -> None:
         """Refreshes the views after a pause before new work is taken."""
@@ -469,24 +391,10 @@
         self._watcher.refresh()
         if self.phase is phases.Phase.READY and self.config.timing.hold_after_pause:
             self.phase = phases.Phase.STARTING
-            self._started = self._clock.monotonic()
+            self._readiness.start_over()
             self._spawn(self._become_ready())
 
     def _spawn(self, coroutine: object) -> None:
         runner = asyncio.create_task(coroutine)
         self._background.add(runner)
         runner.add_done_callback(self._background.discard)
-
-
-def _make_member(config: settings.Settings, incarnation: data.Incarnation) -> data.Member:
-    """Returns what a starting instance states of itself."""
-    instance = config.instance
-    return data.Member(
-        instance=data.InstanceId(instance.name),
-        incarnation=incarnation,
-        version=0,
-        state=data.MemberState.LIVE,
-        host=str(instance.host),
-        peer_port=instance.peer_port,
-        zone=data.ZoneId(instance.zone),
-    )
--- a/monsoonhoist/node/peers.py
+++ b/monsoonhoist/node/peers.py
@@ -368,6 +368,20 @@
     )
 
 
+def make_member(config: settings.Settings, incarnation: data.Incarnation) -> data.Member:
+    """Returns what a starting instance states of itself."""
+    instance = config.instance
+    return data.Member(
+        instance=data.InstanceId(instance.name),
+        incarnation=incarnation,
+        version=0,
+        state=data.MemberState.LIVE,
+        host=str(instance.host),
+        peer_port=instance.peer_port,
+        zone=data.ZoneId(instance.zone),
+    )
+
+
 def _check_hello(message: messages.Message, deployment: str) -> None:
     """Raises ``ProtocolError`` unless the message greets from the same deployment."""
     if not isinstance(message, messages.Hello):
--- /dev/null
+++ b/monsoonhoist/node/readiness.py
@@ -0,0 +1,51 @@
+"""When an instance has the newest tables that it can know."""
+
+import asyncio
+from collections.abc import Callable
+
+from monsoonhoist.core import clock, data
+from monsoonhoist.node import tables
+
+CHECK_SECONDS = 0.05
+# Time after which the peers' tables are enough, if the service gives no answer.
+PEERS_ONLY_SECONDS = 2.0
+
+
+class Readiness:
+    """Waits for tables from the service, or for long enough with tables from peers.
+
+    Args:
+        time_source: The clock.
+        spread: Tables in force.
+        watcher: Reads the service.
+        connected: Returns the instances whose streams are up.
+    """
+
+    def __init__(
+        self,
+        time_source: clock.Clock,
+        spread: tables.TableSpread,
+        watcher: tables.ServiceWatcher,
+        connected: Callable[[], tuple[data.InstanceId, ...]],
+    ):
+        self._clock = time_source
+        self._spread = spread
+        self._watcher = watcher
+        self._connected = connected
+        self._started = time_source.monotonic()
+
+    def start_over(self) -> None:
+        """Begins the time anew, as after a pause."""
+        self._started = self._clock.monotonic()
+
+    async def wait(self) -> None:
+        """Returns once the newest tables are there."""
+        while not self._has_newest_tables():
+            await asyncio.sleep(CHECK_SECONDS)
+
+    def _has_newest_tables(self) -> bool:
+        if not self._spread.store.tables.route_by_id:
+            return False
+        waited = self._clock.monotonic() - self._started
+        peers_only = bool(self._connected()) and waited >= PEERS_ONLY_SECONDS
+        return self._watcher.has_read or peers_only
--- a/monsoonhoist/node/web.py
+++ b/monsoonhoist/node/web.py
@@ -89,7 +89,7 @@
 
     def answer(self, rank: data.Rank | None, answer: data.Answer) -> None:
         """Sends and counts an answer."""
-        self._node.note_answer(rank, answer)
+        self._node.reception.note_answer(rank, answer)
         status_code = _STATUS_BY_OUTCOME[answer.outcome]
         if answer.outcome is data.Outcome.NOT_RUN:
             status_code = _STATUS_BY_REFUSAL.get(answer.reason, status_code)
@@ -126,11 +126,11 @@
         except errors.RequestError as error:
             self.refuse(_NO_REQUEST, error.refusal, str(error))
             return
-        record = self._node.route(data.RouteId(route))
+        record = self._node.reception.route(data.RouteId(route))
         if self._node.active >= self._node.config.limits.callers:
             self.refuse(request, data.Refusal.OVERLOAD, "too many requests at this instance")
         elif record is None or record.repeatable:
-            respond = await self._node.ask(data.RouteId(route), request.question())
+            respond = await self._node.reception.ask(data.RouteId(route), request.question())
             self.answer(record.rank if record else None, respond.answer)
         elif not request.ticket:
             detail = f"the route {route!r} is not repeatable; ask for a ticket first"
@@ -156,7 +156,7 @@
         """Issues a ticket."""
         if self.is_closed():
             return
-        record = self._node.route(data.RouteId(route))
+        record = self._node.reception.route(data.RouteId(route))
         if record is None:
             detail = f"no route is named {route!r}"
             self.refuse(_NO_REQUEST, data.Refusal.UNKNOWN_ROUTE, detail)
@@ -192,7 +192,7 @@
     def get(self) -> None:
         """Replies with all metrics."""
         self.set_header("Content-Type", metrics.CONTENT_TYPE)
-        self.finish(self._node.export_metrics())
+        self.finish(self._node.counters.export())
 
 
 class StatusHandler(Handler):
--- a/monsoonhoist/platform/callers.py
+++ b/monsoonhoist/platform/callers.py
@@ -60,12 +60,12 @@
     def finish(self) -> None:
         """Asks the node once the request is whole."""
         request_id = self._headers.get(names.REQUEST_ID, "")
-        state = self._node.admission_state()
-        if state is not None:
-            self._refuse(data.Answer(request_id, data.Outcome.NOT_RUN, state))
+        closed = self._node.refusal()
+        if closed is not None:
+            self._refuse(data.Answer(request_id, data.Outcome.NOT_RUN, closed))
             return
         path = self._start.path.partition("?")[0]
-        route = self._node.match(self._headers.get("Host", ""), path)
+        route = self._node.reception.match(self._headers.get("Host", ""), path)
         if route is None:
             self._refuse(data.Answer(request_id, data.Outcome.NOT_RUN, data.Refusal.UNKNOWN_ROUTE))
             return
@@ -75,13 +75,13 @@
             deadline_ms=_time_left_ms(self._headers),
             is_clamped=True,
         )
-        self._ended = self._node.ask(route.route_id, question)
+        self._ended = self._node.reception.ask(route.route_id, question)
         self._ended.add_done_callback(lambda ended: self._answer(route, ended))
 
     def on_connection_close(self) -> None:
         """Ends the query of a caller that has left."""
         if self._ended is not None and not self._ended.done():
-            self._node.abandon(self._ended)
+            self._node.reception.abandon(self._ended)
 
     def _content(self) -> exchange.Content:
         headers = tuple(
@@ -95,14 +95,14 @@
 
     def _refuse(self, answer: data.Answer) -> None:
         self._node.counters.count_refusal(answer.reason)
-        self._node.note_answer(None, answer)
+        self._node.reception.note_answer(None, answer)
         self._send(response_for(events.Respond(data.QueryId(""), answer)))
 
     def _answer(self, route: data.Route, ended: asyncio.Future[events.Respond]) -> None:
         if ended.cancelled():
             return
         respond = ended.result()
-        self._node.note_answer(route.rank, respond.answer)
+        self._node.reception.note_answer(route.rank, respond.answer)
         self._send(response_for(respond))
 
     def _send(self, response: exchange.Response) -> None:
@@ -167,7 +167,7 @@
             status = STATUS_OK if is_ready else STATUS_UNAVAILABLE
             body = self._node.phase.value.encode()
         elif self._path == "/metrics":
-            status, kind, body = STATUS_OK, metrics.CONTENT_TYPE, self._node.export_metrics()
+            status, kind, body = STATUS_OK, metrics.CONTENT_TYPE, self._node.counters.export()
         headers = httputil.HTTPHeaders({"Content-Type": kind, "Content-Length": str(len(body))})
         reason = httputil.responses[status]
         start_line = httputil.ResponseStartLine("HTTP/1.1", status, reason)
--- a/monsoonhoist/settings.py
+++ b/monsoonhoist/settings.py
@@ -12,7 +12,7 @@
 import msgspec
 
 from monsoonhoist import errors
-from monsoonhoist.core import budget, data, kernel, owner
+from monsoonhoist.core import budget, data, kernel, options
 from monsoonhoist.policy import registry
 from monsoonhoist.tables import ini
 
@@ -177,7 +177,7 @@
     listen: ListenSection = ListenSection()
     extra_calls: ExtraCallsSection = ExtraCallsSection()
 
-    def owner_options(self) -> owner.OwnerOptions:
+    def owner_options(self) -> options.OwnerOptions:
         """Returns the owner's part of the settings."""
         extra = self.extra_calls
         extra_calls = budget.BudgetOptions(
@@ -185,7 +185,7 @@
             by_service=extra.by_service,
             refusals_cost=extra.refusals_cost,
         )
-        return owner.OwnerOptions(extra_calls, self.timing.leaving_grace_ms.total_seconds())
+        return options.OwnerOptions(extra_calls, self.timing.leaving_grace_ms.total_seconds())
 
 
 def parse(file: str, text: str) -> tuple[Settings | None, tuple[data.Finding, ...]]:
