Explain a request from logs, which are bounded and never wait

Cause: a failed request left one line with its reason and nothing of the decisions behind it, and a standard output that nobody reads would have held requests up. Ruled out: a line for each decision on every request (450 lines a second and instance, most of them usual); notes by the kernels themselves, since their events and commands already tell all. Lines go to a bounded buffer on standard output, usual ones are dropped before warnings, and what is left out is counted in a line and a counter. The command explain puts the logs of several instances side by side by their steady clocks and names the cause. Full pipe: 5,000 lines in less than 2 s, no warning lost.

--- /dev/null
+++ b/features/steps/explain.py
@@ -0,0 +1,165 @@
+"""Steps of the account of a request."""
+
+import json
+import logging
+import os
+import pathlib
+import subprocess
+import sys
+import tempfile
+import time
+
+from behave import given, then, when
+
+from monsoonhoist import account, logs
+from standins import site
+
+LOG_DELAY_SECONDS = 0.3
+
+
+@when("the request is explained")
+def explain_last(context):
+    """Runs the command on the logs of all instances."""
+    time.sleep(LOG_DELAY_SECONDS)
+    explain(context, context.request_id)
+
+
+@when('the request "{request_id}" is explained')
+def explain(context, request_id):
+    """Runs the command."""
+    files = [str(path) for path in sorted(context.fleet.folder.glob("*.log"))]
+    command = [sys.executable, "-m", "monsoonhoist", "explain", request_id, *files]
+    context.command = subprocess.run(
+        command, cwd=site.ROOT, capture_output=True, text=True, check=False
+    )
+    context.account = context.command.stdout
+
+
+@then("the command's exit code is {code:d}")
+def check_code(context, code):
+    """Checks the exit code."""
+    assert context.command.returncode == code, context.command
+
+
+@then('the account tells that "{names}" gave nothing')
+def check_missing(context, names):
+    """Checks the missing shards."""
+    assert f"missing={','.join(names.split(', '))}" in context.account, context.account
+
+
+@then('the account names a failed call with the reason "{reason}"')
+def check_failed_call(context, reason):
+    """Checks one failed call."""
+    lines = context.account.splitlines()
+    assert any("call failed" in line and f"reason={reason}" in line for line in lines), lines
+
+
+@then('the cause begins with "{text}"')
+def check_cause(context, text):
+    """Checks the line that names the cause."""
+    assert f"\ncause: {text}" in context.account, context.account
+
+
+@given("two logs of a request whose second instance's clock jumps by an hour")
+def write_logs(context):
+    """Writes two logs."""
+    folder = pathlib.Path(tempfile.mkdtemp(prefix="monsoonhoist-logs-"))
+    first = [
+        log_line(0, 100.0, 1, "other"),
+        log_line(0, 100.0, 1, "arrived"),
+        log_line(9, 109.0, 1, "answered"),
+    ]
+    second = [
+        log_line(1, 501.0, 2, "other"),
+        log_line(2, 502.0, 2, "called"),
+        log_line(3603, 503.0, 2, "call failed"),
+        log_line(4, 504.0, 2, "other"),
+    ]
+    context.paths = []
+    for name, lines in (("a.log", first), ("b.log", second)):
+        path = folder / name
+        path.write_text("\n".join(json.dumps(line) for line in lines), encoding="utf-8")
+        context.paths.append(path)
+
+
+def log_line(second, at, incarnation, message):
+    """Returns a line that was written some seconds after an hour."""
+    minute, rest = divmod(second, 60)
+    hour, minute = divmod(minute, 60)
+    return {
+        "time": f"2026-12-04T{8 + hour:02d}:{minute:02d}:{rest:02d}.000+00:00",
+        "at": at,
+        "instance": f"i{incarnation}",
+        "incarnation": incarnation,
+        "message": message,
+        "request_id": "" if message == "other" else "r",
+    }
+
+
+@when("the logs are put together")
+def put_together(context):
+    """Makes the account."""
+    context.lines = account.explain("r", context.paths).lines
+
+
+@then('the steps stand in the order "{names}"')
+def check_order(context, names):
+    """Checks the order."""
+    for line, name in zip(context.lines, names.split(", "), strict=True):
+        assert name in line, (line, name)
+
+
+@given("a log buffer that writes to a full pipe")
+def make_buffer(context):
+    """Fills a pipe that nobody reads."""
+    context.pipe = os.pipe()
+    context.buffer = logs.BufferHandler(context.pipe[1])
+    context.buffer.setFormatter(logs.LineFormatter("i", 1))
+    try:
+        while True:
+            os.write(context.pipe[1], b"x" * 65536)
+    except BlockingIOError:
+        pass
+
+
+@when("{usual:d} usual lines and {warnings:d} warnings are logged")
+def log_many(context, usual, warnings):
+    """Logs more than the buffer holds."""
+    logger = logging.Logger("full", logging.INFO)
+    logger.addHandler(context.buffer)
+    start = time.monotonic()
+    for number in range(warnings):
+        logger.warning("warning %d", number)
+    for number in range(usual):
+        logger.info("usual %d", number)
+    context.seconds = time.monotonic() - start
+
+
+@then("logging took less than {seconds:d} s")
+def check_seconds(context, seconds):
+    """Checks that nothing waited."""
+    assert context.seconds < seconds, context.seconds
+
+
+@then("the buffer holds the {count:d} warnings")
+def check_warnings(context, count):
+    """Empties the pipe and reads what comes."""
+    reader, writer = context.pipe
+    os.set_blocking(reader, False)
+    text = b""
+    while True:
+        done = context.buffer.write()
+        try:
+            text += os.read(reader, 1_048_576)
+        except BlockingIOError:
+            if done:
+                break
+    os.close(reader)
+    os.close(writer)
+    assert text.count(b'"level":"WARNING"') == count, text.count(b"WARNING")
+
+
+@then("the lines left out are counted")
+def check_left_out(context):
+    """Checks the count."""
+    assert context.buffer.left_out > 0
--- a/monsoonhoist/cli.py
+++ b/monsoonhoist/cli.py
@@ -11,7 +11,7 @@
 import typer
 
 import monsoonhoist
-from monsoonhoist import client, errors, settings
+from monsoonhoist import account, client, errors, settings
 from monsoonhoist.core import data, traces
 from monsoonhoist.node import process
 from monsoonhoist.tables import review
@@ -167,6 +167,30 @@
         raise typer.Exit(EXIT_FINDINGS)
 
 
+@app.command()
+def explain(
+    request_id: Annotated[str, typer.Argument(help="Id of the request.")],
+    logs: Annotated[list[pathlib.Path], typer.Argument(help="Logs of the instances.")],
+) -> None:
+    """Show what became of a request, from logs; exit code 1 if no log knows it.
+
+    Example: monsoonhoist explain 9c41d07be2a35f68 instance-1.log instance-2.log
+    """
+    try:
+        found = account.explain(request_id, logs)
+    except OSError as error:
+        typer.echo(str(error), err=True)
+        raise typer.Exit(EXIT_USAGE) from error
+    if found is None:
+        typer.echo(f"no log knows the request {request_id!r}", err=True)
+        raise typer.Exit(EXIT_FINDINGS)
+    for line in found.lines:
+        typer.echo(line)
+    typer.echo(f"cause: {found.cause}")
+    if found.left_out:
+        typer.echo(f"the instances left out {found.left_out} log lines; the account may lack some")
+
+
 def _show_findings(findings: list[data.Finding] | tuple[data.Finding, ...]) -> None:
     for finding in findings:
         typer.echo(finding.describe(), err=True)
--- a/monsoonhoist/core/events.py
+++ b/monsoonhoist/core/events.py
@@ -161,6 +161,22 @@
     retry_after_seconds: float = 1.0
 
 
+class Choice(msgspec.Struct, frozen=True):
+    """A server that could have been called, as it looked then.
+
+    Attributes:
+        server: The server.
+        outstanding: Calls in flight from this instance.
+        slowness: Expected latency as a multiple of the usual one.
+        failure_share: Expected share of calls that fail, from 0 to 1.
+    """
+
+    server: data.ServerId
+    outstanding: int
+    slowness: float
+    failure_share: float
+
+
 class StartCall(msgspec.Struct, frozen=True, tag="start-call"):
     """Calls a backend server.
 
@@ -170,6 +186,7 @@
         query: The query.
         snapshot: Snapshot to answer from.
         deadline: End of the call, in monotonic seconds.
+        choices: What the choice of the server was based on.
     """
 
     call_id: int
@@ -177,6 +194,7 @@
     query: work.QuerySpec
     snapshot: data.Snapshot
     deadline: float
+    choices: tuple[Choice, ...] = ()
 
 
 class CancelCall(msgspec.Struct, frozen=True, tag="cancel-call"):
--- a/monsoonhoist/core/owner.py
+++ b/monsoonhoist/core/owner.py
@@ -199,9 +199,8 @@
         sub.call_by_id[call.call_id] = call
         chosen.started_by_call[call.call_id] = now
         self._call_by_id[call.call_id] = call
-        commands.append(
-            events.StartCall(call.call_id, chosen.server, sub.query, sub.snapshot, sub.deadline)
-        )
+        choices = shard.describe(candidates, hedge_policy.typical_seconds(), now)
+        commands.append(shard.start_call(call, choices))
         delay = hedge_policy.delay_seconds(sub.query.hedge_budget)
         if delay is not None and sub.query.repeatable and extra.may_call_again(sub):
             self._alarms.set(now + delay, lambda out: self._hedge(state, sub, out))
--- a/monsoonhoist/core/shard.py
+++ b/monsoonhoist/core/shard.py
@@ -275,6 +275,29 @@
         )
 
 
+def start_call(call: Call, choices: tuple[events.Choice, ...]) -> events.StartCall:
+    """Returns the command that starts a call."""
+    sub = call.sub
+    return events.StartCall(
+        call.call_id, call.server.server, sub.query, sub.snapshot, sub.deadline, choices
+    )
+
+
+def describe(
+    states: list[server.ServerState], typical_seconds: float, now: float
+) -> tuple[events.Choice, ...]:
+    """Returns what a choice between servers is based on."""
+    return tuple(
+        events.Choice(
+            state.server.server_id,
+            state.outstanding,
+            round(state.slowness(now, typical_seconds), 2),
+            round(state.failure_share(now), 2),
+        )
+        for state in states
+    )
+
+
 def choose(
     policy: balance.Balance,
     states: list[server.ServerState],
--- a/monsoonhoist/logs.py
+++ b/monsoonhoist/logs.py
@@ -1,29 +1,156 @@
-"""Logs as JSON lines on standard error."""
+"""Logs as JSON lines on standard output, bounded and never in the way of requests.
 
+Lines go to a bounded buffer, which is written without waiting. When nobody reads, the
+buffer fills; then lines are left out, usual ones before warnings, and counted. A line
+and a counter say how many.
+"""
+
+import collections
+import datetime
+import errno
 import logging
+import os
 import sys
+import time
+from collections.abc import Callable
 
-from pythonjsonlogger import json as json_logs
+import msgspec
 
 from monsoonhoist.core import data
 
+BUFFER_LINES = 2000
+# Lines a second of each logger, beyond those the level warning and above.
+LINES_A_SECOND = 400
+WRITE_PERIOD_SECONDS = 0.02
+REPORT_PERIOD_SECONDS = 5.0
+_STANDARD = frozenset(logging.makeLogRecord({}).__dict__) | {"message", "asctime", "taskName"}
+
+
+class LineFormatter(logging.Formatter):
+    """Formats a record as one JSON object.
+
+    Args:
+        instance: Instance named in each line.
+        incarnation: Incarnation named in each line.
+    """
+
+    def __init__(self, instance: data.InstanceId, incarnation: data.Incarnation):
+        super().__init__()
+        self._instance = instance
+        self._incarnation = incarnation
+
+    def format(self, record: logging.LogRecord) -> str:
+        """Returns the line."""
+        moment = datetime.datetime.fromtimestamp(record.created, datetime.UTC)
+        fields: dict[str, object] = {
+            "time": moment.isoformat(timespec="milliseconds"),
+            "at": round(time.monotonic(), 4),
+            "level": record.levelname,
+            "logger": record.name,
+            "message": record.getMessage(),
+            "instance": self._instance,
+            "incarnation": self._incarnation,
+        }
+        fields.update(
+            (name, value) for name, value in record.__dict__.items() if name not in _STANDARD
+        )
+        if record.exc_info:
+            fields["exc_info"] = self.formatException(record.exc_info)
+        return msgspec.json.encode(fields, enc_hook=str).decode()
+
+
+class BufferHandler(logging.Handler):
+    """Keeps lines until they can be written without waiting.
 
-def configure(level: str, instance: data.InstanceId, incarnation: data.Incarnation) -> None:
-    """Sends all logs to standard error, one JSON object a line.
+    Args:
+        descriptor: File descriptor to write to; made non-blocking.
+
+    Attributes:
+        left_out: Number of lines left out since the start.
+    """
+
+    def __init__(self, descriptor: int):
+        super().__init__()
+        os.set_blocking(descriptor, False)
+        self.left_out = 0
+        self._descriptor = descriptor
+        self._lines: collections.deque[tuple[int, bytes]] = collections.deque()
+        self._rest = b""
+        self._second = 0
+        self._count_by_logger: collections.Counter[str] = collections.Counter()
+        self._on_line: Callable[[], None] | None = None
+
+    def set_wake(self, wake: Callable[[], None] | None) -> None:
+        """Sets what is called when there is something to write; None to write at once."""
+        self._on_line = wake
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Takes a line, or leaves it out."""
+        if record.levelno < logging.WARNING and self._is_over_rate(record):
+            self.left_out += 1
+            return
+        self._lines.append((record.levelno, (self.format(record) + "\n").encode()))
+        if len(self._lines) > BUFFER_LINES:
+            self._drop_one()
+        if self._on_line is not None:
+            self._on_line()
+        else:
+            self.write()
+
+    def write(self) -> bool:
+        """Writes what can be written now; returns whether all of it was."""
+        while self._lines or self._rest:
+            if not self._rest:
+                self._rest = b"".join(line for _, line in self._lines)
+                self._lines.clear()
+            try:
+                written = os.write(self._descriptor, self._rest)
+            except BlockingIOError:
+                return False
+            except OSError as error:
+                if error.errno not in (errno.EPIPE, errno.EBADF):
+                    raise
+                self.left_out += self._rest.count(b"\n")
+                self._rest = b""
+                continue
+            self._rest = self._rest[written:]
+        return True
+
+    def _is_over_rate(self, record: logging.LogRecord) -> bool:
+        second = int(record.created)
+        if second != self._second:
+            self._second = second
+            self._count_by_logger.clear()
+        self._count_by_logger[record.name] += 1
+        return self._count_by_logger[record.name] > LINES_A_SECOND
+
+    def _drop_one(self) -> None:
+        """Drops the oldest line of the lowest level that is there."""
+        lowest = min(level for level, _ in self._lines)
+        for index, (level, _) in enumerate(self._lines):
+            if level == lowest:
+                del self._lines[index]
+                break
+        self.left_out += 1
+
+
+def configure(
+    level: str, instance: data.InstanceId, incarnation: data.Incarnation
+) -> BufferHandler:
+    """Sends all logs to standard output, one JSON object a line.
 
     Args:
         level: Name of the lowest level to log.
         instance: Instance named in each line.
         incarnation: Incarnation named in each line.
+
+    Returns:
+        The handler that keeps the lines.
     """
-    handler = logging.StreamHandler(sys.stderr)
-    formatter = json_logs.JsonFormatter(
-        "%(asctime)s %(levelname)s %(name)s %(message)s",
-        rename_fields={"asctime": "time", "levelname": "level", "name": "logger"},
-        static_fields={"instance": instance, "incarnation": incarnation},
-    )
-    handler.setFormatter(formatter)
+    handler = BufferHandler(sys.stdout.fileno())
+    handler.setFormatter(LineFormatter(instance, incarnation))
     root = logging.getLogger()
     root.handlers = [handler]
     root.setLevel(level.upper())
     logging.getLogger("tornado.access").setLevel(logging.WARNING)
+    return handler
--- a/monsoonhoist/metrics.py
+++ b/monsoonhoist/metrics.py
@@ -73,6 +73,7 @@
         self._stream_bytes = self._make("stream_bytes", "Bytes on instance streams", "By")
         self._late_replies = self._make("late_replies", "Replies dropped as late or duplicate")
         self._pauses = self._make("pauses", "Pauses of the process that were noticed")
+        self._lines_left_out = self._make("log_lines_left_out", "Log lines left out")
         self._start_at_zero()
 
     def export(self) -> bytes:
@@ -96,7 +97,8 @@
                 self._answers.add(0, outcome=outcome.value, rank=rank.value)
         for acceptance in store.Acceptance:
             self._values.add(0, result=acceptance.value)
-        for counter in (self._calls, self._sub_requests, self._late_replies, self._pauses):
+        plain = (self._calls, self._sub_requests, self._late_replies, self._pauses)
+        for counter in (*plain, self._lines_left_out):
             counter.add(0)
 
     def count_answer(self, outcome: data.Outcome, rank: data.Rank | None) -> None:
@@ -135,6 +137,10 @@
         """Counts a reply dropped as late or duplicate."""
         self._late_replies.add(1)
 
+    def count_lines_left_out(self, count: int) -> None:
+        """Counts log lines that were left out."""
+        self._lines_left_out.add(count)
+
     def count_pause(self) -> None:
         """Counts a noticed pause of the process."""
         self._pauses.add(1)
--- /dev/null
+++ b/monsoonhoist/node/journal.py
@@ -0,0 +1,198 @@
+"""Journal of the decisions on each request, written out where a request ends badly.
+
+The journal watches the kernels' events and commands. It keeps the steps of requests in
+progress in memory; the steps of a request that was refused, failed, was abandoned or was
+answered in part are logged, one line for each step, and so are those of a small share of the
+others, as a measure of what is usual.
+"""
+
+import logging
+
+import msgspec
+
+from monsoonhoist.core import clock, data, events, traces
+
+REQUESTS_MAX = 4096
+STEPS_MAX = 120
+# One in so many requests that were answered whole is logged.
+WHOLE_SAMPLE = 200
+MS_PER_SECOND = 1000
+
+_log = logging.getLogger("monsoonhoist.request")
+
+
+class Step(msgspec.Struct, frozen=True, omit_defaults=True):
+    """One decision on a request, or what it led to.
+
+    Attributes:
+        step: What happened.
+        at: Monotonic time in seconds.
+        route: Route of the request.
+        service: Shard concerned.
+        server: Backend server concerned.
+        reason: Why.
+        latency_ms: Time that a call took.
+        left_ms: Time left until the deadline.
+        choices: What the choice of the server was based on.
+        outcome: Outcome of the request.
+        snapshot: Snapshot of the answer.
+        parts: Number of parts in the answer.
+        missing: Shards that the answer lacks.
+    """
+
+    step: str
+    at: float
+    route: str = ""
+    service: str = ""
+    server: str = ""
+    reason: str = ""
+    latency_ms: int = 0
+    left_ms: int = 0
+    choices: tuple[events.Choice, ...] = ()
+    outcome: str = ""
+    snapshot: int = 0
+    parts: int = 0
+    missing: tuple[str, ...] = ()
+
+
+class _Request:
+    """A request in progress."""
+
+    def __init__(self, request_id: str):
+        self.request_id = request_id
+        self.steps: list[Step] = []
+        self.called: set[str] = set()
+        self.ended_services: set[str] = set()
+
+
+class _Call(msgspec.Struct, frozen=True):
+    """A call in flight."""
+
+    query_id: data.QueryId
+    server: data.Server
+    started: float
+
+
+class DecisionJournal:
+    """Steps of the requests in progress at one instance.
+
+    Args:
+        time_source: The kernels' clock.
+    """
+
+    def __init__(self, time_source: clock.Clock):
+        self._clock = time_source
+        self._request_by_query: dict[data.QueryId, _Request] = {}
+        self._call_by_id: dict[int, _Call] = {}
+        self._whole = 0
+
+    def observe(self, role: traces.Role, event: object, commands: list[events.Command]) -> None:
+        """Takes note of an event and of what the kernel decided on it."""
+        now = self._clock.monotonic()
+        match event:
+            case events.QueryArrived():
+                self._note_arrival(event, now)
+            case events.CallReplied() | events.CallFailed():
+                self._note_call_end(event, now)
+            case events.ReplyArrived():
+                self._note_failures(event, now)
+            case events.CallerLeft():
+                self._end(event.query_id, Step("abandoned", now, reason="caller_gone"), True)
+        for command in commands:
+            match command:
+                case events.StartCall():
+                    self._note_call(command, now)
+                case events.Respond():
+                    self._note_answer(command, now)
+
+    def _note_arrival(self, event: events.QueryArrived, now: float) -> None:
+        if len(self._request_by_query) >= REQUESTS_MAX:
+            self._request_by_query.pop(next(iter(self._request_by_query)))
+        request = _Request(event.question.request_id)
+        request.steps.append(Step("arrived", now, route=event.route))
+        self._request_by_query[event.query_id] = request
+
+    def _note_call(self, command: events.StartCall, now: float) -> None:
+        self._call_by_id[command.call_id] = _Call(command.query.query_id, command.server, now)
+        request = self._request_by_query.get(command.query.query_id)
+        if request is None:
+            return
+        service = command.server.service
+        name = "called again" if service in request.called else "called"
+        request.called.add(service)
+        step = Step(
+            name,
+            now,
+            service=service,
+            server=command.server.server_id,
+            left_ms=int((command.deadline - now) * MS_PER_SECOND),
+            choices=command.choices,
+        )
+        self._add(request, step)
+
+    def _note_call_end(self, event: events.CallReplied | events.CallFailed, now: float) -> None:
+        call = self._call_by_id.pop(event.call_id, None)
+        request = self._request_by_query.get(call.query_id) if call is not None else None
+        if request is None:
+            return
+        reason = event.reason.value if isinstance(event, events.CallFailed) else ""
+        if not reason:
+            request.ended_services.add(call.server.service)
+        step = Step(
+            "call failed" if reason else "call answered",
+            now,
+            service=call.server.service,
+            server=call.server.server_id,
+            reason=reason,
+            latency_ms=int((now - call.started) * MS_PER_SECOND),
+        )
+        self._add(request, step)
+
+    def _note_failures(self, event: events.ReplyArrived, now: float) -> None:
+        request = self._request_by_query.get(event.reply.query_id)
+        if request is None:
+            return
+        for failure in event.reply.failures:
+            reason = failure.reason.value
+            self._add(request, Step("shard given up", now, service=failure.service, reason=reason))
+
+    def _note_answer(self, command: events.Respond, now: float) -> None:
+        answer = command.answer
+        coverage = answer.coverage
+        step = Step(
+            "answered",
+            now,
+            reason=answer.reason.value if answer.reason else "",
+            outcome=answer.outcome.value,
+            snapshot=answer.snapshot,
+            parts=len(coverage.covered) if coverage else 0,
+            missing=coverage.missing if coverage else (),
+        )
+        self._end(command.query_id, step, answer.outcome is not data.Outcome.ANSWERED)
+
+    def _end(self, query_id: data.QueryId, step: Step, is_bad: bool) -> None:
+        """Logs the steps of a request that has ended, if they are to be logged."""
+        request = self._request_by_query.pop(query_id, None)
+        if request is None:
+            return
+        if not is_bad:
+            self._whole += 1
+            if self._whole % WHOLE_SAMPLE:
+                return
+        for found in (*request.steps, step):
+            if found.service and found.service in request.ended_services and is_bad:
+                # Shards that answered explain nothing about a request that ended badly.
+                continue
+            _log.info(found.step, extra=_fields(request.request_id, found))
+
+    @staticmethod
+    def _add(request: _Request, step: Step) -> None:
+        if len(request.steps) < STEPS_MAX:
+            request.steps.append(step)
+
+
+def _fields(request_id: str, step: Step) -> dict[str, object]:
+    """Returns the fields of a step's line."""
+    fields = msgspec.to_builtins(step)
+    del fields["step"]
+    return {"request_id": request_id, **fields, "at": round(step.at, 4)}
--- a/monsoonhoist/node/kernels.py
+++ b/monsoonhoist/node/kernels.py
@@ -31,7 +31,7 @@
         time_source: The kernel's clock; moved before each event.
         counters: Metrics, for the kernel's counting commands.
         perform: Carries out the other commands.
-        recorder: Told of each event and its commands; None for no trace.
+        observers: Told of each event and its commands.
     """
 
     def __init__(
@@ -41,7 +41,7 @@
         time_source: clock.EventClock,
         counters: metrics.Metrics,
         perform: Callable[[events.Command], None],
-        recorder: Recorder | None = None,
+        observers: tuple[Recorder, ...] = (),
     ):
         super().__init__()
         self._role = role
@@ -49,7 +49,7 @@
         self._clock = time_source
         self._counters = counters
         self._perform = perform
-        self._recorder = recorder
+        self._observers = observers
         self._timer: asyncio.TimerHandle | None = None
         self._timer_at: float | None = None
 
@@ -57,8 +57,8 @@
         """Lets the kernel handle an event and performs its commands."""
         self._clock.tick()
         commands = self._kernel.handle(message)
-        if self._recorder is not None:
-            self._recorder(self._role, message, commands)
+        for observe in self._observers:
+            observe(self._role, message, commands)
         for command in commands:
             match command:
                 case events.CountRefusal():
--- a/monsoonhoist/node/node.py
+++ b/monsoonhoist/node/node.py
@@ -18,13 +18,13 @@
     replies,
     tickets,
     traces,
-    watching,
 )
 from monsoonhoist.node import (
     backends,
     curl,
     desk,
     dialect,
+    journal,
     kernels,
     pause,
     peers,
@@ -81,6 +81,7 @@
         self._kernel = kernel.make_kernel(
             self.name, zone, self._kernel_clock, names, config.owner_options()
         )
+        self._journal = journal.DecisionJournal(self._kernel_clock)
         self._trace: trace.TraceWriter | None = None
         if trace_path is not None:
             self._trace = trace.TraceWriter(trace_path, self.name, zone, names, self._kernel_clock)
@@ -116,13 +117,7 @@
         self._readiness = readiness.Readiness(
             time_source, self.spread, self._watcher, self._hub.connected
         )
-        spread = config.spread
-        self._duty = watching.WatchDuty(
-            self.name,
-            spread.watchers,
-            spread.stale_ms.total_seconds(),
-            spread.stale_step_ms.total_seconds(),
-        )
+        self._duty = config.spread.make_duty(self.name)
         self._pauses = pause.PauseWatch(time_source, config.timing.pause_ms, self._on_pause)
         self.reception = reception.Reception(
             f"{self.name}.{incarnation}", self.counters, self._entry.tell
@@ -139,9 +134,11 @@
 
     def _make_kernel_task(self, role: traces.Role, part: kernels.KernelPart) -> kernels.KernelTask:
         """Returns the task that owns one of the kernels."""
-        recorder = self._trace.record if self._trace else None
+        observers = [self._journal.observe]
+        if self._trace is not None:
+            observers.append(self._trace.record)
         return kernels.KernelTask(
-            role, part, self._kernel_clock, self.counters, self._perform, recorder
+            role, part, self._kernel_clock, self.counters, self._perform, tuple(observers)
         )
 
     def start(self) -> None:
--- a/monsoonhoist/node/process.py
+++ b/monsoonhoist/node/process.py
@@ -8,7 +8,7 @@
 
 from monsoonhoist import errors, logs, settings
 from monsoonhoist.core import clock, data
-from monsoonhoist.node import node
+from monsoonhoist.node import logwriter, node
 
 # Period at which the settings file is looked at, since it may change without a signal.
 SETTINGS_PERIOD_SECONDS = 2.0
@@ -29,8 +29,8 @@
     """
     config = settings.load(path)
     incarnation = data.Incarnation(time.time_ns())
-    logs.configure(log_level, data.InstanceId(config.instance.name), incarnation)
-    asyncio.run(_serve(config, path, incarnation, trace_path))
+    handler = logs.configure(log_level, data.InstanceId(config.instance.name), incarnation)
+    asyncio.run(_serve(config, path, incarnation, trace_path, handler))
 
 
 async def _serve(
@@ -38,12 +38,15 @@
     path: pathlib.Path,
     incarnation: data.Incarnation,
     trace_path: pathlib.Path | None,
+    handler: logs.BufferHandler,
 ) -> None:
     stopping = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
     instance = node.Node(config, incarnation, clock.SystemClock(), trace_path)
+    writer = logwriter.LogWriter(handler, instance.counters)
+    writer.start()
     server = instance.dialect.make_server(instance)
     server.start()
     instance.start()
@@ -55,6 +58,7 @@
     watching.cancel()
     await instance.leave()
     await server.close()
+    writer.stop()
 
 
 class SettingsWatch:
--- a/monsoonhoist/node/reception.py
+++ b/monsoonhoist/node/reception.py
@@ -8,7 +8,7 @@
 from monsoonhoist import metrics
 from monsoonhoist.core import data, events, exchange, routing
 
-_log = logging.getLogger(__name__)
+_log = logging.getLogger("monsoonhoist.request")
 
 
 class Reception:
@@ -89,12 +89,16 @@
                 ended.set_result(command)
 
     def note_answer(self, rank: data.Rank | None, answer: data.Answer) -> None:
-        """Counts an answer to a caller, and logs one that is not whole."""
+        """Counts an answer to a caller."""
         self._counters.count_answer(answer.outcome, rank)
-        if answer.outcome is not data.Outcome.ANSWERED:
-            extra = {
-                "request_id": answer.request_id,
-                "outcome": answer.outcome.value,
-                "reason": answer.reason.value if answer.reason else "",
-            }
-            _log.info("request not answered whole", extra=extra)
+
+    def note_refusal(self, answer: data.Answer) -> None:
+        """Counts and logs an answer to a request that did not reach the entry."""
+        self._counters.count_refusal(answer.reason)
+        self._counters.count_answer(answer.outcome, None)
+        extra = {
+            "request_id": answer.request_id,
+            "outcome": answer.outcome.value,
+            "reason": answer.reason.value,
+        }
+        _log.info("answered", extra=extra)
--- a/monsoonhoist/node/web.py
+++ b/monsoonhoist/node/web.py
@@ -84,12 +84,17 @@
 
     def refuse(self, request: data.Request, reason: data.Refusal, detail: str) -> None:
         """Answers that the request did not run."""
-        self._node.counters.count_refusal(reason)
-        self.answer(None, outcome.not_run(request.request_id, reason, detail))
+        answer = outcome.not_run(request.request_id, reason, detail)
+        self._node.reception.note_refusal(answer)
+        self.send(answer)
 
     def answer(self, rank: data.Rank | None, answer: data.Answer) -> None:
         """Sends and counts an answer."""
         self._node.reception.note_answer(rank, answer)
+        self.send(answer)
+
+    def send(self, answer: data.Answer) -> None:
+        """Sends an answer."""
         status_code = _STATUS_BY_OUTCOME[answer.outcome]
         if answer.outcome is data.Outcome.NOT_RUN:
             status_code = _STATUS_BY_REFUSAL.get(answer.reason, status_code)
--- a/monsoonhoist/platform/callers.py
+++ b/monsoonhoist/platform/callers.py
@@ -94,8 +94,7 @@
         )
 
     def _refuse(self, answer: data.Answer) -> None:
-        self._node.counters.count_refusal(answer.reason)
-        self._node.reception.note_answer(None, answer)
+        self._node.reception.note_refusal(answer)
         self._send(response_for(events.Respond(data.QueryId(""), answer)))
 
     def _answer(self, route: data.Route, ended: asyncio.Future[events.Respond]) -> None:
--- a/monsoonhoist/settings.py
+++ b/monsoonhoist/settings.py
@@ -12,7 +12,7 @@
 import msgspec
 
 from monsoonhoist import errors
-from monsoonhoist.core import budget, data, kernel, options
+from monsoonhoist.core import budget, data, kernel, options, watching
 from monsoonhoist.policy import registry
 from monsoonhoist.tables import ini
 
@@ -140,6 +140,12 @@
     stale_ms: datetime.timedelta = datetime.timedelta(milliseconds=2000)
     stale_step_ms: datetime.timedelta = datetime.timedelta(milliseconds=300)
 
+    def make_duty(self, myself: data.InstanceId) -> watching.WatchDuty:
+        """Returns the decision on watching for an instance."""
+        stale_seconds = self.stale_ms.total_seconds()
+        step_seconds = self.stale_step_ms.total_seconds()
+        return watching.WatchDuty(myself, self.watchers, stale_seconds, step_seconds)
+
 
 class PolicySection(ini.Model):
     """``[policy]``: names of the policies to use."""
