Share the calls in cells, whose size follows from the tables

Cause: with 90 instances each calling 90 shards, every server has more callers than connections, a connection is hardly ever used twice, and a query costs its entry 90 calls. Change: the ownership cell, of which one instance is the smallest case; its size follows from the connections of the servers and from the cost of calls against the goal. Owners say that they have the work; only silent ones are replaced, and they are told to drop it. A query that cannot reach its minimum coverage ends at once.

--- /dev/null
+++ b/features/cells.feature
@@ -0,0 +1,20 @@
+Feature: Cells of instances that share the calls to backend servers
+
+  Scenario Outline: The size of a cell follows from the tables and the instances
+    Given tables with <shards> shards, <connections> connections a server and a goal of <goal> ms
+    Then the cells of <instances> instances have <size> instances each
+
+    Examples:
+      | shards | connections | goal | instances | size |
+      | 20     | 25          | 56   | 6         | 1    |
+      | 20     | 26          | 58   | 7         | 1    |
+      | 1      | 25          | 56   | 6         | 1    |
+      | 45     | 25          | 56   | 4         | 2    |
+      | 90     | 67          | 59   | 90        | 4    |
+      | 90     | 67          | 59   | 1000      | 34   |
+      | 850    | 67          | 330  | 7500      | 249  |
+
+  Scenario: All instances of a zone see the same cells
+    Given 30 instances in 3 zones
+    Then cells of 4 have 3 to 5 instances, all of one zone
+    And each instance of a cell sees the same cell
--- a/features/platform.feature
+++ b/features/platform.feature
@@ -52,6 +52,16 @@
       | no_proof     |
       | not_http     |
 
+  Scenario: An answer that cannot be enough any more is given up at once
+    Given the servers work for 700 ms
+    And the server "alpha-a" has the fault "shed"
+    And the server "alpha-b" has the fault "shed"
+    And the server "beta-a" has the fault "shed"
+    And the server "beta-b" has the fault "shed"
+    When the caller finds "a" at instance 1
+    Then the status is 502
+    And the answer came within 500 ms
+
   Scenario: Work that may not be repeated runs once when an answer is lost
     Given the server "records-a" has the fault "lost"
     And the server "records-b" has the fault "lost"
--- a/features/steps/platform.py
+++ b/features/steps/platform.py
@@ -26,9 +26,11 @@
 def ask(context, number, target, method="GET", body=b"", wait_ms=2000):
     """Sends a request and notes it with its reply."""
     context.request_id = next_id()
+    start = time.monotonic()
     context.reply = context.fleet.ask(
         number, target, method, body, context.request_id, wait_ms, OWN_HEADERS
     )
+    context.reply_seconds = time.monotonic() - start
     context.replies.append(context.reply)
     context.request_ids.append(context.request_id)
     return context.reply
@@ -196,6 +198,12 @@
     assert context.reply.status == status, (context.reply.status, context.reply.body)
 
 
+@then("the answer came within {ms:d} ms")
+def check_quick(context, ms):
+    """Checks how long the last reply took."""
+    assert context.reply_seconds <= ms / 1000, context.reply_seconds
+
+
 @then("all statuses are {status:d}")
 def check_statuses(context, status):
     """Checks all replies' statuses."""
--- a/features/steps/server_choice.py
+++ b/features/steps/server_choice.py
@@ -27,9 +27,7 @@
 LATENCY_SECONDS = 0.02
 DEADLINE_MS = 400
 WINDOW_SECONDS = 10.0
-POLICIES = kernel.PolicyNames(
-    ownership="each-entry", balance="expected-latency", hedge="recent-quantile"
-)
+POLICIES = kernel.PolicyNames(ownership="cell", balance="expected-latency", hedge="recent-quantile")
 
 
 @dataclasses.dataclass
--- a/monsoonhoist/core/entry.py
+++ b/monsoonhoist/core/entry.py
@@ -78,6 +78,8 @@
                 return self._start(event)
             case events.CallerLeft():
                 return self._abandon(event.query_id)
+            case events.BatchTaken():
+                return self._note_taken(event)
             case events.ReplyArrived():
                 return self._take_reply(event)
             case events.PeerLost():
@@ -91,7 +93,7 @@
 
     def _change_view(self, event: events.ViewChanged) -> list[events.Command]:
         self._tables = event.tables
-        self._instances = event.instances
+        self._instances = event.cell or event.instances
         return []
 
     def _start(self, event: events.QueryArrived) -> list[events.Command]:
@@ -164,6 +166,13 @@
             )
             commands.append(events.SendMessage(owner, batch))
 
+    def _note_taken(self, event: events.BatchTaken) -> list[events.Command]:
+        """Takes note that an owner is at work on a query."""
+        state = self._query_by_id.get(event.query_id)
+        if state is not None:
+            state.heard_from.add(event.instance)
+        return []
+
     def _take_reply(self, event: events.ReplyArrived) -> list[events.Command]:
         """Takes in a reply, asks again where that helps, and concludes if settled."""
         state = self._query_by_id.get(event.reply.query_id)
@@ -174,6 +183,7 @@
             knowledge.learn(part.service, part.holdings)
         for failure in event.reply.failures:
             knowledge.learn(failure.service, failure.holdings)
+        state.heard_from.add(event.sender)
         if not state.take_reply(event.reply):
             return [events.CountLateReply()]
         commands: list[events.Command] = []
@@ -209,6 +219,8 @@
                 return self._finish(state)
             if state.is_settled() and (commands := self._rerun(state)):
                 return commands
+            if not state.can_be_enough():
+                return self._finish(state)
         return self._finish(state) if state.is_settled() else []
 
     def _may_end_early(self, state: query.QueryState) -> bool:
@@ -294,21 +306,25 @@
         return commands
 
     def _ask_stand_bys(self, state: query.QueryState, commands: list[events.Command]) -> None:
-        """Asks the stand-by of each owner that has been silent, within the budget."""
+        """Asks the stand-by of each owner that has been silent, within the budget.
+
+        A silent owner is told to drop the work, so that it does none if it wakes.
+        """
         bucket = self._bucket(state.route.route_id)
         bucket.earn(state.route.hedge_budget * len(state.services))
         silent: list[data.ServiceId] = []
         for service in state.services:
-            shard = state.shard_by_service[service]
-            if not state.is_open(service) or shard.stand_by_asked:
+            if not state.is_silent(service) or not self._has_stand_by(state, service):
                 continue
-            if not self._has_stand_by(state, service):
+            if state.shard_by_service[service].stand_by_asked or not bucket.spend_on_retry():
                 continue
-            if bucket.spend_on_retry():
-                shard.stand_by_asked = True
-                silent.append(service)
-                commands.append(events.CountRetry(data.RetryReason.OWNER_SILENT))
+            state.shard_by_service[service].stand_by_asked = True
+            silent.append(service)
+            commands.append(events.CountRetry(data.RetryReason.OWNER_SILENT))
         if silent:
+            cancel = messages.Cancel(state.spec.query_id, True)
+            owners = {owner: None for service in silent for owner in state.asked(service)}
+            commands.extend(events.SendMessage(owner, cancel) for owner in owners)
             self._send(state, tuple(silent), 1, commands)
 
     def _has_stand_by(self, state: query.QueryState, service: data.ServiceId) -> bool:
@@ -331,16 +347,18 @@
         if state is None:
             return []
         self._admission(state.pool.pool_id).finish(state.route.rank, state.pressure)
-        return [events.CountRefusal(data.Refusal.CALLER_GONE), *self._cancel_pending(state)]
+        return [events.CountRefusal(data.Refusal.CALLER_GONE), *self._cancel_pending(state, True)]
 
-    def _cancel_pending(self, state: query.QueryState) -> list[events.Command]:
+    def _cancel_pending(
+        self, state: query.QueryState, is_abandoned: bool = False
+    ) -> list[events.Command]:
         """Tells the owners that a query needs no more work."""
         pending = {
             owner: None
             for shard in state.shard_by_service.values()
             for owner in shard.pending_by_attempt.values()
         }
-        cancel = messages.Cancel(state.spec.query_id)
+        cancel = messages.Cancel(state.spec.query_id, is_abandoned)
         return [events.SendMessage(owner, cancel) for owner in pending]
 
     def _admission(self, pool: data.PoolId) -> admission.Admission:
--- a/monsoonhoist/core/events.py
+++ b/monsoonhoist/core/events.py
@@ -15,10 +15,15 @@
     Attributes:
         tables: Tables in force.
         instances: Live instances, sorted, this one included.
+        cell: Instances that share the calls to backend servers with this one, this one
+            included; empty where all instances do.
+        cells: Number of such cells; 0 where there are none.
     """
 
     tables: data.Tables
     instances: tuple[data.InstanceId, ...]
+    cell: tuple[data.InstanceId, ...] = ()
+    cells: int = 0
 
 
 class QueryArrived(msgspec.Struct, frozen=True, tag="query-arrived"):
@@ -76,10 +81,18 @@
     batch: messages.SubBatch
 
 
+class BatchTaken(msgspec.Struct, frozen=True, tag="batch-taken"):
+    """An owner has the sub-requests that it was sent."""
+
+    instance: data.InstanceId
+    query_id: data.QueryId
+
+
 class CancelArrived(msgspec.Struct, frozen=True, tag="cancel-arrived"):
-    """A query needs no more work from this owner."""
+    """A query needs no more work from this owner; see ``messages.Cancel``."""
 
     query_id: data.QueryId
+    is_abandoned: bool = False
 
 
 class CallReplied(msgspec.Struct, frozen=True, tag="call-replied"):
@@ -133,7 +146,14 @@
 
 
 EntryEvent = (
-    ViewChanged | QueryArrived | CallerLeft | ReplyArrived | PeerLost | BatchUnsent | TimeReached
+    ViewChanged
+    | QueryArrived
+    | CallerLeft
+    | BatchTaken
+    | ReplyArrived
+    | PeerLost
+    | BatchUnsent
+    | TimeReached
 )
 OwnerEvent = ViewChanged | BatchArrived | CancelArrived | CallReplied | CallFailed | TimeReached
 
--- a/monsoonhoist/core/membership.py
+++ b/monsoonhoist/core/membership.py
@@ -126,6 +126,30 @@
             others.append(self.myself.instance)
         return tuple(sorted(others))
 
+    def cell(self, size: int) -> tuple[data.InstanceId, ...]:
+        """Returns the live instances of this instance's cell, sorted.
+
+        The instances of an availability zone are dealt to its cells in the order of their
+        names, so that all of them see the same cells while they see the same instances.
+        """
+        mates = self._zone_mates()
+        myself = self.myself.instance
+        if myself not in mates:
+            return (myself,)
+        count = max(1, round(len(mates) / size))
+        return tuple(mates[mates.index(myself) % count :: count])
+
+    def cell_count(self, size: int) -> int:
+        """Returns the number of cells of all availability zones."""
+        return max(1, round(len(self.live()) / size))
+
+    def _zone_mates(self) -> list[data.InstanceId]:
+        """Returns the live instances of this instance's availability zone, sorted."""
+        zone = self.myself.zone
+        zone_by_id = {member.instance: member.zone for member in self.known()}
+        zone_by_id[self.myself.instance] = zone
+        return [instance for instance in self.live() if zone_by_id.get(instance) == zone]
+
     def watch_place(self) -> int:
         """Returns this instance's place in the order of watchers, over all zones."""
         candidates = sorted(self.live(), key=_watch_weight, reverse=True)
@@ -138,22 +162,26 @@
 
         In each availability zone these are the live instances with the largest weight.
         """
-        zone = self.myself.zone
-        zone_by_id = {member.instance: member.zone for member in self.known()}
-        zone_by_id[self.myself.instance] = zone
-        candidates = [instance for instance in self.live() if zone_by_id.get(instance) == zone]
-        candidates.sort(key=_watch_weight, reverse=True)
+        candidates = sorted(self._zone_mates(), key=_watch_weight, reverse=True)
         return self.myself.instance in candidates[:watchers_per_zone]
 
-    def neighbours(self, degree: int) -> tuple[data.Member, ...]:
-        """Returns the instances to keep a stream to, at most ``degree``.
+    def neighbours(
+        self, degree: int, cell: tuple[data.InstanceId, ...] = ()
+    ) -> tuple[data.Member, ...]:
+        """Returns the instances to keep a stream to, at most ``degree`` besides the cell.
 
         Half are the next ones on a ring by hash, which keeps the graph connected; the
         others are those with the largest pairwise weight, which keeps it shallow.
         """
-        others = self.known()
+        known = self.known()
+        mates = tuple(member for member in known if member.instance in cell)
+        others = [member for member in known if member.instance not in cell]
+        return mates + self._spread_neighbours(others, degree)
+
+    def _spread_neighbours(self, others: list[data.Member], degree: int) -> tuple[data.Member, ...]:
+        """Returns the instances to keep a stream to for news."""
         if len(others) <= degree:
-            return others
+            return tuple(others)
         mine = _ring_position(self.myself.instance)
         ring = sorted(others, key=lambda member: (_ring_position(member.instance) - mine) % 2**64)
         ring_count = degree // 2
--- a/monsoonhoist/core/messages.py
+++ b/monsoonhoist/core/messages.py
@@ -95,10 +95,22 @@
     calls: int
 
 
+class BatchTaken(msgspec.Struct, frozen=True, array_like=True, tag="taken"):
+    """Tells the entry that an owner has a query's sub-requests."""
+
+    query_id: data.QueryId
+
+
 class Cancel(msgspec.Struct, frozen=True, array_like=True, tag="cancel"):
-    """Tells an owner that a query needs no more work."""
+    """Tells an owner that a query needs no more work.
+
+    Attributes:
+        query_id: The query.
+        is_abandoned: Whether the caller has left, so that calls in flight end at once.
+    """
 
     query_id: data.QueryId
+    is_abandoned: bool = False
 
 
 class Members(msgspec.Struct, frozen=True, array_like=True, tag="members"):
@@ -172,6 +184,7 @@
     | BeatReply
     | SubBatch
     | SubReply
+    | BatchTaken
     | Cancel
     | Members
     | Revisions
@@ -209,6 +222,15 @@
         raise errors.ProtocolError(f"malformed value of {packed.key!r}: {error}") from error
 
 
+def unpack_tables(packed: PackedTables, bytes_max: int) -> list[TableValue]:
+    """Returns received table values.
+
+    Raises:
+        ProtocolError: If a text is malformed or longer than ``bytes_max``.
+    """
+    return [unpack_table(table, bytes_max) for table in packed.tables]
+
+
 def decode(body: bytes) -> Message:
     """Returns the message held in ``body``.
 
--- a/monsoonhoist/core/options.py
+++ b/monsoonhoist/core/options.py
@@ -15,10 +15,13 @@
         extra_calls: Size of the budgets of extra calls.
         leaving_grace_seconds: How long a server that the table takes out of service is
             called where no other is left.
+        finish_latencies: How long a call that is not needed any more may go on, from its
+            start, in usual latencies; 0 to cancel it at once.
     """
 
     extra_calls: budget.BudgetOptions = budget.BudgetOptions()
     leaving_grace_seconds: float = 0.0
+    finish_latencies: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True)
--- a/monsoonhoist/core/owner.py
+++ b/monsoonhoist/core/owner.py
@@ -1,5 +1,6 @@
 """Kernel of the owner: queues, calls, hedges and retries at backend servers."""
 
+import functools
 import itertools
 import math
 
@@ -64,14 +65,9 @@
         self._replies = replies.ReplyCollector()
 
     @property
-    def active_calls(self) -> int:
-        """Number of calls in flight."""
-        return len(self._call_by_id)
-
-    @property
-    def active_queries(self) -> int:
-        """Number of queries with sub-requests here."""
-        return len(self._subs_by_query)
+    def active(self) -> int:
+        """Number of calls in flight and of queries with sub-requests here."""
+        return len(self._call_by_id) + len(self._subs_by_query)
 
     def next_wake(self) -> float | None:
         """Returns when ``TimeReached`` is due, in monotonic seconds, or None."""
@@ -88,7 +84,7 @@
             case events.CallFailed():
                 self._take_failure(event, commands)
             case events.CancelArrived():
-                self._cancel(event.query_id, commands)
+                self._cancel(event, commands)
             case events.ViewChanged():
                 self._change_view(event, commands)
             case events.TimeReached():
@@ -99,13 +95,13 @@
 
     def _change_view(self, event: events.ViewChanged, commands: list[events.Command]) -> None:
         self._tables = event.tables
-        self._share = self._policies.ownership.share(len(event.instances))
+        self._share = self._policies.ownership.share(event.cells or len(event.instances))
         now = self._clock.monotonic()
         self._extra.set_share(self._share.budget)
         for key, state in self._shard_by_key.items():
             pool = self._tables.pool_by_id.get(key[0])
             servers = pool.servers_by_service.get(key[1], ()) if pool else ()
-            state.keys = _fixed_keys(pool, key[1]) if pool else state.keys
+            state.keys = shard.fixed_keys(pool, key[1]) if pool else state.keys
             state.update(servers, self._share, now)
             self._pump(state, commands)
 
@@ -243,7 +239,7 @@
                 event.response,
             )
             self._replies.add_part(call.sub, part, event.results)
-            self._close(state, call.sub, commands)
+            self._close(call.sub, commands)
         self._pump(state, commands)
 
     def _take_failure(self, event: events.CallFailed, commands: list[events.Command]) -> None:
@@ -303,12 +299,13 @@
         else:
             self._give_up(state, sub, data.Refusal.EXPIRED_IN_QUEUE, commands)
 
-    def _cancel(self, query_id: data.QueryId, commands: list[events.Command]) -> None:
+    def _cancel(self, event: events.CancelArrived, commands: list[events.Command]) -> None:
         """Drops a query's sub-requests; calls of non-repeatable work go on."""
-        for sub in list(self._subs_by_query.get(query_id, ())):
-            state = self._shard_by_key[(sub.query.pool, sub.service)]
-            state.withdraw(sub)
-            self._close(state, sub, commands)
+        for sub in list(self._subs_by_query.get(event.query_id, ())):
+            self._shard_by_key[(sub.query.pool, sub.service)].withdraw(sub)
+            self._close(sub, commands)
+            for call in list(sub.call_by_id.values()) if event.is_abandoned else ():
+                self._drop_call(call, commands)
 
     def _give_up(
         self,
@@ -330,29 +327,41 @@
             sub.last_response,
         )
         self._replies.add_failure(sub, failure)
-        self._close(state, sub, commands)
+        self._close(sub, commands)
 
     def _refuse(
         self, sub: shard.SubRequest, reason: data.Refusal, commands: list[events.Command]
     ) -> None:
         """Answers the origin that a sub-request was not accepted."""
         commands.append(events.CountRefusal(reason))
-        failure = work.Failure(sub.service, sub.attempt, reason, False)
-        self._replies.add_failure(sub, failure)
+        self._replies.add_failure(sub, work.Failure(sub.service, sub.attempt, reason, False))
 
-    def _close(
-        self, state: shard.ShardState, sub: shard.SubRequest, commands: list[events.Command]
-    ) -> None:
-        """Forgets a sub-request and cancels the calls that are left."""
+    def _close(self, sub: shard.SubRequest, commands: list[events.Command]) -> None:
+        """Forgets a sub-request; calls that are left may end for a moment, then are dropped.
+
+        A call that ends keeps its connection, and tells how long the server takes.
+        """
         sub.closed = True
         subs = self._subs_by_query[sub.query.query_id]
         subs.remove(sub)
         if not subs:
             del self._subs_by_query[sub.query.query_id]
-        for call in sub.call_by_id.values():
-            if sub.query.repeatable and not call.cancelled:
-                call.cancelled = True
-                commands.append(events.CancelCall(call.call_id))
+        typical_seconds = self._extra.hedge_policy(sub).typical_seconds()
+        patience = typical_seconds * self._settings.finish_latencies
+        now = self._clock.monotonic()
+        for call in list(sub.call_by_id.values()):
+            if call.started + patience <= now:
+                self._drop_call(call, commands)
+            else:
+                drop = functools.partial(self._drop_call, call)
+                self._alarms.set(call.started + patience, drop)
+
+    def _drop_call(self, call: shard.Call, commands: list[events.Command]) -> None:
+        """Cancels a call in flight that is not needed, if the work may be repeated."""
+        is_in_flight = call.call_id in self._call_by_id
+        if is_in_flight and call.sub.query.repeatable and not call.cancelled:
+            call.cancelled = True
+            commands.append(events.CancelCall(call.call_id))
 
     def _end_call(self, call_id: int) -> shard.Call | None:
         call = self._call_by_id.pop(call_id, None)
@@ -376,7 +385,7 @@
             self._policies.make_order(),
             self._settings.leaving_grace_seconds,
         )
-        state.keys = _fixed_keys(pool, service)
+        state.keys = shard.fixed_keys(pool, service)
         # Nothing tells for how long servers that are leaving by now have been leaving.
         state.update(servers, self._share, -math.inf)
         self._shard_by_key[(pool_id, service)] = state
@@ -389,11 +398,3 @@
     if event.reason is not data.Refusal.SHED or load is None or load.running >= load.slots:
         return event
     return msgspec.structs.replace(event, reason=data.Refusal.SHED_WITHOUT_LOAD)
-
-
-def _fixed_keys(pool: data.Pool, service: data.ServiceId) -> data.KeyRange | None:
-    """Returns a shard's keys where the table fixes them, else None."""
-    if not pool.snapshot or service not in pool.servers_by_service:
-        return None
-    position = list(pool.servers_by_service).index(service)
-    return data.KeyRange(position, position + 1)
--- a/monsoonhoist/core/plan.py
+++ b/monsoonhoist/core/plan.py
@@ -60,7 +60,7 @@
         pool=pool,
         services=services,
         deadline=now + total_seconds,
-        patience_ends=now + total_seconds * OWNER_PATIENCE_SHARE,
+        patience_ends=now + _patience_seconds(route, total_seconds),
         partial_from=now + _partial_after_seconds(route, total_seconds),
         snapshot=snapshot,
     )
@@ -75,6 +75,13 @@
     return services[hashing.weight(question.content.body.decode()) % len(services)]
 
 
+def _patience_seconds(route: data.Route, total_seconds: float) -> float:
+    """Returns when an owner that has not replied at all is taken for silent."""
+    if route.goal is None:
+        return total_seconds * OWNER_PATIENCE_SHARE
+    return min(total_seconds, route.goal.total_seconds()) * OWNER_PATIENCE_SHARE
+
+
 def _partial_after_seconds(route: data.Route, total_seconds: float) -> float:
     """Returns when the minimum coverage is enough, from the query's start."""
     if route.goal is not None:
--- a/monsoonhoist/core/query.py
+++ b/monsoonhoist/core/query.py
@@ -7,6 +7,9 @@
 from monsoonhoist.core import coverage, data, exchange, messages, work
 from monsoonhoist.policy import merge
 
+# Slack for shares that floating point does not hold exactly.
+_ROUNDING = 1e-9
+
 
 @dataclasses.dataclass
 class ShardProgress:
@@ -43,6 +46,7 @@
         partial_from: When the minimum coverage is enough, in monotonic seconds.
         snapshot: Snapshot asked for.
         reruns: How often another snapshot was chosen.
+        heard_from: Instances that have replied.
         shard_by_service: Progress of each shard.
         sub_requests: Sub-requests sent to owners.
         pressure: See ``policy.admission``.
@@ -70,6 +74,7 @@
         self.partial_from = partial_from
         self.snapshot = snapshot
         self.reruns = 0
+        self.heard_from: set[data.InstanceId] = set()
         self.shard_by_service = {service: ShardProgress() for service in services}
         self.sub_requests = 0
         self.pressure = 0.0
@@ -136,6 +141,15 @@
                 lost.append(service)
         return tuple(lost)
 
+    def asked(self, service: data.ServiceId) -> tuple[data.InstanceId, ...]:
+        """Returns the instances that are asked for a shard and have not replied."""
+        return tuple(self.shard_by_service[service].pending_by_attempt.values())
+
+    def is_silent(self, service: data.ServiceId) -> bool:
+        """Returns whether no instance that was asked for an open shard has replied at all."""
+        pending = self.shard_by_service[service].pending_by_attempt.values()
+        return self.is_open(service) and not self.heard_from.intersection(pending)
+
     def is_open(self, service: data.ServiceId) -> bool:
         """Returns whether a shard has neither a usable part nor given up."""
         shard = self.shard_by_service[service]
@@ -159,6 +173,16 @@
             return False
         return self.coverage().share >= self.route.minimum_coverage
 
+    def can_be_enough(self) -> bool:
+        """Returns whether the shards that are left could reach the minimum coverage.
+
+        That is known only where the table fixes the shards and their keys.
+        """
+        if not self.pool.snapshot:
+            return True
+        lost = sum(not self.is_open(service) for service in self.lacking())
+        return lost <= self.pool.key_space * (1.0 - self.route.minimum_coverage) + _ROUNDING
+
     def adopt_best_snapshot(self) -> None:
         """Turns to the snapshot of which the most keys have arrived."""
         covered = self._covered_keys_by_snapshot
--- a/monsoonhoist/core/shard.py
+++ b/monsoonhoist/core/shard.py
@@ -330,3 +330,11 @@
         for state in states
     ]
     return state_by_id[policy.choose(candidates).server.server_id]
+
+
+def fixed_keys(pool: data.Pool, service: data.ServiceId) -> data.KeyRange | None:
+    """Returns a shard's keys where the table fixes them, else None."""
+    if not pool.snapshot or service not in pool.servers_by_service:
+        return None
+    position = list(pool.servers_by_service).index(service)
+    return data.KeyRange(position, position + 1)
--- a/monsoonhoist/node/node.py
+++ b/monsoonhoist/node/node.py
@@ -8,6 +8,7 @@
 
 from monsoonhoist import metrics, settings
 from monsoonhoist.core import (
+    cells,
     clock,
     data,
     events,
@@ -34,7 +35,6 @@
     tables,
     trace,
 )
-from monsoonhoist.tables import store
 
 READY_CHECK_SECONDS = 0.05
 
@@ -158,15 +158,13 @@
         """Takes over changed settings; all but the platform's need a new start."""
         names = config.__struct_fields__
         changed = [name for name in names if getattr(config, name) != getattr(self.config, name)]
-        later = [name for name in changed if name != "platform"]
-        _log.info("settings read again", extra={"changed": changed, "after_restart": later})
+        _log.info("settings read again", extra={"changed": changed, "at_once": ["platform"]})
         if "platform" in changed:
             self.config = msgspec.structs.replace(self.config, platform=config.platform)
             self.dialect.config = self.config
             self._instances.stop()
-            self._instances = self.dialect.make_listing(
-                self._driver, self.counters, self._take_listed
-            )
+            take = self._take_listed
+            self._instances = self.dialect.make_listing(self._driver, self.counters, take)
             self._instances.start()
 
     async def leave(self) -> None:
@@ -211,8 +209,7 @@
         owner = self._kernel.owner
         entry = self._kernel.entry
         waiting = self.reception.waiting
-        kernels_active = entry.active_queries + owner.active_queries + owner.active_calls
-        return waiting + kernels_active + self.tickets.active
+        return waiting + entry.active_queries + owner.active + self.tickets.active
 
     @property
     def view(self) -> events.ViewChanged | None:
@@ -247,28 +244,22 @@
                 self._take_batch(message)
             case messages.SubReply():
                 self._entry.tell(events.ReplyArrived(sender, message))
+            case messages.BatchTaken():
+                self._entry.tell(events.BatchTaken(sender, message.query_id))
             case messages.Cancel():
-                self._owner.tell(events.CancelArrived(message.query_id))
-            case messages.Beat():
-                self.spread.on_digest(sender, message.tables_digest)
-                if message.word is not None:
-                    self._duty.note_heard(message.word, self._clock.monotonic())
-            case messages.Revisions():
-                self.spread.on_revisions(sender, message)
-            case messages.WantTables():
-                self.spread.on_want(sender, message)
-            case messages.PackedTables():
-                values = [
-                    messages.unpack_table(packed, store.VALUE_BYTES_MAX)
-                    for packed in message.tables
-                ]
-                self.spread.offer(values, "peer")
+                self._owner.tell(events.CancelArrived(message.query_id, message.is_abandoned))
             case messages.Members():
                 self._take_members(sender, message)
             case messages.TicketUse():
                 self._take_ticket_use(sender, message)
             case messages.TicketAnswer():
                 self.tickets.on_answer(message)
+            case messages.Beat():
+                if message.word is not None:
+                    self._duty.note_heard(message.word, self._clock.monotonic())
+                self.spread.on_digest(sender, message.tables_digest)
+            case _:
+                self.spread.on_message(sender, message)
 
     def on_stream(self, member: data.Member, is_up: bool) -> None:
         """Takes note of a stream that has come up or gone down."""
@@ -329,6 +320,8 @@
             reply = replies.refusal(batch, data.Refusal.EXPIRED_IN_QUEUE)
             self.send(batch.origin, reply)
             return
+        if batch.origin != self.name:
+            self.send(batch.origin, messages.BatchTaken(batch.query.query_id))
         self.counters.count_sub_requests(len(batch.services))
         self._owner.tell(events.BatchArrived(batch))
 
@@ -353,8 +346,14 @@
 
     def _refresh_view(self) -> None:
         """Tells the kernels and the streams of changed tables or instances."""
-        view = events.ViewChanged(self.spread.store.tables, self.members.live())
-        self._hub.set_targets(self.members.neighbours(self.config.spread.neighbours))
+        spread = self.config.spread
+        in_force = self.spread.store.tables
+        cell = cells.NO_CELL
+        if self.config.policy.has_cells:
+            cell = cells.view(self.members, spread.cell_size, in_force)
+        live = self.members.live()
+        view = events.ViewChanged(in_force, live, cell.members, cell.count)
+        self._hub.set_targets(self.members.neighbours(spread.neighbours, cell.members))
         if view != self._view:
             self.reception.set_tables(view.tables)
             self._view = view
--- a/monsoonhoist/node/tables.py
+++ b/monsoonhoist/node/tables.py
@@ -117,6 +117,16 @@
         self._wanted_at_by_key.pop(value.key, None)
         return True
 
+    def on_message(self, sender: data.InstanceId, message: messages.Message) -> None:
+        """Takes a peer's message about table values."""
+        match message:
+            case messages.Revisions():
+                self.on_revisions(sender, message)
+            case messages.WantTables():
+                self.on_want(sender, message)
+            case messages.PackedTables():
+                self.offer(messages.unpack_tables(message, store.VALUE_BYTES_MAX), "peer")
+
     def on_revisions(self, sender: data.InstanceId, message: messages.Revisions) -> None:
         """Asks the sender for what it has newer."""
         now = self._clock.monotonic()
--- a/monsoonhoist/policy/ownership.py
+++ b/monsoonhoist/policy/ownership.py
@@ -31,7 +31,11 @@
 
     @abc.abstractmethod
     def share(self, instance_count: int) -> limits.LimitShare:
-        """Returns the shares of the servers' limits that one instance may use."""
+        """Returns the shares of the servers' limits that one instance may use.
+
+        Args:
+            instance_count: Number of instances, or of cells where there are cells.
+        """
 
 
 @registry.register(registry.Kind.OWNERSHIP, "rendezvous")
@@ -123,16 +127,17 @@
         return limits.LimitShare(part, OWNER_CONNECTION_SHARE, part)
 
 
-@registry.register(registry.Kind.OWNERSHIP, "each-entry")
-class EachEntryOwnership(DirectOwnership):
-    """Lets each instance call every server, where the servers themselves queue.
+@registry.register(registry.Kind.OWNERSHIP, "cell")
+class CellOwnership(RendezvousOwnership):
+    """Divides the shards among the instances of a cell; each cell calls every server.
 
-    The instance may fill all slots of a server, since the others are seldom busy there at
-    the same moment, but no more than its part of the connections.
+    With cells of one instance each entry calls the servers itself. A cell may fill all
+    slots of a server, since the servers queue and the others are seldom busy there at the
+    same moment, but uses no more than its part of the connections and budgets.
     """
 
     def share(self, instance_count: int) -> limits.LimitShare:
-        """Returns all slots, and one part of the connections and budgets."""
+        """Returns all slots, and one part of the connections and budgets for each cell."""
         part = 1.0 / max(1, instance_count)
         return limits.LimitShare(1.0, part * CONNECTIONS_USED, part)
 
--- a/monsoonhoist/settings.py
+++ b/monsoonhoist/settings.py
@@ -87,6 +87,7 @@
     ratio: Annotated[float, msgspec.Meta(ge=0, le=1)] = 0.05
     allowance: Annotated[float, msgspec.Meta(ge=0)] = 40.0
     refusals_cost: bool = False
+    finish_latencies: Annotated[float, msgspec.Meta(ge=0, le=100)] = 0.0
 
 
 class LimitsSection(ini.Model):
@@ -131,12 +132,14 @@
     With ``watchers`` the number is for all zones together, and an instance that hears
     nothing of the service for ``stale_ms`` watches too; each place further in the order
     of the instances waits ``stale_step_ms`` longer. Without it, ``watchers_per_zone``
-    instances watch in each zone.
+    instances watch in each zone. ``cell_size`` is the number of instances that share the
+    calls to backend servers with the ownership ``cell``; 0 lets it follow from the tables.
     """
 
     neighbours: Annotated[int, msgspec.Meta(ge=2, le=64)] = 16
     watchers_per_zone: Annotated[int, msgspec.Meta(ge=1, le=8)] = 2
     watchers: Annotated[int, msgspec.Meta(ge=0, le=64)] = 0
+    cell_size: Annotated[int, msgspec.Meta(ge=0, le=1024)] = 0
     stale_ms: datetime.timedelta = datetime.timedelta(milliseconds=2000)
     stale_step_ms: datetime.timedelta = datetime.timedelta(milliseconds=300)
 
@@ -166,6 +169,11 @@
             for known in [", ".join(found)]
         )
 
+    @property
+    def has_cells(self) -> bool:
+        """Whether instances share the calls to backend servers in cells."""
+        return self.ownership == "cell"
+
     def names(self) -> kernel.PolicyNames:
         """Returns the names for the kernel."""
         return kernel.PolicyNames(**msgspec.structs.asdict(self))
@@ -191,7 +199,9 @@
             by_service=extra.by_service,
             refusals_cost=extra.refusals_cost,
         )
-        return options.OwnerOptions(extra_calls, self.timing.leaving_grace_ms.total_seconds())
+        return options.OwnerOptions(
+            extra_calls, self.timing.leaving_grace_ms.total_seconds(), extra.finish_latencies
+        )
 
 
 def parse(file: str, text: str) -> tuple[Settings | None, tuple[data.Finding, ...]]:
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -80,6 +80,12 @@
                 self._put_server(server.name, "ready")
                 port += 1
 
+    def _close_servers(self) -> None:
+        """Closes the listening sockets, so that the next deployment can have the ports."""
+        self.store.close()
+        for server in self.server_by_name.values():
+            server.stop()
+
     def run(self, work: object) -> object:
         """Runs a coroutine in the thread and returns its result."""
         return asyncio.run_coroutine_threadsafe(work, self._loop).result(CALL_TIMEOUT_SECONDS)
@@ -211,6 +217,7 @@
                 process.send_signal(signal.SIGKILL)
         for process in self.process_by_number.values():
             process.wait()
+        self.do(self._close_servers)
         self._loop.call_soon_threadsafe(self._loop.stop)
         self._thread.join()
 
--- a/standins/store.py
+++ b/standins/store.py
@@ -40,6 +40,10 @@
         """Starts answering."""
         self._server.listen(port, address=host)
 
+    def close(self) -> None:
+        """Stops listening."""
+        self._server.stop()
+
     def put(self, key: str, value: bytes) -> int:
         """Writes an item and returns its revision."""
         self.revision += 1
