--- a/features/environment.py
+++ b/features/environment.py
@@ -31,6 +31,9 @@
 }
 
 
+CELL_SIZE_BY_TAG = {"fleet": 0, "fleet_cell": fleet.INSTANCES}
+
+
 @behave.fixture
 def running_site(context, options):
     """Starts a deployment and ends it after the feature or scenario."""
@@ -42,9 +45,9 @@
 
 
 @behave.fixture
-def running_fleet(context):
+def running_fleet(context, cell_size):
     """Starts a deployment on the users' platform and ends it after the feature."""
-    context.fleet = fleet.Fleet()
+    context.fleet = fleet.Fleet(cell_size)
     try:
         yield context.fleet.start()
     finally:
@@ -53,8 +56,8 @@
 
 def before_tag(context, tag):
     """Starts the deployment that a tag names."""
-    if tag == "fleet":
-        behave.use_fixture(running_fleet, context)
+    if tag in CELL_SIZE_BY_TAG:
+        behave.use_fixture(running_fleet, context, CELL_SIZE_BY_TAG[tag])
     if tag in SITE_BY_TAG:
         behave.use_fixture(running_site, context, SITE_BY_TAG[tag])
 
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -42,12 +42,17 @@
 class Fleet:
     """A running deployment.
 
+    Args:
+        cell_size: Instances that share the calls; they are in one zone then. 0 for what
+            follows from the tables.
+
     Attributes:
         server_by_name: Backend servers, two for each service.
         process_by_number: Instances, from 1.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, cell_size: int = 0) -> None:
+        self._cell_size = cell_size
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="monsoonhoist-fleet-"))
         self.server_by_name: dict[str, shards.ShardServer] = {}
         self.process_by_number: dict[int, subprocess.Popen] = {}
@@ -150,7 +155,7 @@
     def start_instance(self, number: int) -> None:
         """Starts one instance."""
         path = self.folder / f"instance-{number}.ini"
-        path.write_text(settings_text(number), encoding="utf-8")
+        path.write_text(settings_text(number, self._cell_size), encoding="utf-8")
         log = (self.folder / f"instance-{number}.log").open("ab")
         command = [sys.executable, "-m", "monsoonhoist", "serve", str(path)]
         self.process_by_number[number] = subprocess.Popen(
@@ -236,13 +241,13 @@
     }
 
 
-def settings_text(number: int) -> str:
+def settings_text(number: int, cell_size: int) -> str:
     """Returns the settings of an instance."""
     host = f"127.0.1.{number}"
     template = (site.ROOT / "deploy" / "settings.ini").read_text(encoding="utf-8")
     values = {
         "Ip": host,
-        "Zone": f"z{number}",
+        "Zone": "z1" if cell_size else f"z{number}",
         "InternalPorts.0": str(PEER_PORT),
         "platform.Addr": f"{STORE_ADDRESS[0]}:{STORE_ADDRESS[1]}",
         "Seeds": f"127.0.1.1:{CONTROL_PORT},127.0.1.9:{CONTROL_PORT}",
@@ -254,4 +259,4 @@
     }
     for name, value in values.items():
         template = template.replace("{{" + name + "}}", value)
-    return template
+    return template.replace("[spread]\n", f"[spread]\ncell_size = {cell_size}\n")
