Show the tables in force on the platform too, and log new values once a batch

Cause: status was served on our own interface only; an instance logged a line for each of a hundred entries at its start; one share stood twice, two reasons were used by nothing. Change: /v1/status at the control address; one line for each batch of values; the share of connections in one place.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -18,6 +18,11 @@
     And the answer has the header "X-Extra" as "kept"
     And the answer has the server's own proof
 
+  Scenario: Operators see that all instances have the same tables in force
+    When the operator asks all instances for their status
+    Then the command's exit code is 0
+    And the status names "op/config" at 3 instances
+
   Scenario: A path that no route takes is not found
     When the caller sends "GET" "/nothing/"
     Then the status is 404
--- a/features/steps/platform.py
+++ b/features/steps/platform.py
@@ -4,6 +4,8 @@
 import itertools
 import json
 import signal
+import subprocess
+import sys
 import threading
 import time
 
@@ -192,6 +194,24 @@
     context.fleet.wait_ready()
 
 
+@when("the operator asks all instances for their status")
+def ask_status(context):
+    """Runs the command until the tables agree."""
+    urls = [f"http://127.0.1.{number}:{fleet.CONTROL_PORT}" for number in range(1, 4)]
+    command = [sys.executable, "-m", "monsoonhoist", "status", *urls, "--wait-seconds", "5"]
+    context.command = subprocess.run(
+        command, cwd=site.ROOT, capture_output=True, text=True, check=False
+    )
+
+
+@then('the status names "{key}" at {count:d} instances')
+def check_status_keys(context, key, count):
+    """Checks what the command shows."""
+    assert context.command.stdout.count(key) >= 1, context.command.stdout
+    for number in range(1, count + 1):
+        assert f"127.0.1.{number}" in context.command.stdout, context.command.stdout
+
+
 @then("the status is {status:d}")
 def check_status(context, status):
     """Checks the last reply's status."""
--- a/monsoonhoist/core/cells.py
+++ b/monsoonhoist/core/cells.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from monsoonhoist.core import data, membership
+from monsoonhoist.core import data, limits, membership
 
 # Processor time of a call to a backend server and its reply, on a core of usual speed.
 CALL_SECONDS = 0.0004
@@ -12,8 +12,6 @@
 GOAL_SHARE = 0.1
 # Connections to a server that a cell should have, so that one is free for a hedge.
 CONNECTIONS_MIN = 2.0
-# Share of a server's connections that all cells together use.
-CONNECTIONS_USED = 0.9
 
 
 class CellView(msgspec.Struct, frozen=True):
@@ -71,7 +69,7 @@
     if goals:
         size = max(size, math.floor(widest * CALL_SECONDS / (GOAL_SHARE * min(goals))))
     if connections:
-        cells_max = min(connections) * CONNECTIONS_USED / CONNECTIONS_MIN
+        cells_max = min(connections) * limits.CONNECTIONS_USED / CONNECTIONS_MIN
         size = max(size, math.ceil(instance_count / max(1.0, cells_max)))
     return min(int(size), max(1, instance_count))
 
--- a/monsoonhoist/core/data.py
+++ b/monsoonhoist/core/data.py
@@ -84,8 +84,6 @@
     CALLER_GONE = "caller_gone"
     WRONG_SERVER = "wrong_server"
     MALFORMED_REPLY = "malformed_reply"
-    ATTEMPTS_USED = "attempts_used"
-    BUDGET_USED = "budget_used"
 
 
 class RetryReason(enum.Enum):
--- a/monsoonhoist/core/limits.py
+++ b/monsoonhoist/core/limits.py
@@ -4,6 +4,10 @@
 
 from monsoonhoist.core import data
 
+# Share of a server's connections that all instances together use; the rest is for those
+# that an instance has closed and the server has not.
+CONNECTIONS_USED = 0.9
+
 
 class LimitShare(msgspec.Struct, frozen=True):
     """Shares, each from 0 to 1.
--- a/monsoonhoist/node/tables.py
+++ b/monsoonhoist/node/tables.py
@@ -21,6 +21,8 @@
 WANT_REPEAT_SECONDS = 0.5
 DIGEST_ANSWER_SECONDS = 0.5
 ROLE_CHECK_SECONDS = 0.25
+# Keys that a line about new values names.
+LOGGED_KEYS = 5
 RETRY_MAX_SECONDS = 1.5
 
 _log = logging.getLogger(__name__)
@@ -92,6 +94,8 @@
         accepted = [value.key for value in values if self._offer_one(value, source)]
         if not accepted:
             return
+        extra = {"count": len(accepted), "keys": accepted[:LOGGED_KEYS], "source": source}
+        _log.info("table values in force", extra=extra)
         self.store.join()
         self._summary = self.store.summary()
         self._changed()
@@ -113,7 +117,6 @@
             _log.error(message, extra={**extra, "findings": findings})
         if verdict.acceptance is not store.Acceptance.ACCEPTED:
             return False
-        _log.info("table value in force", extra=extra)
         self._wanted_at_by_key.pop(value.key, None)
         return True
 
--- a/monsoonhoist/platform/callers.py
+++ b/monsoonhoist/platform/callers.py
@@ -3,11 +3,13 @@
 import asyncio
 import logging
 
+import msgspec
 from tornado import httpserver, httputil, iostream
 
 from monsoonhoist import metrics
 from monsoonhoist.core import comeback, data, events, exchange
 from monsoonhoist.node import node, phases
+from monsoonhoist.node import status as node_status
 from monsoonhoist.platform import names
 
 HEADER_BYTES_MAX = 65_536
@@ -165,6 +167,9 @@
             is_ready = self._node.phase is phases.Phase.READY
             status = STATUS_OK if is_ready else STATUS_UNAVAILABLE
             body = self._node.phase.value.encode()
+        elif self._path == "/v1/status":
+            status, kind = STATUS_OK, "application/json"
+            body = msgspec.json.encode(node_status.describe(self._node))
         elif self._path == "/metrics":
             status, kind, body = STATUS_OK, metrics.CONTENT_TYPE, self._node.counters.export()
         headers = httputil.HTTPHeaders({"Content-Type": kind, "Content-Length": str(len(body))})
--- a/monsoonhoist/policy/ownership.py
+++ b/monsoonhoist/policy/ownership.py
@@ -9,9 +9,6 @@
 # Share of a server's connections that one owner uses, so that two instances that both
 # believe themselves the owner stay within the limit together.
 OWNER_CONNECTION_SHARE = 0.5
-# Share of a server's connections that all instances together use; the rest is for those
-# that an instance has closed and the server has not.
-CONNECTIONS_USED = 0.9
 
 
 class Ownership(abc.ABC):
@@ -139,7 +136,7 @@
     def share(self, instance_count: int) -> limits.LimitShare:
         """Returns all slots, and one part of the connections and budgets for each cell."""
         part = 1.0 / max(1, instance_count)
-        return limits.LimitShare(1.0, part * CONNECTIONS_USED, part)
+        return limits.LimitShare(1.0, part * limits.CONNECTIONS_USED, part)
 
 
 def _heaviest(name: str, instances: Sequence[data.InstanceId]) -> list[data.InstanceId]:
