Run no more calls than the route allows when an owner wakes late

The stand-by may hedge, so it ran twice, and the owner that stood still ran the old batch when it woke, before it read that it should drop it. Change: after a pause an instance refuses batches of others that may be as old as the pause, repeatable or not; a stand-by has one attempt less. Both concern cells of more than one instance only; entries that call the servers themselves do as before. Seven mutants, and a stricter scenario, which the mutant of silent owners had passed before.

--- a/bench/mutants.py
+++ b/bench/mutants.py
@@ -112,6 +112,55 @@
         "while False:",
         "leaving",
     ),
+    Mutant(
+        "answers to another request are passed on",
+        "node/curl.py",
+        "self.is_foreign = header.value != expected.value",
+        "self.is_foreign = False",
+        "platform",
+    ),
+    Mutant(
+        "the end of a caller's connection is not noticed",
+        "platform/callers.py",
+        "self._connection.set_close_callback(self.on_connection_close)",
+        "pass",
+        "platform",
+    ),
+    Mutant(
+        "failures do not count in the choice of servers",
+        "policy/balance.py",
+        "failure_cost = 12.0",
+        "failure_cost = 0.0",
+        "server_choice",
+    ),
+    Mutant(
+        "servers that left long ago are a last resort for a new shard",
+        "core/owner.py",
+        "state.update(servers, self._share, -math.inf)",
+        "state.update(servers, self._share, self._clock.monotonic())",
+        "server_choice",
+    ),
+    Mutant(
+        "an instance takes its own word for another's",
+        "core/watching.py",
+        "word.reader != self._myself and at > self._heard_at",
+        "at > self._heard_at",
+        "watching",
+    ),
+    Mutant(
+        "silent owners are not replaced",
+        "core/entry.py",
+        "            self._send(state, tuple(silent), 1, commands)",
+        "            pass",
+        "cell_members",
+    ),
+    Mutant(
+        "equal records count once",
+        "policy/merge.py",
+        "sorted(entries, reverse=True)",
+        "sorted(set(entries), reverse=True)",
+        "merge",
+    ),
 )
 
 
--- a/features/cell_members.feature
+++ b/features/cell_members.feature
@@ -17,8 +17,8 @@
   Scenario: A member that stands still costs a stand-by, not the answer
     When callers find 40 things at the instances 1 to 2 while instance 3 stands still
     Then all statuses are 200
-    And at least 36 answers name 4 parts
-    And no answer took longer than 1500 ms
+    And all answers name 4 parts
+    And no answer took longer than 600 ms
     And no server ran a shard's call of one request more than twice
 
   Scenario: A caller that leaves ends the work of the other members
--- a/monsoonhoist/core/entry.py
+++ b/monsoonhoist/core/entry.py
@@ -160,6 +160,9 @@
         state.sub_requests += len(services)
         remaining = state.deadline - self._clock.monotonic()
         spec = _with_remaining(state.spec, max(0, int(remaining * MS_PER_SECOND)))
+        if owner_index:
+            # The silent or lost owner may have made a call.
+            spec = msgspec.structs.replace(spec, attempts=max(1, spec.attempts - 1))
         for (owner, attempt), batch_services in services_by_batch.items():
             batch = messages.SubBatch(
                 self._myself, spec, state.snapshot, attempt, tuple(batch_services)
--- a/monsoonhoist/node/node.py
+++ b/monsoonhoist/node/node.py
@@ -314,13 +314,14 @@
             self.on_unsent(command.instance, command.message)
 
     def _take_batch(self, batch: messages.SubBatch) -> None:
-        """Hands on sub-requests; refuses old non-repeatable ones after a pause."""
-        if not batch.query.repeatable and self._pauses.is_suspect():
+        """Hands on sub-requests; refuses those that may be as old as a pause."""
+        is_own = batch.origin == self.name
+        if self._pauses.is_suspect() and not (is_own and batch.query.repeatable):
             self.counters.count_refusal(data.Refusal.EXPIRED_IN_QUEUE)
             reply = replies.refusal(batch, data.Refusal.EXPIRED_IN_QUEUE)
             self.send(batch.origin, reply)
             return
-        if batch.origin != self.name:
+        if not is_own:
             self.send(batch.origin, messages.BatchTaken(batch.query.query_id))
         self.counters.count_sub_requests(len(batch.services))
         self._owner.tell(events.BatchArrived(batch))
