Measure latencies by route, rank and call, and tell versions and their age

Cause: an operator saw counts only; neither the latency of a rank nor how old an instance's tables are could be read from its metrics.

Change: histograms of answers by route and rank and of backend calls by their end, counted as plain numbers with bounds from 5 ms to 5 s; gauges of the newest revision for each group of keys, of its age, of the age of the service's newest word, of work in flight and of streams. At most 64 routes have a label of their own.

Ruled out: OpenTelemetry's own histogram instrument, since it would load its libraries in each serving process (15 MB) and be called for each backend call.

--- a/monsoonhoist/export.py
+++ b/monsoonhoist/export.py
@@ -1,8 +1,11 @@
-"""Export of the counters by OpenTelemetry, in the Prometheus text format.
+"""Export of the metrics by OpenTelemetry, in the Prometheus text format.
 
-The module is imported when metrics are first asked for.
+OpenTelemetry has no instrument for histograms that are counted elsewhere, so these are handed
+to the registry of the exporter's own Prometheus library. The module is imported when
+metrics are first asked for.
 """
 
+import itertools
 from collections.abc import Callable, Iterable
 
 import opentelemetry.metrics
@@ -10,6 +13,8 @@
 from opentelemetry.exporter import prometheus as otel_prometheus
 from opentelemetry.sdk import metrics as sdk_metrics
 from opentelemetry.sdk import resources
+from prometheus_client import core as prometheus_core
+from prometheus_client import registry as prometheus_registry
 
 from monsoonhoist import metrics
 
@@ -18,8 +23,25 @@
 ]
 
 
+class HistogramCollector(prometheus_registry.Collector):
+    """Hands the histograms to a registry.
+
+    Args:
+        histograms: The histograms.
+    """
+
+    def __init__(self, histograms: Iterable[metrics.Histogram]):
+        self._histograms = tuple(histograms)
+
+    def collect(self) -> Iterable[prometheus_core.HistogramMetricFamily]:
+        """Returns one family for each histogram that has counted anything."""
+        for histogram in self._histograms:
+            if histogram.counts_by_labels:
+                yield _family(histogram)
+
+
 class Exporter:
-    """Makes an observable instrument of each counter.
+    """Makes an observable instrument of each counter and gauge.
 
     Args:
         counters: The counters.
@@ -37,6 +59,13 @@
                 counter.name, [_observe(counter)], counter.unit, counter.description
             )
 
+        for gauge in counters.gauge_by_name.values():
+            meter.create_observable_gauge(
+                gauge.name, [_observe_gauge(gauge)], gauge.unit, gauge.description
+            )
+        histograms = counters.histogram_by_name.values()
+        prometheus_client.REGISTRY.register(HistogramCollector(histograms))
+
     @staticmethod
     def text() -> bytes:
         """Returns all metrics as Prometheus text."""
@@ -53,3 +82,30 @@
             yield opentelemetry.metrics.Observation(count, dict(labels))
 
     return read
+
+
+def _observe_gauge(gauge: metrics.Gauge) -> Observe:
+    """Returns the callback that reads a gauge."""
+
+    def read(
+        options: opentelemetry.metrics.CallbackOptions,
+    ) -> Iterable[opentelemetry.metrics.Observation]:
+        for labels, value in gauge.read().items():
+            yield opentelemetry.metrics.Observation(value, dict(labels))
+
+    return read
+
+
+def _family(histogram: metrics.Histogram) -> prometheus_core.HistogramMetricFamily:
+    """Returns a histogram in the registry's form, with cumulated counts."""
+    names = [name for name, _ in next(iter(histogram.counts_by_labels))]
+    family = prometheus_core.HistogramMetricFamily(
+        histogram.name, histogram.description, labels=names
+    )
+    bounds = [*(str(bound) for bound in metrics.LATENCY_BOUNDS_SECONDS), "+Inf"]
+    for labels, counts in histogram.counts_by_labels.items():
+        cumulated = itertools.accumulate(counts)
+        buckets = list(zip(bounds, cumulated, strict=True))
+        values = [value for _, value in labels]
+        family.add_metric(values, buckets, histogram.sum_by_labels[labels])
+    return family
--- a/monsoonhoist/metrics.py
+++ b/monsoonhoist/metrics.py
@@ -1,4 +1,4 @@
-"""Counters of one instance.
+"""Counters, histograms and gauges of one instance.
 
 The counts are plain numbers; OpenTelemetry reads them when the metrics are asked for, so
 that counting is cheap and the exporter's libraries are held only where it is used. Every
@@ -6,8 +6,10 @@
 never occurred reads as zero.
 """
 
+import bisect
 import collections
 import importlib
+from collections.abc import Callable
 from typing import Protocol
 
 from monsoonhoist.core import data
@@ -15,7 +17,30 @@
 
 CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 
+# Upper bounds of the latency histograms, in seconds: dense where goals lie, up to the
+# longest time limits.
+LATENCY_BOUNDS_SECONDS = (
+    0.005,
+    0.01,
+    0.02,
+    0.035,
+    0.05,
+    0.075,
+    0.1,
+    0.15,
+    0.25,
+    0.5,
+    1.0,
+    2.0,
+    5.0,
+)
+# Routes with a histogram of their own; requests on others are put together under one name.
+ROUTE_LABELS_MAX = 64
+OTHER_ROUTES = "other"
+
 Labels = tuple[tuple[str, str], ...]
+ReadGauge = Callable[[], dict[Labels, float]]
+NO_LABELS: Labels = ()
 
 
 class Counter:
@@ -41,6 +66,53 @@
         self.count_by_labels[tuple(labels.items())] += count
 
 
+class Histogram:
+    """Counts durations by labels and by upper bounds.
+
+    Args:
+        name: Name of the metric; its values are in seconds.
+        description: What it measures.
+
+    Attributes:
+        counts_by_labels: For each bound the durations up to it and above the one before;
+            the last count is of those above all bounds.
+        sum_by_labels: Sum of the durations, in seconds.
+    """
+
+    def __init__(self, name: str, description: str):
+        self.name = name
+        self.description = description
+        self.counts_by_labels: dict[Labels, list[int]] = {}
+        self.sum_by_labels: collections.Counter[Labels] = collections.Counter()
+
+    def record(self, seconds: float, **labels: str) -> None:
+        """Adds a duration to those with these labels."""
+        key = tuple(labels.items())
+        counts = self.counts_by_labels.get(key)
+        if counts is None:
+            counts = [0] * (len(LATENCY_BOUNDS_SECONDS) + 1)
+            self.counts_by_labels[key] = counts
+        counts[bisect.bisect_left(LATENCY_BOUNDS_SECONDS, seconds)] += 1
+        self.sum_by_labels[key] += seconds
+
+
+class Gauge:
+    """Values that are read when the metrics are asked for.
+
+    Args:
+        name: Name of the metric.
+        description: What it tells.
+        unit: Unit in UCUM, or empty.
+        read: Returns the values by labels; those that are not known are left out.
+    """
+
+    def __init__(self, name: str, description: str, unit: str, read: ReadGauge):
+        self.name = name
+        self.description = description
+        self.unit = unit
+        self.read = read
+
+
 class TextSource(Protocol):
     """What makes text of the counters."""
 
@@ -49,7 +121,7 @@
 
 
 class Metrics:
-    """Counters of one instance.
+    """Metrics of one instance.
 
     Args:
         instance: Instance named as the resource.
@@ -57,11 +129,16 @@
     Attributes:
         instance: The instance.
         counter_by_name: All counters.
+        histogram_by_name: All histograms.
+        gauge_by_name: All gauges.
     """
 
     def __init__(self, instance: data.InstanceId):
         self.instance = instance
         self.counter_by_name: dict[str, Counter] = {}
+        self.histogram_by_name: dict[str, Histogram] = {}
+        self.gauge_by_name: dict[str, Gauge] = {}
+        self._route_labels: set[str] = set()
         self._exporter: TextSource | None = None
         self._answers = self._make("answers", "Answers given")
         self._refusals = self._make("refusals", "Refused or lost work, by reason")
@@ -74,6 +151,8 @@
         self._late_replies = self._make("late_replies", "Replies dropped as late or duplicate")
         self._pauses = self._make("pauses", "Pauses of the process that were noticed")
         self._lines_left_out = self._make("log_lines_left_out", "Log lines left out")
+        self._answer_seconds = self._make_histogram("answer_seconds", "Time until an answer")
+        self._call_seconds = self._make_histogram("call_seconds", "Time of a backend call")
         self._start_at_zero()
 
     def export(self) -> bytes:
@@ -87,6 +166,16 @@
         self.counter_by_name[counter.name] = counter
         return counter
 
+    def _make_histogram(self, name: str, description: str) -> Histogram:
+        histogram = Histogram(f"monsoonhoist_{name}", description)
+        self.histogram_by_name[histogram.name] = histogram
+        return histogram
+
+    def add_gauge(self, name: str, description: str, unit: str, read: ReadGauge) -> None:
+        """Adds a gauge; ``read`` is called whenever the metrics are asked for."""
+        gauge = Gauge(f"monsoonhoist_{name}", description, unit, read)
+        self.gauge_by_name[gauge.name] = gauge
+
     def _start_at_zero(self) -> None:
         for refusal in data.Refusal:
             self._refusals.add(0, reason=refusal.value)
@@ -105,6 +194,25 @@
         """Counts an answer to a caller; ``rank`` is None if the route is unknown."""
         self._answers.add(1, outcome=outcome.value, rank=rank.value if rank else "none")
 
+    def record_answer(self, route: data.Route, seconds: float) -> None:
+        """Records the time until an answer to a request on a route."""
+        label = route.route_id
+        if label not in self._route_labels:
+            if len(self._route_labels) < ROUTE_LABELS_MAX:
+                self._route_labels.add(label)
+            else:
+                label = OTHER_ROUTES
+        self._answer_seconds.record(seconds, route=label, rank=route.rank.value)
+
+    def record_call(self, reason: str, seconds: float) -> None:
+        """Records the time of a call to a backend server and how it ended.
+
+        Args:
+            reason: Why the call has no results; empty if it has.
+            seconds: Its length.
+        """
+        self._call_seconds.record(seconds, end=reason or "answered")
+
     def count_refusal(self, reason: data.Refusal) -> None:
         """Counts refused or lost work."""
         self._refusals.add(1, reason=reason.value)
--- a/monsoonhoist/node/backends.py
+++ b/monsoonhoist/node/backends.py
@@ -41,6 +41,7 @@
 
     command: events.StartCall
     transfer: curl.Transfer
+    started: float
 
 
 class BackendTask(task.Task[BackendCommand]):
@@ -83,7 +84,8 @@
 
     def _start(self, command: events.StartCall) -> None:
         """Sends the request, unless its deadline has passed since the decision."""
-        remaining = command.deadline - self._clock.monotonic()
+        now = self._clock.monotonic()
+        remaining = command.deadline - now
         if remaining <= 0:
             reason = data.Refusal.EXPIRED_IN_QUEUE
             self._report(events.CallFailed(command.call_id, reason, False))
@@ -91,7 +93,7 @@
         self._counters.count_call()
         call = self._protocol.request(command, self._call_name(command.call_id), remaining)
         transfer = self._driver.start(call, lambda reply: self._finish(command, reply))
-        self._pending_by_call[command.call_id] = _Pending(command, transfer)
+        self._pending_by_call[command.call_id] = _Pending(command, transfer, now)
 
     def _cancel(self, call_id: int) -> None:
         pending = self._pending_by_call.get(call_id)
@@ -103,11 +105,17 @@
             return
         del self._pending_by_call[call_id]
         self._driver.abort(pending.transfer)
-        self._report(events.CallFailed(call_id, data.Refusal.CANCELLED, True))
+        self._end(pending, events.CallFailed(call_id, data.Refusal.CANCELLED, True))
 
     def _finish(self, command: events.StartCall, reply: curl.HttpReply) -> None:
-        del self._pending_by_call[command.call_id]
-        self._report(self._protocol.read(command, reply))
+        pending = self._pending_by_call.pop(command.call_id)
+        self._end(pending, self._protocol.read(command, reply))
+
+    def _end(self, pending: _Pending, event: events.CallReplied | events.CallFailed) -> None:
+        """Records and reports the end of a call."""
+        reason = event.reason.value if isinstance(event, events.CallFailed) else ""
+        self._counters.record_call(reason, self._clock.monotonic() - pending.started)
+        self._report(event)
 
     def _call_name(self, call_id: int) -> str:
         return f"{self._name}.{call_id}"
--- a/monsoonhoist/node/node.py
+++ b/monsoonhoist/node/node.py
@@ -120,7 +120,7 @@
         self._duty = config.spread.make_duty(self.name)
         self._pauses = pause.PauseWatch(time_source, config.timing.pause_ms, self._on_pause)
         self.reception = reception.Reception(
-            f"{self.name}.{incarnation}", self.counters, self._entry.tell
+            f"{self.name}.{incarnation}", time_source, self.counters, self._entry.tell
         )
         self.tickets = desk.TicketDesk(
             self.name,
--- a/monsoonhoist/node/process.py
+++ b/monsoonhoist/node/process.py
@@ -8,7 +8,7 @@
 
 from monsoonhoist import errors, logs, settings
 from monsoonhoist.core import clock, data
-from monsoonhoist.node import logwriter, node
+from monsoonhoist.node import gauges, logwriter, node
 
 # Period at which the settings file is looked at, since it may change without a signal.
 SETTINGS_PERIOD_SECONDS = 2.0
@@ -44,7 +44,9 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
-    instance = node.Node(config, incarnation, clock.SystemClock(), trace_path)
+    time_source = clock.SystemClock()
+    instance = node.Node(config, incarnation, time_source, trace_path)
+    gauges.add(instance, time_source)
     writer = logwriter.LogWriter(handler, instance.counters)
     writer.start()
     server = instance.dialect.make_server(instance)
--- a/monsoonhoist/node/reception.py
+++ b/monsoonhoist/node/reception.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 
 from monsoonhoist import metrics
-from monsoonhoist.core import data, events, exchange, routing
+from monsoonhoist.core import clock, data, events, exchange, routing
 
 _log = logging.getLogger("monsoonhoist.request")
 
@@ -16,14 +16,20 @@
 
     Args:
         name: Prefix of query ids, unique to this incarnation.
+        time_source: The clock.
         counters: Metrics.
         tell: Hands an event to the entry.
     """
 
     def __init__(
-        self, name: str, counters: metrics.Metrics, tell: Callable[[events.EntryEvent], None]
+        self,
+        name: str,
+        time_source: clock.Clock,
+        counters: metrics.Metrics,
+        tell: Callable[[events.EntryEvent], None],
     ):
         self._name = name
+        self._clock = time_source
         self._counters = counters
         self._tell = tell
         self._numbers = itertools.count(1)
@@ -70,6 +76,10 @@
         ended: asyncio.Future[events.Respond] = asyncio.get_running_loop().create_future()
         self._ended_by_query[query_id] = ended
         self._query_by_ended[ended] = query_id
+        record = self.route(route)
+        if record is not None:
+            started = self._clock.monotonic()
+            ended.add_done_callback(lambda _: self._record_latency(record, started))
         self._tell(events.QueryArrived(query_id, route, question, remaining_ms))
         return ended
 
@@ -88,6 +98,9 @@
             if not ended.done():
                 ended.set_result(command)
 
+    def _record_latency(self, route: data.Route, started: float) -> None:
+        self._counters.record_answer(route, self._clock.monotonic() - started)
+
     def note_answer(self, rank: data.Rank | None, answer: data.Answer) -> None:
         """Counts an answer to a caller."""
         self._counters.count_answer(answer.outcome, rank)
--- a/monsoonhoist/node/tables.py
+++ b/monsoonhoist/node/tables.py
@@ -63,6 +63,7 @@
 
     Attributes:
         store: Values in force.
+        changed_at: When values last came into force, in monotonic seconds; None before any.
     """
 
     def __init__(
@@ -75,6 +76,7 @@
         changed: Callable[[], None],
     ):
         self.store = store.TableStore(table_format)
+        self.changed_at: float | None = None
         self._clock = time_source
         self._counters = counters
         self._send = send
@@ -97,6 +99,7 @@
         extra = {"count": len(accepted), "keys": accepted[:LOGGED_KEYS], "source": source}
         _log.info("table values in force", extra=extra)
         self.store.join()
+        self.changed_at = self._clock.monotonic()
         self._summary = self.store.summary()
         self._changed()
         announcement = messages.Revisions(
