Soak real processes under faults that a seed decides

Cause: scenarios find what somebody thought of. bench.chaos played our own interface only, and could no longer be imported since merging moved to the policies; nothing noticed.

Change: scripts/soak plays a plan that only the seed decides on instances as processes, with proxies between instances, to the store and to the servers; faults overlap with configuration changes, drains and reshards. Checks name the rule that is broken. bench.chaos became its part for our own interface.

First runs found faults of the soak itself: clients that swallowed their cancellation, and the stale import. The mutants that each check has to catch are listed in bench/mutants.py and not run yet.

--- a/bench/mutants.py
+++ b/bench/mutants.py
@@ -13,6 +13,8 @@
 import msgspec
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
+SOAK_SECONDS = "20"
+SOAK_INSTANCES = "4"
 LEFT_OUT = shutil.ignore_patterns(".git", ".venv", "__pycache__", "*.egg-info", ".ruff_cache")
 
 
@@ -25,13 +27,21 @@
         old: Text replaced; it must occur.
         new: Replacement.
         feature: Feature that must fail.
+        seed: Seed of the soak that must find it, in place of a feature; 0 for none.
+        rule: Rule that the soak must name.
     """
 
     name: str
     file: str
     old: str
     new: str
-    feature: str
+    feature: str = ""
+    seed: int = 0
+    rule: str = ""
+
+    def describe(self) -> str:
+        """Returns what is broken and what must find it."""
+        return f"{self.name} ({self.feature or f'soak, seed {self.seed}: {self.rule}'})"
 
 
 MUTANTS = (
@@ -150,9 +160,16 @@
     Mutant(
         "silent owners are not replaced",
         "core/entry.py",
-        "            self._send(state, tuple(silent), 1, commands)",
+        "            self._send(state, tuple(silent), commands, is_after_silence=True)",
         "            pass",
-        "cell_members",
+        "silent_owners",
+    ),
+    Mutant(
+        "an owner that took the work is not asked again",
+        "core/entry.py",
+        "        heard = state.take_heard(self._myself)",
+        "        heard = ()",
+        "silent_owners",
     ),
     Mutant(
         "equal records count once",
@@ -161,6 +178,94 @@
         "sorted(set(entries), reverse=True)",
         "merge",
     ),
+    Mutant(
+        "work that may have run is sent again",
+        "core/owner.py",
+        "safe = sub.query.repeatable or not sub.may_have_run",
+        "safe = True",
+        seed=1,
+        rule="TWICE",
+    ),
+    Mutant(
+        "work that may have run is refused",
+        "core/outcome.py",
+        "    if not _may_have_run(state):",
+        "    if True:",
+        seed=1,
+        rule="REFUSED",
+    ),
+    Mutant(
+        "missing parts are not counted",
+        "core/outcome.py",
+        "missing=len(state.services) - len(parts),",
+        "missing=0,",
+        seed=1,
+        rule="MIXED",
+    ),
+    Mutant(
+        "changes that a watch brings are lost",
+        "platform/reader.py",
+        "values += [_value(item) for item in reply.events]",
+        "continue",
+        seed=1,
+        rule="CONFIG",
+    ),
+    Mutant(
+        "the order of values does not follow their numbers",
+        "tables/store.py",
+        "    return (revision.number, revision.digest)",
+        "    return (-revision.number, revision.digest)",
+        seed=1,
+        rule="CONFIG",
+    ),
+    Mutant(
+        "servers that the table takes out are called",
+        "core/server.py",
+        "return self._left_at is None and now >= self.opens_at()",
+        "return now >= self.opens_at()",
+        seed=1,
+        rule="DRAIN",
+    ),
+    Mutant(
+        "extra calls have no budget, and hedges no delay",
+        "policy/hedge.py",
+        "return self._sorted[int(len(self._sorted) * share)]",
+        "return 0.0",
+        seed=1,
+        rule="BUDGET",
+    ),
+    Mutant(
+        "attempts are not bounded",
+        "core/extra.py",
+        "return sub.calls - sub.unused_calls < sub.query.attempts",
+        "return True",
+        seed=1,
+        rule="BUDGET",
+    ),
+    Mutant(
+        "work goes on after the client has left",
+        "platform/callers.py",
+        "self._connection.set_close_callback(self.on_connection_close)",
+        "pass",
+        seed=1,
+        rule="GONE",
+    ),
+    Mutant(
+        "a stop cuts requests",
+        "node/node.py",
+        "while self.active and self._clock.monotonic() < ends:",
+        "while False:",
+        seed=1,
+        rule="LOST",
+    ),
+    Mutant(
+        "an instance that failed to read the service never tries again",
+        "node/tables.py",
+        "await asyncio.sleep(pause * random.uniform(0.75, 1.25))",
+        "await asyncio.sleep(3600)",
+        seed=1,
+        rule="RECOVER",
+    ),
 )
 
 
@@ -174,11 +279,21 @@
         if mutant.old not in text:
             raise SystemExit(f"{mutant.name}: the text to replace is not in {mutant.file}")
         path.write_text(text.replace(mutant.old, mutant.new), encoding="utf-8")
+        if mutant.seed:
+            return f"\n{mutant.rule}: " in _soak(mutant.seed, copy)
         command = [sys.executable, "-m", "behave", "--stop", "--format", "progress"]
         command.append(f"features/{mutant.feature}.feature")
         return subprocess.run(command, cwd=copy, capture_output=True, check=False).returncode != 0
 
 
+def _soak(seed: int, folder: pathlib.Path) -> str:
+    """Plays a seed of the soak on a copy and returns what it printed."""
+    command = [sys.executable, "-m", "soak", "--seed", str(seed)]
+    command += ["--seconds", SOAK_SECONDS, "--instances", SOAK_INSTANCES]
+    ended = subprocess.run(command, cwd=folder, capture_output=True, text=True, check=False)
+    return ended.stdout
+
+
 def main() -> None:
     """Prints whether each mutant is caught; exits with 1 if any is not."""
     parser = argparse.ArgumentParser(description=__doc__)
@@ -189,9 +304,7 @@
         if options.only in mutant.name:
             caught = is_caught(mutant)
             missed += not caught
-            print(
-                f"{'caught' if caught else 'MISSED'}: {mutant.name} ({mutant.feature})", flush=True
-            )
+            print(f"{'caught' if caught else 'MISSED'}: {mutant.describe()}", flush=True)
     sys.exit(1 if missed else 0)
 
 
--- a/bench/chaos.py
+++ b/soak/native.py
@@ -1,23 +1,20 @@
-"""Random failures, singly and in pairs, with every answer and journal checked.
+"""Soak of our own interface: random failures, with every answer and journal checked.
 
 Each round brings about one or two failures, lets callers and bookings go on, and mends them.
 The checks use the stand-ins' journals and indexes, not the system's word.
-
-Usage: ``python -m bench.chaos --seed N [--rounds N]``.
 """
 
-import argparse
 import collections
 import json
 import random
 import signal
-import sys
 import threading
 import time
 
 import msgspec
 
-from monsoonhoist.core import data, merge
+from monsoonhoist.core import data
+from monsoonhoist.policy import merge
 from standins import index, site
 
 POOL = "allocator"
@@ -26,6 +23,8 @@
 ROUTE = "boat-search"
 LIMIT = 10
 ROUND_SECONDS = 1.5
+# A round's failures and the calm after them.
+ROUND_LENGTH_SECONDS = 3.0
 CALLER_PAUSE_SECONDS = 0.01
 BOOKING_PAUSE_SECONDS = 0.05
 NODES = (1, 2, 3)
@@ -123,7 +122,10 @@
         shard = int(service.rsplit("-", 1)[1]) - 1
         keys = index.key_range(KEY_SPACE, shard, SHARDS, snapshot)
         results.extend(index.results(service, keys, snapshot, query, LIMIT))
-    return [(found.key, found.score, found.text) for found in merge.best(results, LIMIT)]
+    return [
+        (found.key, found.score, found.text)
+        for found in merge.named("ranked").best(tuple(results), LIMIT)
+    ]
 
 
 class Failures:
@@ -208,8 +210,9 @@
         self._deployment.relay_by_name["node-3"].silence()
 
 
-def run(seed: int, rounds: int) -> int:
-    """Runs all rounds, prints what was found and returns the number of faults."""
+def run(seed: int, seconds: float) -> int:
+    """Runs rounds for some time, prints what was found and returns the number of faults."""
+    rounds = max(1, round(seconds / ROUND_LENGTH_SECONDS))
     chance = random.Random(seed)
     options = site.SiteOptions(pools=(POOL, "boathouse"), relayed_instances=(3,), seed=seed)
     deployment = site.Site(options)
@@ -282,16 +285,3 @@
                 found.append(f"{log.name}: {row['key']} went back to {row['number']}")
             newest[key] = row["number"]
     return found
-
-
-def main() -> None:
-    """Runs the rounds; exits with 1 if a promise was broken."""
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--seed", type=int, default=1)
-    parser.add_argument("--rounds", type=int, default=15)
-    options = parser.parse_args()
-    sys.exit(1 if run(options.seed, options.rounds) else 0)
-
-
-if __name__ == "__main__":
-    main()
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -45,13 +45,16 @@
     Args:
         cell_size: Instances that share the calls; they are in one zone then. 0 for what
             follows from the tables.
+        instances: Number of instances.
 
     Attributes:
+        instances: Number of instances.
         server_by_name: Backend servers, two for each service.
         process_by_number: Instances, from 1.
     """
 
-    def __init__(self, cell_size: int = 0) -> None:
+    def __init__(self, cell_size: int = 0, instances: int = INSTANCES) -> None:
+        self.instances = instances
         self._cell_size = cell_size
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="monsoonhoist-fleet-"))
         self.server_by_name: dict[str, shards.ShardServer] = {}
@@ -66,11 +69,19 @@
         self._thread.start()
         self.run(self._start_outside())
         self.publish()
-        for number in range(1, INSTANCES + 1):
+        for number in range(1, self.instances + 1):
             self.start_instance(number)
         self.wait_ready()
         return self
 
+    def address_of(self, name: str) -> str:
+        """Returns the address that a server registers."""
+        return self.server_by_name[name].address
+
+    def settings_of(self, number: int) -> str:
+        """Returns the settings of an instance."""
+        return settings_text(number, self._cell_size)
+
     async def _start_outside(self) -> None:
         """Starts the store and the servers in the thread's event loop."""
         self.store = store.StoreStandIn()
@@ -106,7 +117,7 @@
     def _put_server(self, name: str, state: str) -> None:
         entry = {
             "Service": self._service_by_server[name],
-            "Addr": self.server_by_name[name].address,
+            "Addr": self.address_of(name),
             "Zone": "z1",
             "Version": "v1",
             "Slots": SLOTS,
@@ -140,8 +151,8 @@
                 "TopK": 5,
                 "MinShardShare": 0.75,
             },
-            _plain_route("plain", "/record/", "idempotent"),
-            _plain_route("order", "/order/", "non_idempotent"),
+            plain_route("plain", "/record/", "idempotent"),
+            plain_route("order", "/order/", "non_idempotent"),
             *extra,
         ]
         services = [
@@ -155,7 +166,7 @@
     def start_instance(self, number: int) -> None:
         """Starts one instance."""
         path = self.folder / f"instance-{number}.ini"
-        path.write_text(settings_text(number, self._cell_size), encoding="utf-8")
+        path.write_text(self.settings_of(number), encoding="utf-8")
         log = (self.folder / f"instance-{number}.log").open("ab")
         command = [sys.executable, "-m", "monsoonhoist", "serve", str(path)]
         self.process_by_number[number] = subprocess.Popen(
@@ -227,7 +238,8 @@
         self._thread.join()
 
 
-def _plain_route(name: str, prefix: str, kind: str) -> dict:
+def plain_route(name: str, prefix: str, kind: str) -> dict:
+    """Returns a route to the service of plain requests."""
     return {
         "Name": name,
         "Host": HOST_NAME,
@@ -241,8 +253,14 @@
     }
 
 
-def settings_text(number: int, cell_size: int) -> str:
-    """Returns the settings of an instance."""
+def settings_text(number: int, cell_size: int, changed: dict[str, str] | None = None) -> str:
+    """Returns the settings of an instance.
+
+    Args:
+        number: Number of the instance.
+        cell_size: Instances that share the calls, 0 for what follows from the tables.
+        changed: Values of placeholders that differ from the usual ones.
+    """
     host = f"127.0.1.{number}"
     template = (site.ROOT / "deploy" / "settings.ini").read_text(encoding="utf-8")
     values = {
@@ -256,6 +274,7 @@
         "Listen.Control": f"{host}:{CONTROL_PORT}",
         "Bounds.RetryRatio": "0.2",
         "Bounds.RetrySlack": "50",
+        **(changed or {}),
     }
     for name, value in values.items():
         template = template.replace("{{" + name + "}}", value)
--- a/standins/shards.py
+++ b/standins/shards.py
@@ -29,7 +29,7 @@
 
 @dataclasses.dataclass
 class Seen:
-    """A request that a server has read."""
+    """A request that a server has read; times are the event loop's, in seconds."""
 
     request_id: str
     method: str
@@ -39,6 +39,7 @@
     at: float
     ran: bool = False
     was_cut: bool = False
+    ended: float = 0.0
 
 
 class ShardServer:
@@ -104,6 +105,7 @@
             working = asyncio.ensure_future(asyncio.sleep(self.behaviour.work_seconds))
             closing = asyncio.ensure_future(reader.read(1))
             await asyncio.wait({working, closing}, return_when=asyncio.FIRST_COMPLETED)
+            seen.ended = asyncio.get_running_loop().time()
             if not working.done():
                 working.cancel()
                 seen.was_cut = True
--- a/standins/store.py
+++ b/standins/store.py
@@ -13,6 +13,7 @@
 
 PAGE_ITEMS = 50
 MS_PER_SECOND = 1000
+SLOW_SECONDS = 0.4
 
 
 class StoreStandIn:
@@ -23,7 +24,7 @@
         events: History, oldest first.
         revision: Newest revision.
         reads: Number of calls.
-        fault: ``""``, ``refuse`` (503), ``reset`` or ``silent``.
+        fault: ``""``, ``refuse`` (503), ``reset``, ``silent`` or ``slow``.
     """
 
     def __init__(self) -> None:
@@ -83,6 +84,12 @@
         if self.fault == "refuse":
             _reply(request, 503, {})
             return
+        if self.fault == "slow":
+            asyncio.get_running_loop().call_later(SLOW_SECONDS, self._answer, request)
+        else:
+            self._answer(request)
+
+    def _answer(self, request: httputil.HTTPServerRequest) -> None:
         query = {key: values[0] for key, values in urllib.parse.parse_qs(request.query).items()}
         if request.path == "/api/kv-range":
             _reply(request, 200, self._range(query))
