Let only watchers read the store when all instances start for the first time

Change: where the platform says that the whole system starts for the first time, before there is traffic, an instance waits for a stream and leaves reading to the watchers; one that is alone for a second reads. A restarted instance reads at once as before, since callers wait for it.

--- a/monsoonhoist/node/node.py
+++ b/monsoonhoist/node/node.py
@@ -34,6 +34,7 @@
     reception,
     tables,
     trace,
+    watchers,
 )
 
 READY_CHECK_SECONDS = 0.05
@@ -111,13 +112,22 @@
             config.timing.service_retry_ms,
             self.dialect.make_reader(self._driver, self.counters),
             self.spread,
-            self._is_watcher,
+            lambda: self._watch_choice.is_needed(),
             lambda: self._duty.note_read(time_source.monotonic()),
+            reads_first=not config.spread.first_start,
         )
         self._readiness = readiness.Readiness(
             time_source, self.spread, self._watcher, self._hub.connected
         )
         self._duty = config.spread.make_duty(self.name)
+        self._watch_choice = watchers.WatchChoice(
+            config.spread,
+            time_source,
+            self.members,
+            self._duty,
+            self._readiness,
+            self._hub.connected,
+        )
         self._pauses = pause.PauseWatch(time_source, config.timing.pause_ms, self._on_pause)
         self.reception = reception.Reception(
             f"{self.name}.{incarnation}", time_source, self.counters, self._entry.tell
@@ -368,15 +378,6 @@
         self.members.set_listed(rows)
         self._refresh_view()
 
-    def _is_watcher(self) -> bool:
-        """Returns whether this instance should read the configuration service."""
-        if not self._hub.connected():
-            return True
-        spread = self.config.spread
-        if not spread.watchers:
-            return self.members.is_watcher(spread.watchers_per_zone)
-        return self._duty.is_needed(self.members.watch_place(), self._clock.monotonic())
-
     async def _become_ready(self) -> None:
         """Makes the instance ready once it has the newest tables it can know."""
         await self._readiness.wait()
--- a/monsoonhoist/node/readiness.py
+++ b/monsoonhoist/node/readiness.py
@@ -9,6 +9,8 @@
 CHECK_SECONDS = 0.05
 # Time after which the peers' tables are enough, if the service gives no answer.
 PEERS_ONLY_SECONDS = 2.0
+# Time that an instance which starts together with all others waits for a stream to one.
+ALONE_SECONDS = 1.0
 
 
 class Readiness:
@@ -34,6 +36,10 @@
         self._connected = connected
         self._started = time_source.monotonic()
 
+    def waited_seconds(self) -> float:
+        """Returns the time since the start."""
+        return self._clock.monotonic() - self._started
+
     def start_over(self) -> None:
         """Begins the time anew, as after a pause."""
         self._started = self._clock.monotonic()
@@ -46,6 +52,5 @@
     def _has_newest_tables(self) -> bool:
         if not self._spread.store.tables.route_by_id:
             return False
-        waited = self._clock.monotonic() - self._started
-        peers_only = bool(self._connected()) and waited >= PEERS_ONLY_SECONDS
+        peers_only = bool(self._connected()) and self.waited_seconds() >= PEERS_ONLY_SECONDS
         return self._watcher.has_read or peers_only
--- a/monsoonhoist/node/tables.py
+++ b/monsoonhoist/node/tables.py
@@ -172,6 +172,7 @@
         spread: Takes in the values.
         is_needed: Returns whether this instance should read the service now.
         on_read: Called after each answer of the service.
+        reads_first: Whether to read the service at the start in any case.
 
     Attributes:
         has_read: Whether the service has been read whole since the start.
@@ -184,8 +185,10 @@
         spread: TableSpread,
         is_needed: Callable[[], bool],
         on_read: Callable[[], None],
+        reads_first: bool = True,
     ):
         self.has_read = False
+        self._must_read = reads_first
         self._on_read = on_read
         self._retry_seconds = retry.total_seconds()
         self._reader = reader
@@ -206,19 +209,21 @@
         """Ends a waiting watch and reads the service anew."""
         self.stop()
         self.has_read = False
+        self._must_read = True
         self._reader.reset()
         self.start()
 
     async def _run(self) -> None:
         failures = 0
         while True:
-            if self.has_read and not self._is_needed():
+            if not self._must_read and not self._is_needed():
                 self._reader.reset()
                 await asyncio.sleep(ROLE_CHECK_SECONDS)
                 continue
             try:
                 self._spread.offer(await self._reader.read(self._spread.store), "service")
                 self.has_read = True
+                self._must_read = False
                 self._on_read()
                 if failures:
                     _log.info("configuration service read again")
--- a/monsoonhoist/settings.py
+++ b/monsoonhoist/settings.py
@@ -134,12 +134,15 @@
     of the instances waits ``stale_step_ms`` longer. Without it, ``watchers_per_zone``
     instances watch in each zone. ``cell_size`` is the number of instances that share the
     calls to backend servers with the ownership ``cell``; 0 lets it follow from the tables.
+    With ``first_start`` all instances start together and before there is traffic, so that only
+    watchers read the service.
     """
 
     neighbours: Annotated[int, msgspec.Meta(ge=2, le=64)] = 16
     watchers_per_zone: Annotated[int, msgspec.Meta(ge=1, le=8)] = 2
     watchers: Annotated[int, msgspec.Meta(ge=0, le=64)] = 0
     cell_size: Annotated[int, msgspec.Meta(ge=0, le=1024)] = 0
+    first_start: bool = False
     stale_ms: datetime.timedelta = datetime.timedelta(milliseconds=2000)
     stale_step_ms: datetime.timedelta = datetime.timedelta(milliseconds=300)
 
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -272,6 +272,7 @@
         "Listen.Front": f"{host}:{CALLERS_PORT}",
         "Listen.Ready": f"{host}:{READY_PORT}",
         "Listen.Control": f"{host}:{CONTROL_PORT}",
+        "Bootstrap": "false",
         "Bounds.RetryRatio": "0.2",
         "Bounds.RetrySlack": "50",
         **(changed or {}),
