--- a/monsoonhoist/core/budget.py
+++ b/monsoonhoist/core/budget.py
@@ -38,11 +38,6 @@
         self._share = share
         self._tokens = min(self._options.start_tokens, self._capacity)
 
-    @property
-    def tokens(self) -> float:
-        """Tokens left."""
-        return self._tokens
-
     @property
     def _capacity(self) -> float:
         return self._options.capacity_tokens * self._share
--- a/monsoonhoist/core/data.py
+++ b/monsoonhoist/core/data.py
@@ -195,6 +195,7 @@
         slots: Requests that it works on at a time.
         connections: Connections that it accepts.
         leaving: Whether the operators are taking it out of service.
+        health_path: Path of its health check; empty where it has none.
     """
 
     server_id: ServerId
@@ -204,6 +205,7 @@
     slots: int
     connections: int
     leaving: bool
+    health_path: str = ""
 
 
 class Pool(msgspec.Struct, frozen=True):
--- a/monsoonhoist/core/events.py
+++ b/monsoonhoist/core/events.py
@@ -88,6 +88,13 @@
     query_id: data.QueryId
 
 
+class CallMade(msgspec.Struct, frozen=True, tag="call-made"):
+    """An owner calls another server for a shard of a query."""
+
+    query_id: data.QueryId
+    service: data.ServiceId
+
+
 class CancelArrived(msgspec.Struct, frozen=True, tag="cancel-arrived"):
     """A query needs no more work from this owner; see ``messages.Cancel``."""
 
@@ -107,7 +114,6 @@
         draining: Whether the server says that it is leaving.
         proof: See ``work.Part``.
         response: See ``work.Part``.
-        load: What the server says of its load, if it does.
     """
 
     call_id: int
@@ -118,7 +124,6 @@
     draining: bool
     proof: str = ""
     response: exchange.Response | None = None
-    load: exchange.Load | None = None
 
 
 class CallFailed(msgspec.Struct, frozen=True, tag="call-failed"):
@@ -150,6 +155,7 @@
     | QueryArrived
     | CallerLeft
     | BatchTaken
+    | CallMade
     | ReplyArrived
     | PeerLost
     | BatchUnsent
@@ -162,7 +168,13 @@
     """Sends a message to an instance, which may be this one."""
 
     instance: data.InstanceId
-    message: messages.SubBatch | messages.SubReply | messages.BatchCheck | messages.Cancel
+    message: (
+        messages.SubBatch
+        | messages.SubReply
+        | messages.BatchCheck
+        | messages.CallMade
+        | messages.Cancel
+    )
 
 
 class Respond(msgspec.Struct, frozen=True, tag="respond"):
--- a/monsoonhoist/node/backends.py
+++ b/monsoonhoist/node/backends.py
@@ -29,6 +29,10 @@
     def cancellation(self, command: events.StartCall, name: str) -> curl.HttpCall | None:
         """Returns the call that cancels another one; None to close its connection."""
 
+    @abc.abstractmethod
+    def health_check(self, server: data.Server) -> curl.HttpCall | None:
+        """Returns a health check, which opens a connection; None where there is none."""
+
     @abc.abstractmethod
     def read(
         self, command: events.StartCall, reply: curl.HttpReply
--- a/monsoonhoist/node/search.py
+++ b/monsoonhoist/node/search.py
@@ -126,6 +126,10 @@
             connect_timeout=self._connect_timeout,
         )
 
+    def health_check(self, server: data.Server) -> None:
+        """Returns None: connections are opened by calls."""
+        return None
+
     def read(
         self, command: events.StartCall, reply: curl.HttpReply
     ) -> events.CallReplied | events.CallFailed:
--- a/monsoonhoist/platform/entries.py
+++ b/monsoonhoist/platform/entries.py
@@ -44,6 +44,7 @@
 
     name: str
     max_conns: int = UNLIMITED_CONNECTIONS
+    health_path: str = ""
 
 
 class LimitsEntry(msgspec.Struct, frozen=True, rename="pascal"):
@@ -108,12 +109,11 @@
         config = content_by_key.get(names.CONFIG_KEY)
         if not isinstance(config, ConfigEntry):
             return tables
-        connections = {entry.name: entry.max_conns for entry in config.services}
+        entry_by_service = {entry.name: entry for entry in config.services}
         by_service: dict[data.ServiceId, list[data.Server]] = {}
         for content in content_by_key.values():
             if isinstance(content, data.Server):
-                limit = connections.get(content.service, UNLIMITED_CONNECTIONS)
-                server = msgspec.structs.replace(content, connections=limit)
+                server = _complete(content, entry_by_service.get(content.service))
                 by_service.setdefault(server.service, []).append(server)
         servers_by_service = {
             service: tuple(sorted(servers, key=lambda server: server.server_id))
@@ -154,6 +154,15 @@
     return store.ParsedValue((), server)
 
 
+def _complete(server: data.Server, entry: ServiceEntry | None) -> data.Server:
+    """Returns a server with what the configuration tells of its service."""
+    if entry is None:
+        return server
+    return msgspec.structs.replace(
+        server, connections=entry.max_conns, health_path=entry.health_path
+    )
+
+
 def _shard_sets(entry: RouteEntry) -> Iterable[tuple[str, ...]]:
     """Returns the sets of services that a route's requests go to."""
     if entry.gather:
--- a/monsoonhoist/platform/servers.py
+++ b/monsoonhoist/platform/servers.py
@@ -49,25 +49,37 @@
         """Returns None: a server drops a request when its connection closes."""
         return None
 
+    def health_check(self, server: data.Server) -> curl.HttpCall | None:
+        """Returns a health check; None if the server's service names no path for it."""
+        if not server.health_path:
+            return None
+        return curl.HttpCall(
+            method="GET",
+            url=f"http://{server.address}{server.health_path}",
+            body=b"",
+            timeout=self._connect_timeout,
+            connect_timeout=self._connect_timeout,
+            headers=tuple(f"{name}:" for name in CURL_HEADERS),
+        )
+
     def read(
         self, command: events.StartCall, reply: curl.HttpReply
     ) -> events.CallReplied | events.CallFailed:
         """Returns the event that the end of a call stands for."""
         if not reply.status:
             return _read_lost(command.call_id, reply)
-        load = _read_load(reply)
         if _find(reply.headers, names.NOT_RUN) is not None or reply.status == STATUS_MISDIRECTED:
-            return _read_refusal(command.call_id, reply, load)
+            return _read_refusal(command.call_id, reply)
         proof = _find(reply.headers, names.PROOF)
         is_encoded = _find(reply.headers, "Content-Encoding") is not None
         if proof is None or is_encoded:
             reason = data.Refusal.MALFORMED_REPLY
-            return events.CallFailed(command.call_id, reason, True, load=load)
+            return events.CallFailed(command.call_id, reason, True)
         passes = command.query.passes_response
         response = exchange.Response(reply.status, _passed_back(reply.headers), reply.body)
         if reply.status // 100 != 2 and (not passes or reply.status >= STATUS_SERVER_ERROR):
             reason = data.Refusal.BACKEND_ERROR
-            return events.CallFailed(command.call_id, reason, True, response=response, load=load)
+            return events.CallFailed(command.call_id, reason, True, response=response)
         return events.CallReplied(
             call_id=command.call_id,
             snapshot=command.snapshot,
@@ -77,7 +89,6 @@
             draining=False,
             proof=proof.value,
             response=response if passes else None,
-            load=load,
         )
 
 
@@ -92,13 +103,11 @@
     return events.CallFailed(call_id, reason, True)
 
 
-def _read_refusal(
-    call_id: int, reply: curl.HttpReply, load: exchange.Load | None
-) -> events.CallFailed:
+def _read_refusal(call_id: int, reply: curl.HttpReply) -> events.CallFailed:
     """Returns what a response that proves that nothing ran stands for."""
     is_wrong = reply.status == STATUS_MISDIRECTED
     reason = data.Refusal.WRONG_SERVER if is_wrong else data.Refusal.SHED
-    return events.CallFailed(call_id, reason, False, load=load)
+    return events.CallFailed(call_id, reason, False, load=_read_load(reply))
 
 
 def _read_load(reply: curl.HttpReply) -> exchange.Load | None:
