Open connections to the servers of an instance's share before the first query

Ruled out: processor time (7% of a core on average, by profile).

Change: an instance calls the health check of each server of the shards that it owns once, 20 ms apart, when the view changes; the connections stay open. Pools of one service are left out. The view is put together in a module of its own.

--- a/monsoonhoist/node/node.py
+++ b/monsoonhoist/node/node.py
@@ -8,7 +8,6 @@
 
 from monsoonhoist import metrics, settings
 from monsoonhoist.core import (
-    cells,
     clock,
     data,
     events,
@@ -34,6 +33,8 @@
     reception,
     tables,
     trace,
+    views,
+    warmup,
     watchers,
 )
 
@@ -105,7 +106,7 @@
             self.counters,
             self.send,
             self._hub.connected,
-            self._refresh_view,
+            lambda: self._views.refresh(),
         )
         self._instances = self.dialect.make_listing(self._driver, self.counters, self._take_listed)
         self._watcher = tables.ServiceWatcher(
@@ -140,7 +141,11 @@
             self.counters.count_refusal,
         )
         self._background: set[asyncio.Task[None]] = set()
-        self._view: events.ViewChanged | None = None
+        self._warm_up = warmup.WarmUp(
+            self.name, self._kernel.ownership, self.dialect.make_protocol(), self._driver
+        )
+        takers = (self._take_view, self._entry.tell, self._owner.tell, self._warm_up.tell)
+        self._views = views.ViewKeeper(config, self.members, self.spread, self._hub, takers)
 
     def _make_kernel_task(self, role: traces.Role, part: kernels.KernelPart) -> kernels.KernelTask:
         """Returns the task that owns one of the kernels."""
@@ -156,13 +161,14 @@
         self._entry.start()
         self._owner.start()
         self._backends.start()
+        self._warm_up.start()
         self._pauses.start()
         instance = self.config.instance
         self._hub.listen(str(instance.host), instance.peer_listen_port or instance.peer_port)
         self._watcher.start()
         self._instances.start()
         self._spawn(self._become_ready())
-        self._refresh_view()
+        self._views.refresh()
 
     def reconfigure(self, config: settings.Settings) -> None:
         """Takes over changed settings; all but the platform's need a new start."""
@@ -188,7 +194,7 @@
         statement = self.members.leave()
         for instance in self._hub.connected():
             self.send(instance, messages.Members((statement,)))
-        self._refresh_view()
+        self._views.refresh()
         await asyncio.sleep(self.config.timing.balancer_lag_ms.total_seconds())
         self.phase = phases.Phase.CLOSED
         ends = self._clock.monotonic() + self.config.timing.drain_max_ms.total_seconds()
@@ -206,7 +212,7 @@
         for runner in list(self._background):
             runner.cancel()
         await self._hub.close()
-        for part in (self._entry, self._owner, self._backends):
+        for part in (self._entry, self._owner, self._backends, self._warm_up):
             part.stop()
         self._driver.close()
         if self._trace is not None:
@@ -224,7 +230,7 @@
     @property
     def view(self) -> events.ViewChanged | None:
         """Tables and live instances that the kernels decide by."""
-        return self._view
+        return self._views.view
 
     def connected(self) -> tuple[data.InstanceId, ...]:
         """Returns the instances whose streams are up."""
@@ -256,6 +262,8 @@
                 self._entry.tell(events.ReplyArrived(sender, message))
             case messages.BatchTaken():
                 self._entry.tell(events.BatchTaken(sender, message.query_id))
+            case messages.CallMade():
+                self._entry.tell(events.CallMade(message.query_id, message.service))
             case messages.BatchCheck():
                 self.send(sender, messages.BatchTaken(message.query_id))
             case messages.Cancel():
@@ -279,11 +287,11 @@
         if is_up:
             self._take_members(member.instance, messages.Members((member,)))
             self.send(member.instance, messages.Members(self.members.known()))
-            self.send(member.instance, self.spread.store.revisions())
+            self.send(member.instance, self.spread.buckets())
         else:
             self._entry.tell(events.PeerLost(member.instance))
             self.tickets.on_peer_lost(member.instance)
-        self._refresh_view()
+        self._views.refresh()
 
     def on_unsent(self, instance: data.InstanceId, message: messages.Message) -> None:
         """Tells the entry of a batch of which no byte was sent."""
@@ -346,7 +354,7 @@
         for instance in self._hub.connected():
             if instance != sender:
                 self.send(instance, messages.Members(news))
-        self._refresh_view()
+        self._views.refresh()
 
     def _take_ticket_use(self, sender: data.InstanceId, use: messages.TicketUse) -> None:
         """Runs a forwarded request; refuses it if it may be from before a pause."""
@@ -357,26 +365,13 @@
             return
         self._spawn(self.tickets.serve(sender, use))
 
-    def _refresh_view(self) -> None:
-        """Tells the kernels and the streams of changed tables or instances."""
-        spread = self.config.spread
-        in_force = self.spread.store.tables
-        cell = cells.NO_CELL
-        if self.config.policy.has_cells:
-            cell = cells.view(self.members, spread.cell_size, in_force)
-        live = self.members.live()
-        view = events.ViewChanged(in_force, live, cell.members, cell.count)
-        self._hub.set_targets(self.members.neighbours(spread.neighbours, cell.members))
-        if view != self._view:
-            self.reception.set_tables(view.tables)
-            self._view = view
-            self._entry.tell(view)
-            self._owner.tell(view)
+    def _take_view(self, view: events.ViewChanged) -> None:
+        self.reception.set_tables(view.tables)
 
     def _take_listed(self, rows: tuple[membership.ListedInstance, ...]) -> None:
         """Takes over a reading of the platform's instance list."""
         self.members.set_listed(rows)
-        self._refresh_view()
+        self._views.refresh()
 
     async def _become_ready(self) -> None:
         """Makes the instance ready once it has the newest tables it can know."""
