--- a/soak/plan.py
+++ b/soak/plan.py
@@ -5,9 +5,14 @@
 
 import msgspec
 
-# Average pause between the starts of two faults of one run, in seconds; faults last longer,
+# Average pause between the starts of two faults of a series, in seconds; faults last longer,
 # so that they overlap.
-GAP_SECONDS = 0.8
+GAP_SECONDS = 0.5
+# Length of a series of faults, and of the planned work only that follows it: the rules on
+# drains and configurations are judged where nothing else has been disturbed for a while.
+SERIES_MIN_SECONDS = 4.0
+SERIES_MAX_SECONDS = 8.0
+CALM_SECONDS = 11.0
 LENGTH_MIN_SECONDS = 0.3
 LENGTH_MAX_SECONDS = 3.0
 # Time without new faults at the start and the end of a run.
@@ -35,6 +40,7 @@
     RESHARD = "reshard"
 
 
+PLANNED = (Kind.DRAIN, Kind.EDIT, Kind.RESHARD)
 HOW_BY_KIND = {
     Kind.LINK: ("delay", "one_way", "silence", "reset"),
     Kind.STORE: ("refuse", "reset", "silent", "slow", "forget"),
@@ -119,15 +125,19 @@
     faults: list[Fault] = []
     at = CALM_START_SECONDS
     last = seconds - CALM_END_SECONDS
-    while (at := at + chance.expovariate(1.0 / GAP_SECONDS)) < last:
-        faults.append(_fault(chance, at, instances))
+    while at < last:
+        series_ends = min(last, at + chance.uniform(SERIES_MIN_SECONDS, SERIES_MAX_SECONDS))
+        while (at := at + chance.expovariate(1.0 / GAP_SECONDS)) < series_ends:
+            faults.append(_fault(chance, at, instances, tuple(WEIGHT_BY_KIND)))
+        calm_ends = min(last, at + CALM_SECONDS)
+        while (at := at + chance.expovariate(1.0 / GAP_SECONDS)) < calm_ends:
+            faults.append(_fault(chance, at, instances, PLANNED))
     if chance.random() < FINAL_KILL_SHARE:
         faults.append(Fault(max(at, last), Kind.KILL_ALL, "", 1, 2, 0, LENGTH_MIN_SECONDS))
     return Plan(seed, seconds, instances, cell_size, tuple(faults))
 
 
-def _fault(chance: random.Random, at: float, instances: int) -> Fault:
-    kinds = list(WEIGHT_BY_KIND)
+def _fault(chance: random.Random, at: float, instances: int, kinds: tuple[Kind, ...]) -> Fault:
     kind = chance.choices(kinds, weights=[WEIGHT_BY_KIND[kind] for kind in kinds])[0]
     instance, other = chance.sample(range(1, instances + 1), 2)
     return Fault(
--- a/soak/world.py
+++ b/soak/world.py
@@ -265,8 +265,11 @@
         span.end = time.monotonic()
 
     def _server(self, fault: plan.Fault) -> str:
+        """Returns the server concerned: one in three times one of those that take orders."""
         names = sorted(self.server_by_name)
-        return names[fault.place % len(names)]
+        if fault.place % 3 == 0:
+            names = [name for name in names if name.startswith(fleet.PLAIN)]
+        return names[fault.place // 3 % len(names)]
 
     def _disturb(self, what: str) -> Span:
         span = Span(what, time.monotonic())
