--- a/soak/plan.py
+++ b/soak/plan.py
@@ -12,9 +12,9 @@
 # drains and configurations are judged where nothing else has been disturbed for a while.
 SERIES_MIN_SECONDS = 4.0
 SERIES_MAX_SECONDS = 8.0
-CALM_SECONDS = 11.0
+CALM_SECONDS = 13.0
 LENGTH_MIN_SECONDS = 0.3
-LENGTH_MAX_SECONDS = 3.0
+LENGTH_MAX_SECONDS = 2.0
 # Time without new faults at the start and the end of a run.
 CALM_START_SECONDS = 2.0
 CALM_END_SECONDS = 6.0
