Do not give owners up where the entry itself was late to hear them

An entry that is that late reads its owners' words after their patience has ended, and gave their work to stand-bys.

Ruled out: second calls that the entry does not know of (owners tell them before they are made).

Change: patience that ends more than 20 ms late is prolonged, so that what has come is read first.

After: not run yet; features/silent_owners.feature has the case.

--- a/features/silent_owners.feature
+++ b/features/silent_owners.feature
@@ -41,3 +41,10 @@
     And "i-3" says that it has called another server for each of its shards
     And 300 ms pass
     Then no shard has been sent twice
+
+  Scenario: An entry that was late itself does not give owners up
+    When all owners but "i-3" answer at once
+    And 300 ms pass in which the entry does nothing
+    And "i-3" says that it has the work
+    And 10 ms pass
+    Then no shard has been sent twice
--- a/features/steps/silent_owners.py
+++ b/features/steps/silent_owners.py
@@ -156,6 +156,13 @@
     context.bench.advance(ms / 1000)
 
 
+@when("{ms:d} ms pass in which the entry does nothing")
+def let_pass_late(context, ms):
+    """Moves the clock, and lets the kernel act only then."""
+    context.bench.clock.advance(ms / 1000)
+    context.bench.take(events.TimeReached())
+
+
 @when('{ms:d} ms pass, in which "{owner}" says when asked that it has the work')
 def let_pass_alive(context, ms, owner):
     """Moves the clock while an owner answers questions."""
--- a/monsoonhoist/core/entry.py
+++ b/monsoonhoist/core/entry.py
@@ -1,6 +1,7 @@
 """Kernel of the entry: admits queries, fans them out and concludes them."""
 
 import heapq
+import math
 
 from monsoonhoist.core import (
     clock,
@@ -19,6 +20,9 @@
 
 RERUNS_MAX = 2
 ATTEMPTS_MAX = 4
+# Delay of this instance's own work from which it cannot tell that others were silent: their
+# messages may have come and not been read.
+OWN_LAG_MAX_SECONDS = 0.02
 MS_PER_SECOND = 1000
 
 _OVERLOAD_REASONS = (
@@ -311,9 +315,20 @@
             elif self._may_end_early(state):
                 commands.extend(self._finish(state))
             elif state.patience.ends <= now:
-                self._ask_stand_bys(state, now, commands)
+                self._end_patience(state, now, commands)
         return commands
 
+    def _end_patience(
+        self, state: query.QueryState, now: float, commands: list[events.Command]
+    ) -> None:
+        """Gives up silent owners, unless this instance itself was late to hear them."""
+        if now - state.patience.ends > OWN_LAG_MAX_SECONDS:
+            state.patience.ends = now + OWN_LAG_MAX_SECONDS
+        else:
+            self._ask_stand_bys(state, now, commands)
+        if state.patience.ends < state.deadline:
+            heapq.heappush(self._wakes, (state.patience.ends, state.spec.query_id))
+
     def _ask_stand_bys(
         self, state: query.QueryState, now: float, commands: list[events.Command]
     ) -> None:
@@ -321,8 +336,8 @@
         silent = self._stand_bys.take_silent(state, commands)
         if silent:
             self._send(state, silent, commands, is_after_silence=True)
-        if self._stand_bys.check_owners(state, now, commands):
-            heapq.heappush(self._wakes, (state.patience.ends, state.spec.query_id))
+        if not self._stand_bys.check_owners(state, now, commands):
+            state.patience.ends = math.inf
 
     def _finish(self, state: query.QueryState) -> list[events.Command]:
         """Answers the caller and cancels what is still pending."""
