Open connections ahead only where many cells call the same servers

Change: connections are opened ahead where eight cells or more call each server. Wide deployments have 18 to 22 and keep it.

--- a/monsoonhoist/core/warming.py
+++ b/monsoonhoist/core/warming.py
@@ -1,7 +1,7 @@
 """Which connections to backend servers are opened before there is work for them.
 
-A new connection takes a slot of its server for a while, so a query to many shards at once
-would wait for as many new connections.
+A new connection takes a slot of its server for a while. Where many cells call each server for
+the first time at once, their queries would wait for each other's connections.
 """
 
 from monsoonhoist.core import data, events
@@ -9,6 +9,8 @@
 
 # Fewest shards of a pool whose servers are connected to ahead.
 SHARDS_MIN = 2
+# Fewest cells with which connections are opened ahead; fewer are soon served one after another.
+CELLS_MIN = 8
 
 
 def servers_to_connect(
@@ -21,6 +23,8 @@
         myself: The instance.
         owners: Chooses the instances that call the servers of a shard.
     """
+    if view.cells < CELLS_MIN:
+        return ()
     instances = view.cell or view.instances
     return tuple(
         server
