--- a/soak/platform.py
+++ b/soak/platform.py
@@ -29,6 +29,8 @@
         broken += checks.run_all(deployment, asked)
         counts = collections.Counter(f"{seen.kind} {seen.status}" for seen in asked)
         print(f"seed {chosen.seed}: {len(asked)} requests {dict(sorted(counts.items()))}")
+        stalls = sum(span.what == world.STALL for span in deployment.spans)
+        print(f"seed {chosen.seed}: the soak stood still {stalls} times")
     finally:
         deployment.stop()
     if broken:
@@ -43,6 +45,7 @@
     asked: list[clients.Seen] = []
     stopping = asyncio.Event()
     load = _start_load(deployment, chosen, asked, stopping)
+    load.append(asyncio.create_task(deployment.watch_stalls(stopping)))
     start = time.monotonic()
     striking: list[asyncio.Task[None]] = []
     for fault in chosen.faults:
--- a/soak/world.py
+++ b/soak/world.py
@@ -20,6 +20,10 @@
 ROUTE_VERSIONS = 2
 STORE = "store"
 LINKS = "links"
+# Times in which the soak itself did not get the processor, so that nothing was in touch.
+STALL = "stall"
+STALL_SECONDS = 0.2
+STALL_TICK_SECONDS = 0.05
 
 
 @dataclasses.dataclass
@@ -184,12 +188,13 @@
         span = self._disturb(f"restart {number}")
         process = self.process_by_number[number]
         self._signal(number, signal.SIGTERM)
-        ends = time.monotonic() + GRACE_SECONDS
-        while process.poll() is None and time.monotonic() < ends:
+        start = time.monotonic()
+        while process.poll() is None and time.monotonic() < start + GRACE_SECONDS:
             await asyncio.sleep(0.02)
         if process.poll() is None:
-            self.overdue.append(f"instance {number}")
             process.kill()
+            if not self.is_disturbed((), start, time.monotonic()):
+                self.overdue.append(f"instance {number}")
         self._restart_dead(number)
         span.end = time.monotonic()
 
@@ -275,14 +280,27 @@
             names = [name for name in names if name.startswith(fleet.PLAIN)]
         return names[fault.place // 3 % len(names)]
 
+    async def watch_stalls(self, stopping: asyncio.Event) -> None:
+        """Takes note of times in which the soak itself stood still."""
+        before = time.monotonic()
+        while not stopping.is_set():
+            await asyncio.sleep(STALL_TICK_SECONDS)
+            now = time.monotonic()
+            if now - before > STALL_SECONDS:
+                self.spans.append(Span(STALL, before, now))
+            before = now
+
     def _disturb(self, what: str) -> Span:
         span = Span(what, time.monotonic())
         self.spans.append(span)
         return span
 
     def is_disturbed(self, names: tuple[str, ...], start: float, end: float) -> bool:
-        """Returns whether anything whose name begins so was disturbed within a time."""
+        """Returns whether anything whose name begins so was disturbed within a time.
+
+        A time in which the soak itself stood still disturbs everything.
+        """
         return any(
-            span.what.startswith(names) and span.start <= end and span.end >= start
+            span.what.startswith((*names, STALL)) and span.start <= end and span.end >= start
             for span in self.spans
         )
