Log why another owner was asked and warn of calls beyond the attempts

An entry kept quiet about requests that were answered whole, about asking another owner and about what owners told it of their second calls.

A request with more calls for a shard than its route allows is logged whole, warned about and counted (monsoonhoist_attempts_exceeded). Calls that a server refused count as well, so a warning is a place to look.

--- a/monsoonhoist/core/events.py
+++ b/monsoonhoist/core/events.py
@@ -89,10 +89,17 @@
 
 
 class CallMade(msgspec.Struct, frozen=True, tag="call-made"):
-    """An owner calls another server for a shard of a query."""
+    """An owner calls another server for a shard of a query.
+
+    Attributes:
+        query_id: The query.
+        service: The shard.
+        instance: The owner.
+    """
 
     query_id: data.QueryId
     service: data.ServiceId
+    instance: data.InstanceId = data.InstanceId("")
 
 
 class LeaseRenewed(msgspec.Struct, frozen=True, tag="lease-renewed"):
--- a/monsoonhoist/metrics.py
+++ b/monsoonhoist/metrics.py
@@ -150,6 +150,7 @@
         self._stream_bytes = self._make("stream_bytes", "Bytes on instance streams", "By")
         self._late_replies = self._make("late_replies", "Replies dropped as late or duplicate")
         self._pauses = self._make("pauses", "Pauses of the process that were noticed")
+        self._exceeded = self._make("attempts_exceeded", "Shards called more often than allowed")
         self._lines_left_out = self._make("log_lines_left_out", "Log lines left out")
         self._answer_seconds = self._make_histogram("answer_seconds", "Time until an answer")
         self._call_seconds = self._make_histogram("call_seconds", "Time of a backend call")
@@ -187,7 +188,7 @@
         for acceptance in store.Acceptance:
             self._values.add(0, result=acceptance.value)
         plain = (self._calls, self._sub_requests, self._late_replies, self._pauses)
-        for counter in (*plain, self._lines_left_out):
+        for counter in (*plain, self._lines_left_out, self._exceeded):
             counter.add(0)
 
     def count_answer(self, outcome: data.Outcome, rank: data.Rank | None) -> None:
@@ -249,6 +250,10 @@
         """Counts log lines that were left out."""
         self._lines_left_out.add(count)
 
+    def count_exceeded(self, count: int) -> None:
+        """Counts shards that were called more often than the route allows."""
+        self._exceeded.add(count)
+
     def count_pause(self) -> None:
         """Counts a noticed pause of the process."""
         self._pauses.add(1)
--- a/monsoonhoist/node/journal.py
+++ b/monsoonhoist/node/journal.py
@@ -6,17 +6,27 @@
 others, as a measure of what is usual.
 """
 
+import collections
 import logging
+from collections.abc import Callable
 
 import msgspec
 
-from monsoonhoist.core import clock, data, events, traces
+from monsoonhoist.core import clock, data, events, messages, traces
 
 REQUESTS_MAX = 4096
 STEPS_MAX = 120
 # One in so many requests that were answered whole is logged.
 WHOLE_SAMPLE = 200
 MS_PER_SECOND = 1000
+FIRST_ATTEMPT = 1
+# Why another owner is asked, by the event on which that was decided.
+_REASON_BY_EVENT = {
+    events.TimeReached: "owner_silent",
+    events.PeerLost: "owner_lost",
+    events.BatchUnsent: "not_sent",
+    events.ReplyArrived: "reply",
+}
 
 _log = logging.getLogger("monsoonhoist.request")
 
@@ -29,10 +39,12 @@
         at: Monotonic time in seconds.
         route: Route of the request.
         service: Shard concerned.
+        owner: Instance that calls the shard's servers.
         server: Backend server concerned.
         reason: Why.
         latency_ms: Time that a call took.
         left_ms: Time left until the deadline.
+        attempts: Calls that an owner was allowed.
         choices: What the choice of the server was based on.
         outcome: Outcome of the request.
         snapshot: Snapshot of the answer.
@@ -44,10 +56,12 @@
     at: float
     route: str = ""
     service: str = ""
+    owner: str = ""
     server: str = ""
     reason: str = ""
     latency_ms: int = 0
     left_ms: int = 0
+    attempts: int = 0
     choices: tuple[events.Choice, ...] = ()
     outcome: str = ""
     snapshot: int = 0
@@ -63,6 +77,15 @@
         self.steps: list[Step] = []
         self.called: set[str] = set()
         self.ended_services: set[str] = set()
+        self.attempts = 0
+        # Calls that were made, or that an owner was asked for and has not disowned.
+        self.calls_by_service: collections.Counter[str] = collections.Counter()
+
+    def exceeded(self) -> tuple[str, ...]:
+        """Returns the shards with more calls than the route's attempts."""
+        return tuple(
+            service for service, calls in self.calls_by_service.items() if calls > self.attempts
+        )
 
 
 class _Call(msgspec.Struct, frozen=True):
@@ -78,10 +101,12 @@
 
     Args:
         time_source: The kernels' clock.
+        count_exceeded: Counts shards that were called more often than the route allows.
     """
 
-    def __init__(self, time_source: clock.Clock):
+    def __init__(self, time_source: clock.Clock, count_exceeded: Callable[[int], None]):
         self._clock = time_source
+        self._count_exceeded = count_exceeded
         self._request_by_query: dict[data.QueryId, _Request] = {}
         self._call_by_id: dict[int, _Call] = {}
         self._whole = 0
@@ -96,15 +121,56 @@
                 self._note_call_end(event, now)
             case events.ReplyArrived():
                 self._note_failures(event, now)
+            case events.CallMade():
+                self._note_told(event, now)
+            case events.BatchUnsent():
+                self._note_unsent(event, now)
             case events.CallerLeft():
                 self._end(event.query_id, Step("abandoned", now, reason="caller_gone"), True)
         for command in commands:
             match command:
                 case events.StartCall():
                     self._note_call(command, now)
+                case events.SendMessage(message=messages.SubBatch()):
+                    self._note_batch(event, command, now)
                 case events.Respond():
                     self._note_answer(command, now)
 
+    def _note_batch(self, event: object, command: events.SendMessage, now: float) -> None:
+        """Takes note of shards that an owner is asked for, and why another one was not enough."""
+        batch = command.message
+        request = self._request_by_query.get(batch.query.query_id)
+        if request is None:
+            return
+        request.attempts = max(request.attempts, batch.query.attempts)
+        request.calls_by_service.update(batch.services)
+        if batch.attempt == FIRST_ATTEMPT:
+            return
+        reason = _REASON_BY_EVENT.get(type(event), "")
+        for service in batch.services:
+            step = Step(
+                "asked again",
+                now,
+                service=service,
+                owner=command.instance,
+                reason=reason,
+                attempts=batch.query.attempts,
+            )
+            self._add(request, step)
+
+    def _note_told(self, event: events.CallMade, now: float) -> None:
+        """Takes note of a call beyond the first that another instance has made."""
+        request = self._request_by_query.get(event.query_id)
+        if request is not None:
+            request.calls_by_service[event.service] += 1
+            step = Step("called again elsewhere", now, service=event.service, owner=event.instance)
+            self._add(request, step)
+
+    def _note_unsent(self, event: events.BatchUnsent, now: float) -> None:
+        request = self._request_by_query.get(event.query_id)
+        if request is not None:
+            self._add(request, Step("not sent", now, owner=event.instance))
+
     def _note_arrival(self, event: events.QueryArrived, now: float) -> None:
         if len(self._request_by_query) >= REQUESTS_MAX:
             self._request_by_query.pop(next(iter(self._request_by_query)))
@@ -118,7 +184,10 @@
         if request is None:
             return
         service = command.server.service
-        name = "called again" if service in request.called else "called"
+        name = "called"
+        if service in request.called:
+            name = "called again"
+            request.calls_by_service[service] += 1
         request.called.add(service)
         step = Step(
             name,
@@ -175,16 +244,29 @@
         request = self._request_by_query.pop(query_id, None)
         if request is None:
             return
-        if not is_bad:
+        exceeded = request.exceeded()
+        if exceeded:
+            self._report_exceeded(request, exceeded, step.at)
+        elif not is_bad:
             self._whole += 1
             if self._whole % WHOLE_SAMPLE:
                 return
         for found in (*request.steps, step):
-            if found.service and found.service in request.ended_services and is_bad:
+            is_answered = found.service in request.ended_services
+            if is_answered and is_bad and found.service not in exceeded:
                 # Shards that answered explain nothing about a request that ended badly.
                 continue
             _log.info(found.step, extra=_fields(request.request_id, found))
 
+    def _report_exceeded(self, request: _Request, services: tuple[str, ...], now: float) -> None:
+        """Reports shards that may have been called more often than the route allows."""
+        self._count_exceeded(len(services))
+        for service in services:
+            calls = request.calls_by_service[service]
+            extra = {"request_id": request.request_id, "service": service, "calls": calls}
+            extra |= {"attempts": request.attempts, "at": round(now, 4)}
+            _log.warning("more calls than the route allows", extra=extra)
+
     @staticmethod
     def _add(request: _Request, step: Step) -> None:
         if len(request.steps) < STEPS_MAX:
--- a/monsoonhoist/node/node.py
+++ b/monsoonhoist/node/node.py
@@ -83,7 +83,7 @@
         self._kernel = kernel.make_kernel(
             self.name, zone, self._kernel_clock, names, config.owner_options()
         )
-        self._journal = journal.DecisionJournal(self._kernel_clock)
+        self._journal = journal.DecisionJournal(self._kernel_clock, self.counters.count_exceeded)
         self._trace: trace.TraceWriter | None = None
         if trace_path is not None:
             self._trace = trace.TraceWriter(trace_path, self.name, zone, names, self._kernel_clock)
@@ -263,7 +263,7 @@
             case messages.BatchTaken():
                 self._entry.tell(events.BatchTaken(sender, message.query_id))
             case messages.CallMade():
-                self._entry.tell(events.CallMade(message.query_id, message.service))
+                self._entry.tell(events.CallMade(message.query_id, message.service, sender))
             case messages.BatchCheck():
                 self._owner.tell(events.LeaseRenewed(message.query_id, message.lease_ms))
                 self.send(sender, messages.BatchTaken(message.query_id))
