--- /dev/null
+++ b/monsoonhoist/core/inbox.py
@@ -0,0 +1,27 @@
+"""Which kernel a message of another instance is for, and the event that it stands for."""
+
+from monsoonhoist.core import data, events, messages
+
+
+def entry_event(sender: data.InstanceId, message: messages.Message) -> events.EntryEvent | None:
+    """Returns the entry's event for a message, or None if it is not for the entry."""
+    match message:
+        case messages.SubReply():
+            return events.ReplyArrived(sender, message)
+        case messages.BatchTaken():
+            return events.BatchTaken(sender, message.query_id)
+        case messages.CallMade():
+            return events.CallMade(message.query_id, message.service, sender)
+    return None
+
+
+def owner_event(message: messages.Message) -> events.OwnerEvent | None:
+    """Returns the owner's event for a message, or None if it is not for the owner."""
+    match message:
+        case messages.SubBatch():
+            return events.BatchArrived(message)
+        case messages.BatchCheck():
+            return events.LeaseRenewed(message.query_id, message.lease_ms)
+        case messages.Cancel():
+            return events.CancelArrived(message.query_id, message.is_abandoned)
+    return None
--- a/monsoonhoist/node/node.py
+++ b/monsoonhoist/node/node.py
@@ -11,6 +11,7 @@
     clock,
     data,
     events,
+    inbox,
     kernel,
     membership,
     messages,
@@ -255,20 +256,18 @@
 
     def on_message(self, sender: data.InstanceId, message: messages.Message) -> None:
         """Hands a message to the task that it is for."""
+        entry_event = inbox.entry_event(sender, message)
+        if entry_event is not None:
+            self._entry.tell(entry_event)
+            return
         match message:
             case messages.SubBatch():
                 self._take_batch(message)
-            case messages.SubReply():
-                self._entry.tell(events.ReplyArrived(sender, message))
-            case messages.BatchTaken():
-                self._entry.tell(events.BatchTaken(sender, message.query_id))
-            case messages.CallMade():
-                self._entry.tell(events.CallMade(message.query_id, message.service, sender))
             case messages.BatchCheck():
-                self._owner.tell(events.LeaseRenewed(message.query_id, message.lease_ms))
+                self._owner.tell(inbox.owner_event(message))
                 self.send(sender, messages.BatchTaken(message.query_id))
             case messages.Cancel():
-                self._owner.tell(events.CancelArrived(message.query_id, message.is_abandoned))
+                self._owner.tell(inbox.owner_event(message))
             case messages.Members():
                 self._take_members(sender, message)
             case messages.TicketUse():
@@ -345,7 +344,7 @@
         if not is_own:
             self.send(batch.origin, messages.BatchTaken(batch.query.query_id))
         self.counters.count_sub_requests(len(batch.services))
-        self._owner.tell(events.BatchArrived(batch))
+        self._owner.tell(inbox.owner_event(batch))
 
     def _take_members(self, sender: data.InstanceId, message: messages.Members) -> None:
         """Merges statements about instances and passes on the news."""
