Join the tables by what has changed

Cause, one of two: each changed entry of the store had every instance join all tables anew, compare them, choose neighbours and update the state of all shards. It is a class: work that grows with the fleet done for each change.

Change: only the services of changed entries are grouped and sorted anew, pools without them stay the same objects, an owner updates the shards whose servers are others, and neighbours are chosen again only when the view of the instances has a new revision.

--- a/monsoonhoist/core/cells.py
+++ b/monsoonhoist/core/cells.py
@@ -30,18 +30,14 @@
 NO_CELL = CellView((), 0)
 
 
-def view(
-    members: membership.Membership, size: int, tables: data.Tables, fleet_size: int
-) -> CellView:
+def view(members: membership.Membership, size: int, fleet_size: int) -> CellView:
     """Returns an instance's cell.
 
     Args:
         members: The instance's view of all instances.
-        size: Number of instances of a cell; 0 lets it follow from the tables.
-        tables: Tables in force.
+        size: Number of instances of a cell.
         fleet_size: Number of instances that share the servers' limits.
     """
-    size = size or size_for(len(members.live()), tables)
     return CellView(members.cell(size), max(1, round(fleet_size / size)))
 
 
--- a/monsoonhoist/core/membership.py
+++ b/monsoonhoist/core/membership.py
@@ -39,10 +39,12 @@
 
     Attributes:
         myself: What this instance states of itself.
+        revision: Grows with each change of the view.
     """
 
     def __init__(self, myself: data.Member):
         self.myself = myself
+        self.revision = 0
         self._member_by_id: dict[data.InstanceId, data.Member] = {}
         self._listed_by_id: dict[data.InstanceId, ListedInstance] = {}
         self._down: set[data.InstanceId] = set()
@@ -52,11 +54,15 @@
 
         An unlisted instance whose stream is down is forgotten.
         """
-        self._listed_by_id = {row.instance: row for row in rows}
-        for instance in list(self._member_by_id):
-            if instance not in self._listed_by_id and instance in self._down:
+        listed_by_id = {row.instance: row for row in rows}
+        if listed_by_id != self._listed_by_id:
+            self._listed_by_id = listed_by_id
+            self.revision += 1
+        for instance in list(self._down):
+            if instance not in self._listed_by_id and instance in self._member_by_id:
                 del self._member_by_id[instance]
                 self._down.discard(instance)
+                self.revision += 1
 
     def merge(self, members: Iterable[data.Member]) -> tuple[data.Member, ...]:
         """Takes in statements; returns those that were news."""
@@ -67,6 +73,7 @@
             known = self._member_by_id.get(member.instance)
             if known is None or _order(member) > _order(known):
                 self._member_by_id[member.instance] = member
+                self.revision += 1
                 news.append(member)
                 if known is None or member.incarnation > known.incarnation:
                     self._down.discard(member.instance)
@@ -74,6 +81,9 @@
 
     def note_stream(self, instance: data.InstanceId, is_up: bool) -> None:
         """Takes note of whether the stream to an instance is up."""
+        if is_up != (instance in self._down):
+            return
+        self.revision += 1
         if is_up:
             self._down.discard(instance)
         else:
@@ -81,6 +91,7 @@
 
     def leave(self) -> data.Member:
         """States that this instance is leaving, and returns the statement."""
+        self.revision += 1
         self.myself = msgspec.structs.replace(
             self.myself, version=self.myself.version + 1, state=data.MemberState.LEAVING
         )
--- a/monsoonhoist/core/owner.py
+++ b/monsoonhoist/core/owner.py
@@ -103,9 +103,10 @@
         for key, state in self._shard_by_key.items():
             pool = self._tables.pool_by_id.get(key[0])
             servers = pool.servers_by_service.get(key[1], ()) if pool else ()
-            state.keys = shard.fixed_keys(pool, key[1]) if pool else state.keys
-            state.update(servers, share, now)
-            self._pump(state, commands)
+            if share != self._share or not state.has(servers):
+                state.keys = shard.fixed_keys(pool, key[1]) if pool else state.keys
+                state.update(servers, share, now)
+                self._pump(state, commands)
         self._share = share
 
     def _take_batch(self, batch: messages.SubBatch, commands: list[events.Command]) -> None:
--- a/monsoonhoist/core/shard.py
+++ b/monsoonhoist/core/shard.py
@@ -42,8 +42,13 @@
         self.queue = queue
         self.waiting = 0
         self.keys: data.KeyRange | None = None
+        self._servers: tuple[data.Server, ...] = ()
         self._leaving_grace_seconds = leaving_grace_seconds
 
+    def has(self, servers: tuple[data.Server, ...]) -> bool:
+        """Returns whether these records are in force, and no server is kept that has gone."""
+        return servers is self._servers and len(self.server_by_id) == len(servers)
+
     def update(
         self, servers: tuple[data.Server, ...], share: limits.LimitShare, now: float
     ) -> None:
@@ -52,6 +57,7 @@
         A server at a new address is another one; calls in flight stay with the old state.
         A server that the table no longer has is kept as long as it may be a last resort.
         """
+        self._servers = servers
         state_by_id: dict[data.ServerId, server.ServerState] = {}
         for record in servers:
             state = self.server_by_id.get(record.server_id)
--- a/monsoonhoist/node/views.py
+++ b/monsoonhoist/node/views.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Callable
 
+import msgspec
+
 from monsoonhoist import settings
 from monsoonhoist.core import cells, clock, data, events, held, membership
 from monsoonhoist.node import peers, tables
@@ -11,6 +13,18 @@
 FLEET_HOLD_SECONDS = 600.0
 
 
+class _Placing(msgspec.Struct, frozen=True):
+    """What the choice of neighbours follows from.
+
+    Attributes:
+        revision: Revision of the view of the instances.
+        cell: Instances of the cell.
+    """
+
+    revision: int
+    cell: tuple[data.InstanceId, ...]
+
+
 class ViewKeeper:
     """Puts the view together and tells of changes.
 
@@ -36,6 +50,7 @@
         time_source: clock.Clock,
     ):
         self.view: events.ViewChanged | None = None
+        self._placing: _Placing | None = None
         self._spread_settings = config.spread
         self._has_cells = config.policy.has_cells
         self._members = members
@@ -48,17 +63,28 @@
         """Tells the takers and the streams of changed tables or instances."""
         in_force = self._spread.store.tables
         fleet_size = self._fleet.note(self._members.known_count())
-        cell = self._cell(in_force, fleet_size)
-        degree = self._spread_settings.neighbours
-        self._hub.set_targets(self._members.neighbours(degree, cell.members))
+        if self._is_known(in_force, fleet_size):
+            return
         live = self._members.live()
-        view = events.ViewChanged(in_force, live, cell.members, cell.count, fleet_size)
-        if view != self.view:
-            self.view = view
-            for take in self._takers:
-                take(view)
+        cell = self._cell(in_force, fleet_size, len(live))
+        placing = _Placing(self._members.revision, cell.members)
+        if placing != self._placing:
+            self._placing = placing
+            degree = self._spread_settings.neighbours
+            self._hub.set_targets(self._members.neighbours(degree, cell.members))
+        self.view = events.ViewChanged(in_force, live, cell.members, cell.count, fleet_size)
+        for take in self._takers:
+            take(self.view)
+
+    def _is_known(self, in_force: data.Tables, fleet_size: int) -> bool:
+        """Returns whether neither tables nor instances have changed since the last view."""
+        if self.view is None or self._placing is None:
+            return False
+        is_same = self.view.tables is in_force and self.view.fleet_size == fleet_size
+        return is_same and self._placing.revision == self._members.revision
 
-    def _cell(self, in_force: data.Tables, fleet_size: int) -> cells.CellView:
+    def _cell(self, in_force: data.Tables, fleet_size: int, live_count: int) -> cells.CellView:
         if not self._has_cells:
             return cells.NO_CELL
-        return cells.view(self._members, self._spread_settings.cell_size, in_force, fleet_size)
+        size = self._spread_settings.cell_size or cells.size_for(live_count, in_force)
+        return cells.view(self._members, size, fleet_size)
--- a/monsoonhoist/platform/entries.py
+++ b/monsoonhoist/platform/entries.py
@@ -87,6 +87,8 @@
 
     def __init__(self, hedge_budget: float):
         self._hedge_budget = hedge_budget
+        self._entry_by_service: dict[str, ServiceEntry] = {}
+        self._keys_by_service: dict[data.ServiceId, set[data.TableKey]] = {}
 
     def parse(self, key: data.TableKey, file: str, text: str) -> store.ParsedValue:
         """Parses a value; only a configuration that cannot be read is refused."""
@@ -105,19 +107,34 @@
         changed: Collection[data.TableKey],
         tables: data.Tables,
     ) -> data.Tables:
-        """Returns the tables; without a configuration they are empty."""
+        """Returns the tables; without a configuration they are empty.
+
+        Where only server entries have changed, the pools of their services are made anew and
+        all others stay the same objects.
+        """
         config = content_by_key.get(names.CONFIG_KEY)
         if not isinstance(config, ConfigEntry):
             return tables
-        entry_by_service = {entry.name: entry for entry in config.services}
-        by_service: dict[data.ServiceId, list[data.Server]] = {}
-        for content in content_by_key.values():
-            if isinstance(content, data.Server):
-                server = _complete(content, entry_by_service.get(content.service))
-                by_service.setdefault(server.service, []).append(server)
+        if names.CONFIG_KEY in changed or not tables.pool_by_id:
+            self._keys_by_service = _group(content_by_key)
+            return self._join_all(config, content_by_key)
+        touched = self._regroup(content_by_key, changed)
         servers_by_service = {
-            service: tuple(sorted(servers, key=lambda server: server.server_id))
-            for service, servers in by_service.items()
+            service: self._servers(service, content_by_key) for service in touched
+        }
+        pool_by_id = {
+            pool_id: _replace_servers(pool, servers_by_service)
+            for pool_id, pool in tables.pool_by_id.items()
+        }
+        return data.Tables(tables.route_by_id, pool_by_id)
+
+    def _join_all(
+        self, config: ConfigEntry, content_by_key: Mapping[data.TableKey, object]
+    ) -> data.Tables:
+        """Returns the tables, made anew."""
+        self._entry_by_service = {entry.name: entry for entry in config.services}
+        servers_by_service = {
+            service: self._servers(service, content_by_key) for service in self._keys_by_service
         }
         version = data.Snapshot(config.version)
         pool_by_id: dict[data.PoolId, data.Pool] = {}
@@ -130,6 +147,57 @@
         }
         return data.Tables(route_by_id, pool_by_id)
 
+    def _regroup(
+        self,
+        content_by_key: Mapping[data.TableKey, object],
+        changed: Collection[data.TableKey],
+    ) -> set[data.ServiceId]:
+        """Moves changed entries to their services; returns the services concerned."""
+        touched: set[data.ServiceId] = set()
+        for service, keys in self._keys_by_service.items():
+            if not keys.isdisjoint(changed):
+                keys.difference_update(changed)
+                touched.add(service)
+        for service, keys in _group({key: content_by_key.get(key) for key in changed}).items():
+            self._keys_by_service.setdefault(service, set()).update(keys)
+            touched.add(service)
+        return touched
+
+    def _servers(
+        self,
+        service: data.ServiceId,
+        content_by_key: Mapping[data.TableKey, object],
+    ) -> tuple[data.Server, ...]:
+        """Returns a service's servers, with what the configuration tells of the service."""
+        entry = self._entry_by_service.get(service)
+        servers = [_complete(content_by_key[key], entry) for key in self._keys_by_service[service]]
+        return tuple(sorted(servers, key=lambda server: server.server_id))
+
+
+def _group(
+    content_by_key: Mapping[data.TableKey, object],
+) -> dict[data.ServiceId, set[data.TableKey]]:
+    """Returns the keys of the entries that name a server, by its service."""
+    keys_by_service: dict[data.ServiceId, set[data.TableKey]] = {}
+    for key, content in content_by_key.items():
+        if isinstance(content, data.Server):
+            keys_by_service.setdefault(content.service, set()).add(key)
+    return keys_by_service
+
+
+def _replace_servers(
+    pool: data.Pool, servers_by_service: Mapping[data.ServiceId, tuple[data.Server, ...]]
+) -> data.Pool:
+    """Returns a pool with other servers of some services; itself if none is its own."""
+    own = {
+        service: servers
+        for service, servers in servers_by_service.items()
+        if service in pool.servers_by_service
+    }
+    if not own:
+        return pool
+    return msgspec.structs.replace(pool, servers_by_service={**pool.servers_by_service, **own})
+
 
 def _parse_server(key: data.TableKey, file: str, text: str) -> store.ParsedValue:
     """Parses a server entry; one that cannot be read is accepted as no server."""
