Plan second calls as far as the budget reaches

Cause, the other one: owners planned hedges for a share of the first calls that was the ratio alone (0.2), so the delay was the 87th percentile of recent calls. With 15% of the servers ten times slower that percentile is a slow call.

Change: the entry tells owners the share that its budget really allows: the ratio and what comes in of the allowance for each recent first call, at most 0.45. Its bucket still decides on each call, so a plan that is too high costs nothing but a question.

features/server_choice.feature: at 200 queries a second the plan stays at the ratio, at 20 it is 0.29, at 1 it is 0.45 (0.20 before in all three), and no 10 s exceed the budget.

--- a/features/server_choice.feature
+++ b/features/server_choice.feature
@@ -37,6 +37,19 @@
     When 600 sub-requests come, one each 20 ms
     Then no 10 s have more extra calls than the budget
 
+  Scenario Outline: Second calls are planned for as far as the budget reaches
+    Given a shard of two servers, of which "b" takes 8 times as long
+    And a budget of 20 of 100 calls and 50 more in 10 s
+    When 200 sub-requests come, one each <gap> ms
+    Then second calls are planned for <least> to <most> of 100 first calls in the end
+    And no 10 s have more extra calls than the budget
+
+    Examples:
+      | gap  | least | most |
+      | 5    | 20    | 22   |
+      | 50   | 26    | 31   |
+      | 1000 | 45    | 45   |
+
   Scenario: Servers that leave are called for a moment where no other is left
     Given a shard of two servers with a grace of 1500 ms for those that leave
     When 10 sub-requests come, one each 20 ms
--- a/features/steps/server_choice.py
+++ b/features/steps/server_choice.py
@@ -60,6 +60,7 @@
         self.tried = set()
         self.extra_at = []
         self.first_at = []
+        self.planned_share = 0.0
         self.ended = {}
 
     def start(self):
@@ -143,6 +144,7 @@
             self.tried.add(command.query.query_id)
             self.first_by_server[name] += 1
         self.started_by_call[command.call_id] = name
+        self.planned_share = command.query.hedge_budget
         server = self.server_by_name[name]
         draw = self.random.random()
         latency = LATENCY_SECONDS * server.factor * self.random.uniform(0.8, 1.3)
@@ -269,6 +271,13 @@
         assert extra <= load.ratio * first + context.allowance, (start, extra, first)
 
 
+@then("second calls are planned for {least:d} to {most:d} of 100 first calls in the end")
+def check_planned(context, least, most):
+    """Checks the share that the newest query was sent with."""
+    planned = round(100 * context.load.planned_share)
+    assert least <= planned <= most, planned
+
+
 @given("a shard of two servers with a grace of {grace:d} ms for those that leave")
 def make_leaving(context, grace):
     """Makes usual servers."""
--- a/monsoonhoist/core/allowances.py
+++ b/monsoonhoist/core/allowances.py
@@ -7,6 +7,8 @@
 
 from collections.abc import Callable
 
+import msgspec
+
 from monsoonhoist.core import budget, clock, data, events, messages, query
 
 
@@ -27,8 +29,10 @@
         self._budget.set_share(share, self._clock.monotonic())
 
     def note_start(self, state: query.QueryState) -> None:
-        """Takes note of a query's first calls."""
+        """Takes note of a query's first calls, and tells owners how many more to plan for."""
         self._budget.earn(state.route, state.services, self._clock.monotonic())
+        share = self._budget.affordable_share(state.route, state.services[0])
+        state.spec = msgspec.structs.replace(state.spec, hedge_budget=share)
 
     def may_ask_again(self, state: query.QueryState, service: data.ServiceId) -> bool:
         """Returns whether another owner may be asked for a shard, which costs a token.
--- a/monsoonhoist/core/budget.py
+++ b/monsoonhoist/core/budget.py
@@ -5,6 +5,7 @@
 hedges, retries, lost owners and runs at another snapshot draw on the same budget.
 """
 
+import math
 from collections.abc import Iterable
 
 import msgspec
@@ -18,6 +19,9 @@
 HELD_SHARE = 0.35
 REFILL_SHARE = 0.35
 START_SHARE = 0.1
+# Largest share of the first calls that hedges are planned for: beyond it calls would be made
+# twice that take no longer than most.
+HEDGE_SHARE_MAX = 0.45
 
 
 class BudgetOptions(msgspec.Struct, frozen=True):
@@ -56,6 +60,10 @@
         self._share = share
         self._tokens = options.allowance * START_SHARE * share
         self._at = since
+        # Recent first calls, each counting less the older it is.
+        self._first_calls = 0.0
+        self._first_call_at = since
+        self._first_calls_since = math.inf
 
     @property
     def _capacity(self) -> float:
@@ -67,10 +75,32 @@
         self._share = share
         self._tokens = min(self._tokens, self._capacity)
 
+    @property
+    def _refill_rate(self) -> float:
+        """Tokens that come in each second."""
+        return self._options.allowance * REFILL_SHARE * self._share / self._options.window_seconds
+
     def earn(self, tokens: float, now: float) -> None:
-        """Adds the tokens of first calls."""
+        """Adds the tokens of a first call."""
         self._refill(now)
         self._tokens = min(self._capacity, self._tokens + tokens)
+        self._first_calls_since = min(self._first_calls_since, now)
+        age = (now - self._first_call_at) / self._options.window_seconds
+        self._first_calls = self._first_calls * math.exp(-age) + 1.0
+        self._first_call_at = now
+
+    def affordable_share(self, ratio: float) -> float:
+        """Returns the extra calls that can be made, as a share of the recent first ones.
+
+        Args:
+            ratio: Tokens that a first call earns.
+        """
+        window = self._options.window_seconds
+        observed = window * -math.expm1((self._first_calls_since - self._first_call_at) / window)
+        if observed <= 0.0:
+            return ratio
+        first_rate = self._first_calls / observed
+        return max(ratio, min(HEDGE_SHARE_MAX, ratio + self._refill_rate / first_rate))
 
     def spend(self, is_hedge: bool, luck: float, now: float) -> bool:
         """Takes a token; returns whether there was one.
@@ -94,8 +124,8 @@
 
     def _refill(self, now: float) -> None:
         """Adds the part of the allowance that has come in since the last time."""
-        rate = self._options.allowance * REFILL_SHARE * self._share / self._options.window_seconds
-        self._tokens = min(self._capacity, self._tokens + rate * (now - self._at))
+        filled = self._tokens + self._refill_rate * (now - self._at)
+        self._tokens = min(self._capacity, filled)
         self._at = now
 
 
@@ -132,6 +162,12 @@
         for service in services:
             self._bucket(service).earn(route.hedge_budget, now)
 
+    def affordable_share(self, route: data.Route, service: data.ServiceId) -> float:
+        """Returns the share of a route's first calls that may be made a second time."""
+        if not route.hedge_budget:
+            return 0.0
+        return self._bucket(service).affordable_share(route.hedge_budget)
+
     def spend(
         self, service: data.ServiceId, query_id: data.QueryId, is_hedge: bool, now: float
     ) -> bool:
--- a/monsoonhoist/core/work.py
+++ b/monsoonhoist/core/work.py
@@ -16,7 +16,7 @@
         content: What the caller sent.
         limit: Number of results asked for.
         remaining_ms: Time left until the deadline when the record was sent.
-        hedge_budget: See ``Route``.
+        hedge_budget: Second calls that owners plan for, as a share of the first ones.
         repeatable: See ``Route``.
         attempts: See ``Route``.
         merge: See ``Pool``.
