Send the parts of a query that come together in one message

Cause: an owner sent each part the moment its server had answered, so an entry read about 72 messages for a query to 90 shards, beside its own 18 calls. Reading one costs about as much as all parts in it.

Change: parts for another instance wait up to 1.5 ms for others of the same query; the last part of an owner's share, and what is for the instance itself, does not wait, so cells of one are as before.

--- a/monsoonhoist/core/owner.py
+++ b/monsoonhoist/core/owner.py
@@ -61,7 +61,7 @@
         self._hedges = extra.HedgePolicies(policies.make_hedge)
         self._call_ids = itertools.count(1)
         self._alarms = alarms.Alarms()
-        self._replies = replies.ReplyCollector()
+        self._replies = replies.ReplyCollector(myself, self._subs_by_query.__contains__)
         self._wants = wants.WantCollector()
 
     @property
@@ -71,7 +71,8 @@
 
     def next_wake(self) -> float | None:
         """Returns when ``TimeReached`` is due, in monotonic seconds, or None."""
-        return self._alarms.next_at()
+        wakes = (self._alarms.next_at(), self._replies.next_due())
+        return min((wake for wake in wakes if wake is not None), default=None)
 
     def handle(self, event: events.OwnerEvent) -> list[events.Command]:
         """Takes an event and returns the commands to carry out, in order."""
@@ -92,7 +93,7 @@
             case events.TimeReached():
                 for action in self._alarms.due(self._clock.monotonic()):
                     action(commands)
-        commands.extend(self._replies.flush())
+        commands.extend(self._replies.flush(self._clock.monotonic()))
         commands.extend(self._wants.flush())
         return commands
 
@@ -311,11 +312,10 @@
         """Ends a sub-request at its deadline."""
         if sub.closed:
             return
-        if sub.call_by_id:
-            sub.may_have_run = True
-            self._give_up(state, sub, data.Refusal.TIMEOUT, commands)
-        else:
-            self._give_up(state, sub, data.Refusal.EXPIRED_IN_QUEUE, commands)
+        is_running = bool(sub.call_by_id)
+        sub.may_have_run = sub.may_have_run or is_running
+        reason = data.Refusal.TIMEOUT if is_running else data.Refusal.EXPIRED_IN_QUEUE
+        self._give_up(state, sub, reason, commands)
 
     def _cancel(self, event: events.CancelArrived, commands: list[events.Command]) -> None:
         """Drops a query's sub-requests; calls of non-repeatable work go on."""
@@ -391,8 +391,8 @@
         servers = pool.servers_by_service.get(service) if pool else None
         if servers is None:
             return None
-        grace_seconds = self._settings.leaving_grace_seconds
-        state = shard.ShardState(pool_id, service, self._policies.make_order(), grace_seconds)
+        grace = self._settings.leaving_grace_seconds
+        state = shard.ShardState(pool_id, service, self._policies.make_order(), grace)
         state.keys = shard.fixed_keys(pool, service)
         # Nothing tells for how long servers that are leaving by now have been leaving.
         state.update(servers, self._share, -math.inf)
--- a/monsoonhoist/core/replies.py
+++ b/monsoonhoist/core/replies.py
@@ -1,17 +1,30 @@
-"""Replies of an owner, put together from what one event yields."""
+"""Replies of an owner, put together from what comes within a moment."""
 
 import dataclasses
+from collections.abc import Callable
 
 from monsoonhoist.core import data, events, messages, subrequest, work
 from monsoonhoist.policy import merge
 
 MS_PER_SECOND = 1000
+# How long a part waits for others of the same query. Reading a message costs the entry about as
+# much time as its parts do, and the servers of a query's shards answer close together.
+GATHER_SECONDS = 0.0015
 
 
 class ReplyCollector:
-    """Gathers what one event yields, so that each query gets one message for it."""
+    """Gathers what comes within a moment, so that each query gets one message for it.
 
-    def __init__(self) -> None:
+    What is for this instance itself, or ends its share of a query, does not wait.
+
+    Args:
+        myself: This instance.
+        is_at_work: Returns whether sub-requests of a query are still open here.
+    """
+
+    def __init__(self, myself: data.InstanceId, is_at_work: Callable[[data.QueryId], bool]):
+        self._myself = myself
+        self._is_at_work = is_at_work
         self._pending_by_key: dict[tuple[data.InstanceId, data.QueryId], PendingReply] = {}
 
     def add_part(
@@ -28,15 +41,23 @@
         """Adds a shard's failure."""
         self._pending(sub).failures.append(failure)
 
-    def flush(self) -> list[events.Command]:
-        """Returns the messages to send and forgets them."""
-        commands = [
-            events.SendMessage(origin, pending.message(query_id))
-            for (origin, query_id), pending in self._pending_by_key.items()
-        ]
-        self._pending_by_key.clear()
+    def flush(self, now: float) -> list[events.Command]:
+        """Returns the messages that are due, in monotonic seconds, and forgets them."""
+        commands: list[events.Command] = []
+        for (origin, query_id), pending in list(self._pending_by_key.items()):
+            if pending.due_at is None:
+                is_last = origin == self._myself or not self._is_at_work(query_id)
+                pending.due_at = now if is_last else now + GATHER_SECONDS
+            if pending.due_at <= now or not self._is_at_work(query_id):
+                del self._pending_by_key[origin, query_id]
+                commands.append(events.SendMessage(origin, pending.message(query_id)))
         return commands
 
+    def next_due(self) -> float | None:
+        """Returns when the next message is due, in monotonic seconds, or None."""
+        dues = (pending.due_at for pending in self._pending_by_key.values())
+        return min((due for due in dues if due is not None), default=None)
+
     def _pending(self, sub: subrequest.SubRequest) -> "PendingReply":
         key = (sub.origin, sub.query.query_id)
         pending = self._pending_by_key.setdefault(key, PendingReply())
@@ -47,7 +68,11 @@
 
 @dataclasses.dataclass
 class PendingReply:
-    """A reply that is being put together; the fields are those of ``SubReply``."""
+    """A reply that is being put together; the fields are those of ``SubReply``.
+
+    Attributes:
+        due_at: When the reply is sent, in monotonic seconds; None until that is decided.
+    """
 
     parts: list[work.Part] = dataclasses.field(default_factory=list)
     failures: list[work.Failure] = dataclasses.field(default_factory=list)
@@ -56,6 +81,7 @@
     )
     queue_delay_seconds: float = 0.0
     calls: int = 0
+    due_at: float | None = None
 
     def message(self, query_id: data.QueryId) -> messages.SubReply:
         """Returns the finished reply."""
