--- a/features/server_choice.feature
+++ b/features/server_choice.feature
@@ -44,6 +44,12 @@
     When 600 sub-requests come, one each 20 ms
     Then no 10 s have more extra calls than the budget
 
+  Scenario: Extra calls stay within the budget while no server is better than the other
+    Given a shard of two servers, which both refuse 60 of 100 calls without load
+    And a budget of 20 of 100 calls and 8 more in 10 s
+    When 1200 sub-requests come, one each 20 ms
+    Then no 10 s have more extra calls than the budget
+
   Scenario Outline: Second calls are planned for as far as the budget reaches
     Given a shard of two servers, of which "b" takes 8 times as long
     And a budget of 20 of 100 calls and 50 more in 10 s
--- a/features/steps/server_choice.py
+++ b/features/steps/server_choice.py
@@ -201,6 +201,12 @@
     context.load = LoadBench({"a": Server(), "b": Server(refuses=share / 100)})
 
 
+@given("a shard of two servers, which both refuse {share:d} of 100 calls without load")
+def make_both_refusing(context, share):
+    """Makes both servers refuse."""
+    context.load = LoadBench({name: Server(refuses=share / 100) for name in "ab"})
+
+
 @given('a shard of two servers, of which "b" fails {share:d} of 100 calls')
 def make_failing(context, share):
     """Makes one server fail."""
