Keep hedges within the share of first calls unless the settings say otherwise

The allowance of 40 is there for retries and stand-bys.

Change: a bucket keeps what first calls earned and the allowance apart.

features/server_choice.feature: at most 5 of 100 first calls have an extra one with an allowance that is for retries. silent_owners.feature lets the instance run for a minute after its first view, since budgets begin then.

--- a/features/server_choice.feature
+++ b/features/server_choice.feature
@@ -63,6 +63,13 @@
       | 50   | 26    | 31   |
       | 1000 | 45    | 45   |
 
+  Scenario: Hedges stay within the share of first calls where the allowance is for retries
+    Given a shard of two servers, of which "b" takes 8 times as long
+    And a budget of 5 of 100 calls and 40 more in 10 s, which is for retries
+    When 1000 sub-requests come, one each 20 ms
+    Then at most 5 of 100 first calls had an extra one
+    And second calls are planned for 5 to 5 of 100 first calls in the end
+
   Scenario: Servers that leave are called for a moment where no other is left
     Given a shard of two servers with a grace of 1500 ms for those that leave
     When 10 sub-requests come, one each 20 ms
--- a/features/steps/cell_bench.py
+++ b/features/steps/cell_bench.py
@@ -100,7 +100,9 @@
             for server in servers
             if self.random.random() < load.slow_share
         }
-        extra_calls = budget.BudgetOptions(allowance=load.allowance, refusals_cost=True)
+        extra_calls = budget.BudgetOptions(
+            allowance=load.allowance, refusals_cost=True, hedges_use_allowance=True
+        )
         settings = options.OwnerOptions(extra_calls, finish_latencies=4.0)
         self._kernel_by_name = {
             name: kernel.make_kernel(name, ZONE, self.clock, POLICIES, settings)
--- a/features/steps/server_choice.py
+++ b/features/steps/server_choice.py
@@ -51,7 +51,7 @@
         self.clock = clock.ManualClock()
         self.random = random.Random(7)
         self.ratio = 0.2
-        self.options = options.OwnerOptions(budget.BudgetOptions(52.0))
+        self.options = options.OwnerOptions(budget.BudgetOptions(52.0, hedges_use_allowance=True))
         self.out_of_service = set()
         self.entry = None
         self.owner = None
@@ -251,12 +251,26 @@
     context.load.run(count, gap / 1000)
 
 
+@then("at most {most:d} of 100 first calls had an extra one")
+def check_extra(context, most):
+    """Checks the share of extra calls."""
+    load = context.load
+    assert 0 < len(load.extra_at) * 100 <= most * len(load.first_at), len(load.extra_at)
+
+
+@given("a budget of {share:d} of 100 calls and {more:d} more in 10 s, which is for retries")
+def set_retry_budget(context, share, more):
+    """Sets a budget of which hedges use only the share."""
+    context.load.ratio = share / 100
+    context.load.options = options.OwnerOptions(budget.BudgetOptions(float(more)))
+
+
 @given("a budget of {share:d} of 100 calls and {more:d} more in 10 s")
 def set_budget(context, share, more):
     """Sets the budget."""
     context.load.ratio = share / 100
     context.load.options = options.OwnerOptions(
-        budget.BudgetOptions(float(more), refusals_cost=True)
+        budget.BudgetOptions(float(more), refusals_cost=True, hedges_use_allowance=True)
     )
     context.allowance = more
 
--- a/features/steps/silent_owners.py
+++ b/features/steps/silent_owners.py
@@ -24,7 +24,9 @@
 SHARDS = 30
 STEP_SECONDS = 0.002
 POLICIES = kernel.PolicyNames(ownership="cell", admission="all")
-SETTINGS = options.OwnerOptions(budget.BudgetOptions(52.0, refusals_cost=True))
+SETTINGS = options.OwnerOptions(
+    budget.BudgetOptions(52.0, refusals_cost=True, hedges_use_allowance=True)
+)
 
 
 class EntryBench:
@@ -40,8 +42,6 @@
     def __init__(self):
         self.clock = clock.ManualClock()
         made = kernel.make_kernel(CELL[0], data.ZoneId("z"), self.clock, POLICIES, SETTINGS)
-        # The instance has run for a while, so that its budgets are not empty.
-        self.clock.advance(60.0)
         self.entry = made.entry
         self.batches = []
         self.cancelled = []
@@ -49,6 +49,8 @@
         self.alive = set()
         self.queries = 0
         self.take(events.ViewChanged(make_tables(), CELL, CELL, 1))
+        # The instance has run for a while, so that its budgets are not empty.
+        self.clock.advance(60.0)
 
     def ask(self):
         """Starts a query."""
--- a/monsoonhoist/core/budget.py
+++ b/monsoonhoist/core/budget.py
@@ -34,12 +34,15 @@
         hedge_reserve: Share of the tokens held at most that hedges leave for retries.
         refusals_cost: Whether sending again after a refusal that ran nothing costs a
             token.
+        hedges_use_allowance: Whether hedges may use the allowance as well; else they use only
+            the share of the first calls, and the allowance is for retries.
     """
 
     allowance: float = 40.0
     window_seconds: float = 10.0
     hedge_reserve: float = 0.15
     refusals_cost: bool = False
+    hedges_use_allowance: bool = False
 
 
 class TokenBucket:
@@ -58,7 +61,9 @@
     def __init__(self, options: BudgetOptions, share: float, since: float):
         self._options = options
         self._share = share
+        # Tokens of the allowance, and those of first calls.
         self._tokens = options.allowance * START_SHARE * share
+        self._earned = 0.0
         self._at = since
         # Recent first calls, each counting less the older it is.
         self._first_calls = 0.0
@@ -73,7 +78,7 @@
         """Takes over the share of the allowance after instances came or went."""
         self._refill(now)
         self._share = share
-        self._tokens = min(self._tokens, self._capacity)
+        self._limit()
 
     @property
     def _refill_rate(self) -> float:
@@ -83,7 +88,8 @@
     def earn(self, tokens: float, now: float) -> None:
         """Adds the tokens of a first call."""
         self._refill(now)
-        self._tokens = min(self._capacity, self._tokens + tokens)
+        self._earned += tokens
+        self._limit()
         self._first_calls_since = min(self._first_calls_since, now)
         age = (now - self._first_call_at) / self._options.window_seconds
         self._first_calls = self._first_calls * math.exp(-age) + 1.0
@@ -97,7 +103,7 @@
         """
         window = self._options.window_seconds
         observed = window * -math.expm1((self._first_calls_since - self._first_call_at) / window)
-        if observed <= 0.0:
+        if observed <= 0.0 or not self._options.hedges_use_allowance:
             return ratio
         first_rate = self._first_calls / observed
         return max(ratio, min(HEDGE_SHARE_MAX, ratio + self._refill_rate / first_rate))
@@ -115,18 +121,32 @@
             now: The time, in monotonic seconds.
         """
         self._refill(now)
-        reserve = self._capacity * self._options.hedge_reserve if is_hedge else 0.0
-        available = min(1.0, self._tokens - reserve)
+        available = min(1.0, self._available(is_hedge))
         if available <= 0.0:
             return False
-        self._tokens -= available
+        from_earned = min(available, self._earned)
+        self._earned -= from_earned
+        self._tokens -= available - from_earned
         return luck < available
 
+    def _available(self, is_hedge: bool) -> float:
+        """Returns the tokens that a call may use."""
+        if not is_hedge:
+            return self._tokens + self._earned
+        if not self._options.hedges_use_allowance:
+            return self._earned
+        return self._tokens + self._earned - self._capacity * self._options.hedge_reserve
+
     def _refill(self, now: float) -> None:
         """Adds the part of the allowance that has come in since the last time."""
-        filled = self._tokens + self._refill_rate * (now - self._at)
-        self._tokens = min(self._capacity, filled)
+        self._tokens += self._refill_rate * (now - self._at)
         self._at = now
+        self._limit()
+
+    def _limit(self) -> None:
+        """Drops the tokens beyond what may be held, those of the allowance first."""
+        self._earned = min(self._earned, self._capacity)
+        self._tokens = min(self._tokens, self._capacity - self._earned)
 
 
 class ExtraCalls:
--- a/monsoonhoist/settings.py
+++ b/monsoonhoist/settings.py
@@ -80,13 +80,15 @@
     """``[extra_calls]``: budgets of calls beyond the first of each sub-request.
 
     All instances together may make ``allowance`` extra calls to a shard in ``window_seconds``,
-    besides ``ratio`` of the first ones.
+    besides ``ratio`` of the first ones; hedges use the allowance only with
+    ``hedges_use_allowance``.
     """
 
     ratio: Annotated[float, msgspec.Meta(ge=0, le=1)] = 0.05
     allowance: Annotated[float, msgspec.Meta(ge=0)] = 40.0
     window_seconds: Annotated[float, msgspec.Meta(gt=0)] = 10.0
     refusals_cost: bool = False
+    hedges_use_allowance: bool = False
     finish_latencies: Annotated[float, msgspec.Meta(ge=0, le=100)] = 0.0
 
 
@@ -201,6 +203,7 @@
             allowance=extra.allowance,
             window_seconds=extra.window_seconds,
             refusals_cost=extra.refusals_cost,
+            hedges_use_allowance=extra.hedges_use_allowance,
         )
         return options.OwnerOptions(
             extra_calls, self.timing.leaving_grace_ms.total_seconds(), extra.finish_latencies
