Play a cell's budget in windows, and the number that limits are divided by

Two scenarios: five instances whose servers make many second calls wanted stay within 20 of 100 calls and 10 or 60 more in any 10 s, and use at least a quarter of that; instances that are not heard any more count for ten minutes when limits are divided.

--- a/features/attempts.feature
+++ b/features/attempts.feature
@@ -19,3 +19,26 @@
       | 6    | 1        |
       | 7    | 2        |
       | 8    | 3        |
+
+  Scenario Outline: Extra calls of all instances together stay within a shard's budget
+    Given a cell of 5 instances and a budget of 20 of 100 calls and <more> more in 10 s, by seed <seed>
+    And every second server is slow and one call of ten loses its answer
+    When callers send 900 queries to 4 shards
+    Then all queries are answered
+    And no 10 s have more extra calls for a shard than that budget
+    And some shard has used a quarter of it
+
+    Examples:
+      | seed | more |
+      | 1    | 10   |
+      | 2    | 60   |
+
+  Scenario: Instances behind a partition still count when limits are divided
+    Given the number of known instances is held for 600 s
+    When 90 instances are known
+    And 30 instances are known 200 s later
+    Then limits are divided by 90
+    When 30 instances are known 500 s later
+    Then limits are divided by 30
+    When 91 instances are known 1 s later
+    Then limits are divided by 91
