--- a/bench/mutants.py
+++ b/bench/mutants.py
@@ -49,7 +49,7 @@
 MUTANTS = (
     Mutant(
         "silent streams are not closed",
-        "node/peers.py",
+        "node/outbound_stream.py",
         "if now - self._last_received_at > self._options.silence.total_seconds():",
         "if False:",
         "failures",
@@ -305,11 +305,46 @@
     Mutant(
         "failed reads of the configuration service are not retried",
         "node/replication.py",
-        "await asyncio.sleep(delay * random.uniform(0.75, 1.25))",
-        "await asyncio.sleep(3600)",
+        "return delay * random.uniform(0.75, 1.25)",
+        "return 3600.0",
         seed=6,
         rule="RECOVER",
     ),
+    Mutant(
+        "a server that says that it is leaving is called while the table lists it",
+        "core/server_notices.py",
+        "now if report.is_leaving and before.leaving_since is None else before.leaving_since",
+        "before.leaving_since",
+        "server_reports",
+    ),
+    Mutant(
+        "a requested wait is ignored",
+        "core/server_notices.py",
+        "max(before.wait_until, now + wait) if wait > 0.0 else before.wait_until",
+        "before.wait_until",
+        "server_reports",
+    ),
+    Mutant(
+        "a response whose head is cut off counts as complete",
+        "node/curl.py",
+        "is_complete = not code and transfer.is_head_complete",
+        "is_complete = not code",
+        "platform",
+    ),
+    Mutant(
+        "a key that was removed before a restart is taken over from a peer",
+        "tables/store.py",
+        "if current is None and value.number < self._listed_number:",
+        "if False:",
+        "removed_keys",
+    ),
+    Mutant(
+        "an unexpected error ends the watch of the configuration service",
+        "node/replication.py",
+        "            except Exception:",
+        "            except ZeroDivisionError if False else ConfigServiceError:",
+        "malformed_input",
+    ),
 )
 
 
--- a/features/platform.feature
+++ b/features/platform.feature
@@ -41,9 +41,10 @@
     And meanwhile no answer mixed shards of the two sets
 
   Scenario Outline: A faulty answer is not forwarded, and the other server is called
-    Given the server "records-a" has the fault "<fault>"
+    Given the server "records-a" has started again, with the fault "<fault>"
     When the caller sends 12 requests "GET" "/record/x"
-    Then all statuses are 200
+    Then the server "records-a" has received some of them
+    And all statuses are 200
     And all answers are complete and from the server "records-b"
 
     Examples:
@@ -56,6 +57,33 @@
       | encoded      |
       | no_proof     |
       | not_http     |
+      | cut_head     |
+      | endless_head |
+      | endless_body |
+
+  Scenario: A second copy of a reply on a connection that is reused is not taken for another reply
+    Given the server "records-a" has started again, with the fault "second_copy"
+    When the caller sends 24 requests "GET" "/record/x"
+    Then the server "records-a" has received some of them
+    And all statuses are 200
+    And each answer contains the server's proof for its request
+
+  Scenario: A server that says that it is leaving receives nothing, whatever the store says
+    Given the server "records-a" has started again, with the fault ""
+    And the server "records-a" says that it is leaving
+    When the caller sends 24 requests "GET" "/record/x"
+    And the state of "records-a" in the store becomes "draining"
+    And the state of "records-a" in the store becomes "removed"
+    And the state of "records-a" in the store becomes "ready"
+    And the store discards its history
+    And 1000 ms have passed
+    And the caller sends 12 requests "GET" "/record/x"
+    Then all statuses are 200
+    And the server "records-a" has received none of them
+    When the server "records-a" starts again
+    And 1000 ms have passed
+    And the caller sends 24 requests "GET" "/record/x"
+    Then the server "records-a" has received some of them
 
   Scenario: A request fails immediately when its minimum coverage can no longer be reached
     Given the servers work for 700 ms
--- a/features/server_choice.feature
+++ b/features/server_choice.feature
@@ -81,3 +81,10 @@
     Given a shard of two servers with a grace period of 1500 ms when they leave
     And the table marks both servers as leaving
     Then a sub-request 2000 ms later is not sent to a server
+
+  Scenario: A refused sub-request waits for the other server if its backoff ends soon
+    Given a shard of two servers, of which "b" fails 100% of calls
+    When sub-requests arrive until server "b" has just failed one
+    And server "a" refuses all calls and server "b" works normally
+    And another sub-request arrives
+    Then at most 0% of sub-requests end without results
--- a/features/silent_owners.feature
+++ b/features/silent_owners.feature
@@ -56,6 +56,7 @@
     Then all sub-requests of "i-3" have been sent three times
 
   Scenario: A duplicate request for more calls gets the same response
+    Given a route that allows 4 calls for each shard
     When "i-3" requests another call for each of its shards
     Then it may make 2 calls for each
     When "i-3" sends the same request again
@@ -87,3 +88,12 @@
     Then it has called 2 servers
     When 300 ms pass at the owner
     Then it has called 2 servers
+
+  Scenario: A call that fails while its hedge is requested is retried although the hedge is denied
+    Given an owner whose servers do not answer and a sub-request of another instance
+    When 100 ms pass at the owner
+    And its call fails
+    And the entry allows 1 call
+    Then its latest request for a call is a retry of a lost call
+    When the entry allows 2 calls
+    Then it has called 2 servers
--- a/features/steps/platform_actions.py
+++ b/features/steps/platform_actions.py
@@ -15,6 +15,8 @@
 CALLER_HEADERS = {"X-Own": "kept as sent"}
 # Time that a load balancer needs to remove an instance that is no longer ready.
 BALANCER_LAG_SECONDS = 2.0
+# Time in which a change of the store reaches all instances.
+TABLES_SPREAD_SECONDS = 0.6
 
 _request_numbers = itertools.count(1)
 
@@ -43,6 +45,33 @@
     context.fleet.server_by_name[name].behaviour.fault = fault
 
 
+@given('the server "{name}" says that it is leaving')
+def set_leaving(context, name):
+    """Makes a backend server say in each reply that it is leaving."""
+    context.fleet.server_by_name[name].behaviour.is_leaving = True
+
+
+@when('the server "{name}" starts again')
+def restart_server(context, name):
+    """Makes a backend server work normally and register a later start."""
+    context.fleet.server_by_name[name].behaviour.is_leaving = False
+    context.fleet.register_start(name)
+
+
+@given('the server "{name}" has started again, with the fault ""')
+def start_server_again(context, name):
+    """Registers a later start of a backend server, which instances then try without prejudice."""
+    context.fleet.register_start(name)
+    time.sleep(TABLES_SPREAD_SECONDS)
+
+
+@given('the server "{name}" has started again, with the fault "{fault}"')
+def start_server_with_fault(context, name, fault):
+    """Registers a later start of a backend server and sets its fault."""
+    start_server_again(context, name)
+    set_fault(context, name, fault)
+
+
 @given("the servers work for {ms:d} ms")
 def set_processing_time(context, ms):
     """Sets the processing time of all servers."""
--- a/features/steps/platform_checks.py
+++ b/features/steps/platform_checks.py
@@ -135,6 +135,14 @@
         assert reply.body == expected, (reply.body, expected)
 
 
+@then("each answer contains the server's proof for its request")
+def check_proofs(context):
+    """Checks that each proof names the request of its answer."""
+    for request_id, reply in zip(context.request_ids, context.replies, strict=True):
+        proof = reply.headers["X-Server-Stamp"]
+        assert proof.split(".")[1] == request_id, (request_id, proof)
+
+
 @then("each request has run once")
 def check_ran_once(context):
     """Checks in the servers' records that each request ran exactly once."""
--- a/features/steps/replay.py
+++ b/features/steps/replay.py
@@ -6,7 +6,7 @@
 import msgspec
 from behave import then, when
 
-from monsoonhoist.core import traces
+from monsoonhoist.core import data, traces
 from standins import site
 
 TRACES_PATH = site.ROOT / "features" / "traces"
@@ -41,9 +41,9 @@
 
 @then("the answers are those that the callers received")
 def check_answers(context):
-    """Compares the answers of the replay with the recorded ones, as JSON."""
-    answers = [json.loads(msgspec.json.encode(answer)) for answer in context.replay.answers]
-    assert answers == context.recorded_answers
+    """Compares the answers of the replay with the recorded ones."""
+    recorded = msgspec.convert(context.recorded_answers, tuple[data.Answer, ...])
+    assert context.replay.answers == recorded
 
 
 @then("a difference is reported with file and line")
--- a/features/steps/server_choice.py
+++ b/features/steps/server_choice.py
@@ -6,6 +6,7 @@
 import itertools
 import random
 
+import msgspec
 from behave import given, then, when
 
 from monsoonhoist.core import (
@@ -42,6 +43,7 @@
         latency_factor: Latency as a multiple of the usual one.
         jitter: Scale of the random variation of the latency, from 0 to 1.
         is_hanging: Whether the server never replies.
+        report: What the server says about itself in each response.
     """
 
     refused_share: float = 0.0
@@ -49,6 +51,7 @@
     latency_factor: float = 1.0
     jitter: float = 1.0
     is_hanging: bool = False
+    report: exchange.ServerReport = exchange.NO_REPORT
 
 
 class Simulation:
@@ -152,9 +155,14 @@
                         self._pending_ends, (self.clock.now_seconds, next(self._sequence), event)
                     )
                 case events.SendMessage():
-                    self.deliver(command.message)
+                    self.deliver(command.message, command.instance)
+                case _:
+                    self.execute_other(command)
 
-    def deliver(self, message):
+    def execute_other(self, command):
+        """Ignores the commands that have no effect on the simulation."""
+
+    def deliver(self, message, instance):
         """Passes a message from the instance to itself to the kernel that handles it."""
         if isinstance(message, messages.SubReply):
             self.succeeded_by_query[message.query_id] = bool(message.parts)
@@ -185,7 +193,12 @@
         elif draw < behaviour.refused_share:
             latency = 0.004
             load = exchange.Load(0, 0, 4)
-            event = events.CallFailed(command.call_id, data.Refusal.SHED, False, load=load)
+            event = events.CallFailed(
+                command.call_id,
+                data.Refusal.SHED,
+                False,
+                report=exchange.ServerReport(load=load),
+            )
         elif draw < behaviour.refused_share + behaviour.failed_share:
             event = events.CallFailed(command.call_id, data.Refusal.BACKEND_ERROR, True)
         else:
@@ -193,6 +206,8 @@
                 command.call_id, data.Snapshot(1), data.KeyRange(0, 0), (), (b"r" * 16,), False
             )
         end_at = self.clock.now_seconds + latency
+        if behaviour.report != exchange.NO_REPORT:
+            event = msgspec.structs.replace(event, report=behaviour.report)
         heapq.heappush(self._pending_ends, (end_at, next(self._sequence), event))
 
     def advance(self, until):
@@ -322,6 +337,33 @@
     context.simulation.run(count, interval_ms / 1000)
 
 
+@when('sub-requests arrive until server "b" has just failed one')
+def run_until_failed(context):
+    """Sends queries one after another until one has been sent to "b", and waits for its end."""
+    simulation = context.simulation
+    simulation.start()
+    while not simulation.first_calls_by_server["b"]:
+        simulation.send_query()
+        simulation.advance(simulation.clock.now_seconds + 2 * LATENCY_SECONDS)
+
+
+@when("another sub-request arrives")
+def run_one(context):
+    """Sends a query and waits until its deadline."""
+    context.simulation.send_query()
+    context.simulation.advance(context.simulation.clock.now_seconds + DEADLINE_MS / 1000)
+
+
+@when('server "a" refuses all calls and server "b" works normally')
+def exchange_behaviour(context):
+    """Changes the behaviour of both servers, while "b" is still in its backoff."""
+    context.simulation.behaviour_by_server = {
+        "a": Behaviour(refused_share=1.0),
+        "b": Behaviour(),
+    }
+    context.simulation.reset_counts()
+
+
 @then('server "b" receives at most {most:d}% of first calls')
 def check_first_calls_max(context, most):
     """Checks the share of first calls that a server received."""
--- a/features/steps/silent_owners.py
+++ b/features/steps/silent_owners.py
@@ -43,7 +43,7 @@
         query_count: Number of queries started.
     """
 
-    def __init__(self):
+    def __init__(self, attempts=2):
         self.clock = clock.ManualClock()
         kernels = kernel.make_kernel(CELL[0], data.ZoneId("z"), self.clock, POLICIES, OPTIONS)
         self.entry = kernels.entry
@@ -52,7 +52,7 @@
         self.checks_by_owner = collections.Counter()
         self.responsive_owners = set()
         self.query_count = 0
-        self.handle(events.ViewChanged(make_tables(), CELL, CELL, 1))
+        self.handle(events.ViewChanged(make_tables(attempts), CELL, CELL, 1))
         # Fills the budgets, which are nearly empty after the start of an instance.
         self.clock.advance(60.0)
 
@@ -111,7 +111,7 @@
     return data.KeyRange(number, number + 1)
 
 
-def make_tables():
+def make_tables(attempts):
     """Returns tables with one route to one pool; each shard has one server."""
     servers_by_service = {
         data.ServiceId(f"s{number:02d}"): (
@@ -129,7 +129,7 @@
         1.0,
         0.2,
         goal=datetime.timedelta(milliseconds=100),
-        attempts=2,
+        attempts=attempts,
     )
     return data.Tables({ROUTE: route}, {POOL: pool})
 
@@ -143,6 +143,14 @@
     assert {owner for owner, _ in context.batches} == set(CELL)
 
 
+@given("a route that allows {attempts:d} calls for each shard")
+def make_entry_with_attempts(context, attempts):
+    """Makes another entry, whose route allows more calls, and starts the query there."""
+    context.harness = EntryHarness(attempts)
+    context.harness.start_query()
+    context.batches = list(context.harness.sent_batches)
+
+
 @given('all owners but "{silent}" reply at once')
 @when('all owners but "{silent}" reply at once')
 def reply_from_others(context, silent):
@@ -380,6 +388,20 @@
     assert (request.allowed, request.reason) == (1, data.RetryReason.HEDGE), request
 
 
+@when("its call fails")
+def fail_call(context):
+    """Ends the owner's latest call without a reply."""
+    lost = events.CallFailed(context.calls[-1].call_id, data.Refusal.CONNECTION_LOST, True)
+    record_commands(context, context.owner.handle(lost))
+
+
+@then("its latest request for a call is a retry of a lost call")
+def check_retry_request(context):
+    """Checks the reason of the owner's latest request for calls."""
+    (request,) = context.call_requests[-1].requests
+    assert request.reason is data.RetryReason.LOST, request
+
+
 @when("the entry allows {count:d} call")
 @when("the entry allows {count:d} calls")
 def allow_calls(context, count):
--- a/features/steps/tables.py
+++ b/features/steps/tables.py
@@ -9,6 +9,7 @@
 
 from monsoonhoist.core import data, messages
 from monsoonhoist.tables import store
+from soak import native
 from standins import site
 
 SOCKET_TIMEOUT_SECONDS = 10.0
@@ -190,12 +191,13 @@
 def check_increasing_revisions(context):
     """Checks that the revisions put in force increase strictly, for each key and log."""
     for log in context.site.folder.glob("node-*.log"):
-        lines = [json.loads(line) for line in log.read_text().splitlines() if '"key"' in line]
+        revisions = list(native.read_revisions_in_force(log))
+        assert revisions, f"{log.name} has no line about table values"
         newest = {}
-        for line in lines:
-            if line["message"] == "table value in force":
-                assert line["number"] > newest.get(line["key"], 0), line
-                newest[line["key"]] = line["number"]
+        for revision in revisions:
+            key = (revision.incarnation, revision.key)
+            assert revision.number > newest.get(key, 0), revision
+            newest[key] = revision.number
 
 
 @then("all instances have the same tables in force")
--- a/monsoonhoist/cli.py
+++ b/monsoonhoist/cli.py
@@ -12,7 +12,7 @@
 
 import monsoonhoist
 from monsoonhoist import client, errors, explanation, settings
-from monsoonhoist.core import data, traces
+from monsoonhoist.core import data, diagnostics, traces
 from monsoonhoist.node import process
 from monsoonhoist.tables import review
 
@@ -78,7 +78,7 @@
 
     Example: monsoonhoist check --routes routes.ini --pool allocator=allocator.ini
     """
-    findings: list[data.Finding] = []
+    findings: list[diagnostics.Finding] = []
     if settings_path is not None:
         try:
             settings.load(settings_path)
@@ -195,7 +195,7 @@
         )
 
 
-def _print_findings(findings: list[data.Finding] | tuple[data.Finding, ...]) -> None:
+def _print_findings(findings: list[diagnostics.Finding] | tuple[diagnostics.Finding, ...]) -> None:
     for finding in findings:
         typer.echo(finding.describe(), err=True)
 
--- a/monsoonhoist/core/allowances.py
+++ b/monsoonhoist/core/allowances.py
@@ -6,7 +6,7 @@
 owners of the query, allows more.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Container
 
 import msgspec
 
@@ -29,6 +29,10 @@
         """Sets the share of the budgets that this instance may use, from 0 to 1."""
         self._budget.set_share(share, self._clock.monotonic())
 
+    def prune(self, services: Container[data.ServiceId]) -> None:
+        """Removes the unused budgets of services that are not among those given."""
+        self._budget.prune(services, self._clock.monotonic())
+
     def register_query(self, state: query.QueryState) -> None:
         """Adds the tokens of a query's first calls, and sets the share that owners may hedge."""
         self._budget.earn(state.route, state.services, self._clock.monotonic())
--- a/monsoonhoist/core/answer_builder.py
+++ b/monsoonhoist/core/answer_builder.py
@@ -67,6 +67,7 @@
         coverage=coverage,
         results=_scored_results(state) if has_results else (),
         sub_requests=state.sub_requests,
+        wait_ms=_longest_wait_ms(state) if outcome is data.Outcome.NOT_RUN else 0,
     )
 
 
@@ -82,6 +83,12 @@
     )
 
 
+def _longest_wait_ms(state: query.QueryState) -> int:
+    """Returns the longest time until a shard without a part has an available server."""
+    failures = [state.shard_by_service[service].failure for service in state.missing_services()]
+    return max((failure.wait_ms for failure in failures if failure is not None), default=0)
+
+
 def _most_common_reason(state: query.QueryState) -> data.Refusal:
     """Returns the most common reason among the shards without a part.
 
--- a/monsoonhoist/core/budget.py
+++ b/monsoonhoist/core/budget.py
@@ -7,7 +7,7 @@
 """
 
 import math
-from collections.abc import Iterable
+from collections.abc import Container, Iterable
 
 import msgspec
 
@@ -72,6 +72,11 @@
         self._latest_first_call_at = started_at
         self._earliest_first_call_at = math.inf
 
+    @property
+    def refilled_at(self) -> float:
+        """When the bucket was last used or refilled, in monotonic seconds."""
+        return self._refilled_at
+
     @property
     def _capacity(self) -> float:
         return self._options.allowance * CAPACITY_SHARE * self._share
@@ -169,6 +174,10 @@
         self._share = 0.0
         self._bucket_by_service: dict[data.ServiceId, TokenBucket] = {}
 
+    def __len__(self) -> int:
+        """Returns the number of services that have a bucket."""
+        return len(self._bucket_by_service)
+
     @property
     def refusals_cost(self) -> bool:
         """Whether an owner's retry after a refusal that ran nothing costs a token."""
@@ -185,6 +194,16 @@
         for bucket in self._bucket_by_service.values():
             bucket.set_share(share, now)
 
+    def prune(self, services: Container[data.ServiceId], now: float) -> None:
+        """Removes the buckets of services that are not given and were not used for a window.
+
+        A bucket that is unused for a window is full again, as is a new one.
+        """
+        for service, bucket in list(self._bucket_by_service.items()):
+            idle_seconds = now - bucket.refilled_at
+            if service not in services and idle_seconds > self._options.window_seconds:
+                del self._bucket_by_service[service]
+
     def earn(self, route: data.Route, services: Iterable[data.ServiceId], now: float) -> None:
         """Adds the tokens that the first calls of a query earn."""
         for service in services:
--- a/monsoonhoist/core/call_requests.py
+++ b/monsoonhoist/core/call_requests.py
@@ -12,8 +12,12 @@
         ] = {}
 
     def add(self, sub: subrequest.SubRequest, reason: data.RetryReason) -> None:
-        """Requests one more call for a sub-request, unless a request is already pending."""
+        """Requests one more call for a sub-request.
+
+        If a request is already pending, the new one is made after a denial of that request.
+        """
         if sub.pending_request_reason is not None:
+            sub.next_request_reason = reason
             return
         sub.pending_request_reason = reason
         request = messages.CallRequest(
--- a/monsoonhoist/core/data.py
+++ b/monsoonhoist/core/data.py
@@ -71,6 +71,7 @@
         DRAINING: The server is about to stop and accepts no new calls.
         CONNECTIONS: The server's connection limit is reached.
         WRONG_SERVER: Another server answered at the server's address.
+        INTERNAL_ERROR: An error of this program ended the request.
     """
 
     BAD_REQUEST = "bad_request"
@@ -103,6 +104,7 @@
     CALLER_GONE = "caller_gone"
     WRONG_SERVER = "wrong_server"
     MALFORMED_REPLY = "malformed_reply"
+    INTERNAL_ERROR = "internal_error"
 
 
 class RetryReason(enum.Enum):
@@ -145,32 +147,6 @@
     GONE = "gone"
 
 
-class Place(msgspec.Struct, frozen=True):
-    """Source location of a finding.
-
-    Attributes:
-        file: Name of the file or table key.
-        section: INI section, or kernel that handled an event of a trace; empty if there is none.
-        line: Line number, from 1; 0 if unknown.
-    """
-
-    file: str
-    section: str = ""
-    line: int = 0
-
-
-class Finding(msgspec.Struct, frozen=True):
-    """An error found in settings, a table or a trace, with its location."""
-
-    place: Place
-    message: str
-
-    def describe(self) -> str:
-        """Returns the finding as ``file:line: [section] message``."""
-        section = f" [{self.place.section}]" if self.place.section else ""
-        return f"{self.place.file}:{self.place.line}:{section} {self.message}"
-
-
 class PathMatch(msgspec.Struct, frozen=True):
     """Host and path prefix of the requests that belong to a route."""
 
@@ -237,6 +213,7 @@
         connections: Number of connections that it accepts.
         leaving: Whether the operators are taking it out of service.
         health_path: Path of its health check; empty if it has none.
+        incarnation: Start of its process, in milliseconds since the Unix epoch; 0 if unknown.
     """
 
     server_id: ServerId
@@ -247,6 +224,7 @@
     connections: int
     leaving: bool
     health_path: str = ""
+    incarnation: int = 0
 
 
 class Pool(msgspec.Struct, frozen=True):
@@ -365,6 +343,8 @@
         coverage: Coverage of the results; None if no sub-request was sent.
         results: Results, best first.
         sub_requests: Number of sub-requests that the entry sent to owners.
+        wait_ms: Time until servers are available for a refused request, in milliseconds; 0 if
+            unknown.
     """
 
     request_id: str
@@ -375,6 +355,7 @@
     coverage: Coverage | None = None
     results: tuple[Result, ...] = ()
     sub_requests: int = 0
+    wait_ms: int = 0
 
 
 class Request(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/monsoonhoist/core/entry.py
+++ b/monsoonhoist/core/entry.py
@@ -15,8 +15,8 @@
     owner_selector,
     plan,
     pool_selector,
+    pool_states,
     query,
-    snapshots,
 )
 from monsoonhoist.policy import admission, ownership
 
@@ -61,10 +61,8 @@
         self._owner_selector = owner_selector.OwnerSelector(owner_policy, instance)
         self._allowances = allowances.Allowances(extra_calls, time_source)
         self._failover = failover.OwnerFailover(instance, self._owner_selector, self._allowances)
-        self._admission_class = admission_class
         self._tables = data.Tables({}, {})
-        self._admission_by_pool: dict[data.PoolId, admission.Admission] = {}
-        self._snapshots_by_pool: dict[data.PoolId, snapshots.PoolSnapshots] = {}
+        self._pool_states = pool_states.PoolStates(admission_class)
         self._query_by_id: dict[data.QueryId, query.QueryState] = {}
         self._pool_selector = pool_selector.PoolSelector()
         self._timer_heap: list[tuple[float, data.QueryId]] = []
@@ -106,6 +104,12 @@
         self._tables = event.tables
         self._owner_selector.set_instances(event.cell or event.instances)
         self._allowances.set_share(event.budget_share)
+        pools = self._tables.pool_by_id
+        busy_pools = {state.pool.pool_id for state in self._query_by_id.values()}
+        self._pool_states.retain(pools.keys() | busy_pools)
+        self._allowances.prune(
+            {service for pool in pools.values() for service in pool.servers_by_service}
+        )
         return []
 
     def _handle_query(self, event: events.QueryArrived) -> list[events.Command]:
@@ -128,10 +132,10 @@
         if not any(pool.servers_by_service.values()):
             detail = f"the pool {pool_id!r} has no server"
             return _refuse(event, data.Refusal.NO_SERVER, detail)
-        if not self._admission_for(pool_id).admit(route.rank):
+        if not self._pool_states.admission_for(pool_id).admit(route.rank):
             detail = f"too much {route.rank.value} work for the pool {pool_id!r}"
             return _refuse(event, data.Refusal.OVERLOAD, detail)
-        pool_snapshots = self._snapshots_for(pool_id)
+        pool_snapshots = self._pool_states.snapshots_for(pool_id)
         remaining_ms = event.remaining_ms or deadline_max_ms
         now = self._clock.monotonic()
         state = plan.make_query(event, route, pool, pool_snapshots, remaining_ms, now)
@@ -200,7 +204,7 @@
         state = self._query_by_id.get(event.reply.query_id)
         if state is None:
             return [events.CountLateReply()]
-        pool_snapshots = self._snapshots_for(state.pool.pool_id)
+        pool_snapshots = self._pool_states.snapshots_for(state.pool.pool_id)
         for part in event.reply.parts:
             pool_snapshots.record_holdings(part.service, part.holdings)
         for failure in event.reply.failures:
@@ -255,7 +259,8 @@
 
     def _rerun(self, state: query.QueryState) -> list[events.Command]:
         """Queries shards at the snapshot now known to cover the most keys, if it has changed."""
-        best_snapshot = self._snapshots_for(state.pool.pool_id).best_snapshot(state.services)
+        pool_snapshots = self._pool_states.snapshots_for(state.pool.pool_id)
+        best_snapshot = pool_snapshots.best_snapshot(state.services)
         if best_snapshot in (data.LATEST_SNAPSHOT, state.snapshot) or state.reruns >= RERUNS_MAX:
             return []
         state.reruns += 1
@@ -358,7 +363,7 @@
         """Responds to the caller and cancels the sub-requests that are still pending."""
         del self._query_by_id[state.spec.query_id]
         state.select_best_snapshot()
-        self._admission_for(state.pool.pool_id).finish(state.route.rank, state.queue_pressure)
+        self._pool_states.finish(state)
         respond = events.Respond(
             state.spec.query_id,
             answer_builder.make_answer(state),
@@ -371,7 +376,7 @@
         state = self._query_by_id.pop(query_id, None)
         if state is None:
             return []
-        self._admission_for(state.pool.pool_id).finish(state.route.rank, state.queue_pressure)
+        self._pool_states.finish(state)
         return [events.CountRefusal(data.Refusal.CALLER_GONE), *self._cancel_pending(state, True)]
 
     def _cancel_pending(
@@ -386,14 +391,6 @@
         cancel = messages.Cancel(state.spec.query_id, is_abandoned)
         return [events.SendMessage(owner, cancel) for owner in owners]
 
-    def _admission_for(self, pool: data.PoolId) -> admission.Admission:
-        if pool not in self._admission_by_pool:
-            self._admission_by_pool[pool] = self._admission_class()
-        return self._admission_by_pool[pool]
-
-    def _snapshots_for(self, pool: data.PoolId) -> snapshots.PoolSnapshots:
-        return self._snapshots_by_pool.setdefault(pool, snapshots.PoolSnapshots())
-
 
 def _refuse(event: events.QueryArrived, reason: data.Refusal, detail: str) -> list[events.Command]:
     answer = answer_builder.make_not_run(event.request.request_id, reason, detail)
--- a/monsoonhoist/core/events.py
+++ b/monsoonhoist/core/events.py
@@ -140,6 +140,7 @@
         draining: Whether the server reports that it is draining.
         proof: The server's proof that it ran the request; empty if it sent none.
         response: The server's response, if the route passes it on unchanged.
+        report: What the server said about itself.
     """
 
     call_id: int
@@ -150,6 +151,7 @@
     draining: bool
     proof: str = ""
     response: exchange.Response | None = None
+    report: exchange.ServerReport = exchange.NO_REPORT
 
 
 class CallFailed(msgspec.Struct, frozen=True, tag="call-failed"):
@@ -161,7 +163,7 @@
         may_have_run: False only if it is proved that nothing ran.
         holdings: Snapshots that the server holds; empty if it did not report them.
         response: The server's error response, if it sent one.
-        load: The server's load, if it reported it.
+        report: What the server said about itself.
     """
 
     call_id: int
@@ -169,7 +171,20 @@
     may_have_run: bool
     holdings: tuple[data.Holding, ...] = ()
     response: exchange.Response | None = None
-    load: exchange.Load | None = None
+    report: exchange.ServerReport = exchange.NO_REPORT
+
+
+class ServerReported(msgspec.Struct, frozen=True, tag="server-reported"):
+    """A backend server has said something about itself in a response to a health check."""
+
+    server: data.Server
+    report: exchange.ServerReport
+
+
+class ServersLeaving(msgspec.Struct, frozen=True, tag="servers-leaving"):
+    """Another instance of the cell has learned from backend servers that they are leaving."""
+
+    message: messages.ServersLeaving
 
 
 class TimeReached(msgspec.Struct, frozen=True, tag="time-reached"):
@@ -194,6 +209,8 @@
     | CancelArrived
     | CallReplied
     | CallFailed
+    | ServerReported
+    | ServersLeaving
     | TimeReached
 )
 
@@ -209,6 +226,7 @@
         | messages.CallsWanted
         | messages.CallsAllowed
         | messages.Cancel
+        | messages.ServersLeaving
     )
 
 
--- a/monsoonhoist/core/exchange.py
+++ b/monsoonhoist/core/exchange.py
@@ -35,11 +35,38 @@
 
 
 class Load(msgspec.Struct, frozen=True, array_like=True):
-    """Load that a server reports: numbers of running requests, waiting requests and slots."""
+    """Load that a server reports.
+
+    Attributes:
+        running: Number of running requests.
+        waiting: Number of waiting requests.
+        slots: Number of requests that the server runs concurrently.
+        pace_percent: How long work takes on the server's machine at present, as a percentage of
+            the usual time.
+    """
 
     running: int
     waiting: int
     slots: int
+    pace_percent: int = 100
+
+
+class ServerReport(msgspec.Struct, frozen=True, array_like=True):
+    """What a server says about itself in a response.
+
+    Attributes:
+        is_leaving: Whether the server is leaving and is to receive no new requests.
+        wait_seconds: How long the server is to receive no requests from this instance, because it
+            has refused one; 0 for no wait.
+        load: Load of the server; None if it reports none.
+    """
+
+    is_leaving: bool = False
+    wait_seconds: float = 0.0
+    load: Load | None = None
+
+
+NO_REPORT = ServerReport()
 
 
 class CallerRequest(msgspec.Struct, frozen=True):
--- a/monsoonhoist/core/fanout.py
+++ b/monsoonhoist/core/fanout.py
@@ -71,6 +71,8 @@
         holdings: Snapshots that the shard's servers hold, if known.
         response: The server's error response, if it sent one.
         calls: Number of calls to servers that may have run.
+        wait_ms: Time until one of the shard's servers is available, in milliseconds; 0 if it is
+            unknown or one is available now.
     """
 
     service: data.ServiceId
@@ -80,3 +82,4 @@
     holdings: tuple[data.Holding, ...] = ()
     response: exchange.Response | None = None
     calls: int = 0
+    wait_ms: int = 0
--- a/monsoonhoist/core/hedging.py
+++ b/monsoonhoist/core/hedging.py
@@ -1,6 +1,6 @@
 """Hedge policies by route, and limits on the number of calls of a sub-request."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Container
 
 from monsoonhoist.core import data, subrequest
 from monsoonhoist.policy import hedge
@@ -31,6 +31,12 @@
             self._hedge_by_route[key] = policy
         return policy
 
+    def retain(self, routes: Container[data.RouteId]) -> None:
+        """Discards the policies of routes that are not among those given."""
+        for key in list(self._hedge_by_route):
+            if key[1] not in routes:
+                del self._hedge_by_route[key]
+
 
 def may_retry(sub: subrequest.SubRequest) -> bool:
     """Returns whether one more call is within the number of calls that the route allows."""
--- a/monsoonhoist/core/message_events.py
+++ b/monsoonhoist/core/message_events.py
@@ -24,4 +24,6 @@
             return events.CallsAllowed(message)
         case messages.Cancel():
             return events.CancelArrived(message.query_id, message.is_abandoned, message.services)
+        case messages.ServersLeaving():
+            return events.ServersLeaving(message)
     return None
--- a/monsoonhoist/core/messages.py
+++ b/monsoonhoist/core/messages.py
@@ -180,6 +180,27 @@
     services: tuple[data.ServiceId, ...] = ()
 
 
+class LeavingServer(msgspec.Struct, frozen=True, array_like=True):
+    """A backend server that has said that it is leaving.
+
+    Attributes:
+        server: The server.
+        incarnation: Start of its process as the table lists it.
+    """
+
+    server: data.ServerId
+    incarnation: int
+
+
+class ServersLeaving(msgspec.Struct, frozen=True, array_like=True, tag="servers-leaving"):
+    """Tells the other instances of a cell which servers have said that they are leaving.
+
+    A receiver does not pass it on.
+    """
+
+    servers: tuple[LeavingServer, ...]
+
+
 class Members(msgspec.Struct, frozen=True, array_like=True, tag="members"):
     """Records about instances; a receiver forwards those that are new to it."""
 
@@ -282,6 +303,7 @@
     | CallsWanted
     | CallsAllowed
     | Cancel
+    | ServersLeaving
     | Members
     | Revisions
     | TableBuckets
@@ -340,5 +362,12 @@
     try:
         builtins = msgpack.unpackb(body, strict_map_key=False, use_list=True)
         return msgspec.convert(builtins, type=Message)
-    except (ValueError, msgpack.UnpackException, msgspec.ValidationError, RecursionError) as error:
+    # A map with a key that is not hashable ends in a ``TypeError``.
+    except (
+        ValueError,
+        TypeError,
+        msgpack.UnpackException,
+        msgspec.ValidationError,
+        RecursionError,
+    ) as error:
         raise errors.ProtocolError(f"malformed message: {error}") from error
--- a/monsoonhoist/core/owner.py
+++ b/monsoonhoist/core/owner.py
@@ -2,7 +2,7 @@
 
 import functools
 import itertools
-import math
+from collections.abc import Iterable
 
 from monsoonhoist.core import (
     call_requests,
@@ -13,9 +13,12 @@
     hedging,
     kernel_config,
     messages,
+    open_work,
     replies,
     server,
+    server_reports,
     shard,
+    shard_table,
     subrequest,
     timers,
 )
@@ -26,8 +29,6 @@
 # Share of its remaining time that a sub-request may wait for a server to become available.
 UNAVAILABLE_WAIT_SHARE = 0.25
 
-ShardKey = tuple[data.PoolId, data.ServiceId]
-
 
 class OwnerKernel:
     """Decides which backend servers one instance calls, when and how often.
@@ -38,6 +39,9 @@
         time_source: The clock.
         policies: Policies for ownership, balancing, queue order and hedging.
         options: Options of the kernels of this instance.
+
+    Attributes:
+        reports: What servers have said about themselves.
     """
 
     def __init__(
@@ -53,21 +57,21 @@
         self._clock = time_source
         self._policies = policies
         self._options = options
-        self._tables = data.Tables({}, {})
-        self._limit_share = policies.ownership.limit_share(1)
-        self._shard_by_key: dict[ShardKey, shard.ShardState] = {}
-        self._subs_by_query: dict[data.QueryId, list[subrequest.SubRequest]] = {}
-        self._call_by_id: dict[int, subrequest.Call] = {}
+        self._shards = shard_table.ShardTable(policies, options)
         self._hedge_policies = hedging.HedgePolicies(policies.make_hedge)
         self._call_ids = itertools.count(1)
         self._timers = timers.TimerQueue()
-        self._replies = replies.ReplyCollector(instance, self._subs_by_query.__contains__)
+        self._work = open_work.OpenWork(
+            time_source, self._timers, self._hedge_policies, options.finish_latencies
+        )
+        self._replies = replies.ReplyCollector(instance, self._work.has_query)
         self._call_requests = call_requests.CallRequestCollector()
+        self.reports = server_reports.ServerReports(instance, time_source, self._shards)
 
     @property
     def active(self) -> int:
         """Number of calls in flight plus number of queries with open sub-requests."""
-        return len(self._call_by_id) + len(self._subs_by_query)
+        return self._work.active
 
     def next_wake(self) -> float | None:
         """Returns when ``TimeReached`` is next due, in monotonic seconds, or None."""
@@ -90,6 +94,11 @@
                 self._handle_cancel(event, commands)
             case events.ViewChanged():
                 self._handle_view(event, commands)
+            case events.ServerReported():
+                affected = self.reports.record(event.server, event.report, commands)
+                self._dispatch_all(affected, commands)
+            case events.ServersLeaving():
+                self._dispatch_all(self.reports.record_leaving(event.message), commands)
             case events.TimeReached():
                 for action in self._timers.pop_due(self._clock.monotonic()):
                     action(commands)
@@ -98,17 +107,12 @@
         return commands
 
     def _handle_view(self, event: events.ViewChanged, commands: list[events.Command]) -> None:
-        self._tables = event.tables
-        limit_share = self._policies.ownership.limit_share(event.cells or len(event.instances))
         now = self._clock.monotonic()
-        for key, state in self._shard_by_key.items():
-            pool = self._tables.pool_by_id.get(key[0])
-            servers = pool.servers_by_service.get(key[1], ()) if pool else ()
-            if limit_share != self._limit_share or not state.is_current(servers):
-                state.keys = shard.fixed_keys(pool, key[1]) if pool else state.keys
-                state.update(servers, limit_share, now)
-                self._dispatch(state, commands)
-        self._limit_share = limit_share
+        limit_share = self._policies.ownership.limit_share(event.cells or len(event.instances))
+        self._dispatch_all(self._shards.update(event.tables, limit_share, now), commands)
+        self.reports.set_cell(event.cell)
+        self._shards.prune(self._work.sub_requests(), now)
+        self._hedge_policies.retain(event.tables.route_by_id)
 
     def _handle_batch(self, batch: messages.SubBatch, commands: list[events.Command]) -> None:
         now = self._clock.monotonic()
@@ -117,18 +121,25 @@
 
     def _accept(self, sub: subrequest.SubRequest, commands: list[events.Command]) -> None:
         """Queues a sub-request, or refuses it if its shard is undefined or the queue is full."""
-        state = self._get_shard(sub.query.pool, sub.service)
+        state = self._shards.find_or_create(sub.query.pool, sub.service)
         if state is None:
             self._refuse(sub, data.Refusal.SERVICE_NOT_DEFINED, commands)
             return
         if state.queued_count >= SHARD_QUEUE_LENGTH_MAX:
             self._refuse(sub, data.Refusal.QUEUE_FULL, commands)
             return
-        self._subs_by_query.setdefault(sub.query.query_id, []).append(sub)
+        self._work.add_sub_request(sub)
         self._timers.schedule(sub.deadline, lambda out: self._expire(state, sub, out))
         state.push(sub)
         self._dispatch(state, commands)
 
+    def _dispatch_all(
+        self, states: Iterable[shard.ShardState], commands: list[events.Command]
+    ) -> None:
+        """Starts calls at several shards."""
+        for state in states:
+            self._dispatch(state, commands)
+
     def _dispatch(self, state: shard.ShardState, commands: list[events.Command]) -> None:
         """Starts calls while sub-requests are queued and servers have free capacity."""
         now = self._clock.monotonic()
@@ -142,7 +153,7 @@
                 self._fail(state, sub, data.Refusal.EXPIRED_IN_QUEUE, commands)
             elif candidates:
                 self._start_call(state, sub, candidates, commands)
-            elif state.has_untried(sub, now):
+            elif state.has_untried(sub, now) or self._await_server(state, sub, now):
                 deferred.append(sub)
             else:
                 self._fail(state, sub, state.refusal_without_server(sub, now), commands)
@@ -150,6 +161,16 @@
             state.push(sub)
         self._refuse_without_server(state, now, commands)
 
+    def _await_server(
+        self, state: shard.ShardState, sub: subrequest.SubRequest, now: float
+    ) -> bool:
+        """Returns whether a sub-request may wait for an untried server to become available."""
+        available_at = state.next_untried_at(sub, now)
+        if available_at - now > (sub.deadline - now) * UNAVAILABLE_WAIT_SHARE:
+            return False
+        self._timers.schedule(available_at, lambda out: self._dispatch(state, out))
+        return True
+
     def _refuse_without_server(
         self, state: shard.ShardState, now: float, commands: list[events.Command]
     ) -> None:
@@ -182,13 +203,7 @@
             self._policies.balance, candidates, self._zone, hedge_policy.median_seconds(), now
         )
         call = subrequest.Call(next(self._call_ids), sub, chosen, now)
-        if not sub.calls:
-            sub.queue_delay_seconds = now - sub.arrived_at
-        sub.calls += 1
-        sub.tried_server_ids.append(chosen.server.server_id)
-        sub.call_by_id[call.call_id] = call
-        chosen.started_at_by_call_id[call.call_id] = now
-        self._call_by_id[call.call_id] = call
+        self._work.add_call(call)
         choices = shard.describe_choices(candidates, hedge_policy.median_seconds(), now)
         commands.append(subrequest.make_start_call(call, choices))
         delay = hedge_policy.delay_seconds(sub.query.hedge_budget)
@@ -219,9 +234,7 @@
         self, message: messages.CallsAllowed, commands: list[events.Command]
     ) -> None:
         """Applies the entry's response to requests for more calls."""
-        sub_by_key = {
-            (sub.service, sub.attempt): sub for sub in self._subs_by_query.get(message.query_id, ())
-        }
+        sub_by_key = {(sub.service, sub.attempt): sub for sub in self._work.find(message.query_id)}
         for allowance in message.allowances:
             sub = sub_by_key.get((allowance.service, allowance.attempt))
             if sub is not None and sub.pending_request_reason is not None:
@@ -231,8 +244,9 @@
         self, sub: subrequest.SubRequest, allowed: int, commands: list[events.Command]
     ) -> None:
         """Makes the call if it was allowed; else postpones the hedge or fails the sub-request."""
-        state = self._shard_by_key[(sub.query.pool, sub.service)]
+        state = self._shards.get(sub.query.pool, sub.service)
         reason, sub.pending_request_reason = sub.pending_request_reason, None
+        next_reason, sub.next_request_reason = sub.next_request_reason, None
         is_granted = allowed > sub.allowed
         sub.allowed = max(sub.allowed, allowed)
         if sub.call_by_id and is_granted:
@@ -240,19 +254,24 @@
         elif sub.call_by_id:
             self._schedule_hedge(state, sub)
         elif is_granted:
-            commands.append(events.CountRetry(reason))
+            commands.append(events.CountRetry(next_reason or reason))
             state.push(sub)
             self._dispatch(state, commands)
+        elif next_reason is not None:
+            # The denial was for a hedge, and the call has failed since; a retry may be allowed.
+            self._call_requests.add(sub, next_reason)
         else:
             self._fail(state, sub, sub.last_failure or data.Refusal.NO_SERVER, commands)
 
     def _handle_reply(self, event: events.CallReplied, commands: list[events.Command]) -> None:
-        call = self._remove_call(event.call_id)
+        call = self._work.remove_call(event.call_id)
         if call is None:
             return
         now = self._clock.monotonic()
-        state = self._shard_by_key[(call.sub.query.pool, call.sub.service)]
+        state = self._shards.get(call.sub.query.pool, call.sub.service)
         latency = now - call.started_at
+        affected = self.reports.record(call.server.server, event.report, commands)
+        self._dispatch_all(affected, commands)
         hedge_policy = self._hedge_policies.policy_for(call.sub)
         call.server.record_reply(latency, hedge_policy.median_seconds(), now)
         call.server.update_holdings(event.holdings, now)
@@ -261,17 +280,19 @@
             call.server.record_draining(now)
         if not call.sub.closed:
             self._replies.add_part(call.sub, state.make_part(call.sub, event), event.results)
-            self._close(call.sub, commands)
+            self._work.close(call.sub, commands)
         self._dispatch(state, commands)
 
     def _handle_failure(self, event: events.CallFailed, commands: list[events.Command]) -> None:
-        call = self._remove_call(event.call_id)
+        call = self._work.remove_call(event.call_id)
         if call is None:
             return
         event = shard.classify_failure(event)
         now = self._clock.monotonic()
+        affected = self.reports.record(call.server.server, event.report, commands)
+        self._dispatch_all(affected, commands)
         sub = call.sub
-        state = self._shard_by_key[(sub.query.pool, sub.service)]
+        state = self._shards.get(sub.query.pool, sub.service)
         hedge_policy = self._hedge_policies.policy_for(sub)
         if event.reason is data.Refusal.CANCELLED:
             hedge_policy.record(now - call.started_at)
@@ -297,8 +318,9 @@
         now = self._clock.monotonic()
         is_safe = sub.query.repeatable or not sub.may_have_run
         reason = data.RetryReason.LOST if event.may_have_run else data.RetryReason.REFUSED
-        is_useful = hedging.may_retry(sub) and now < sub.deadline and state.has_untried(sub, now)
-        if not (is_safe and is_useful):
+        is_useful = hedging.may_retry(sub) and now < sub.deadline
+        has_server = state.has_untried(sub, now) or self._await_server(state, sub, now)
+        if not (is_safe and is_useful and has_server):
             self._fail(state, sub, event.reason, commands)
         elif sub.calls < sub.allowed:
             commands.append(events.CountRetry(reason))
@@ -319,13 +341,13 @@
 
     def _handle_cancel(self, event: events.CancelArrived, commands: list[events.Command]) -> None:
         """Closes a query's sub-requests; calls for non-repeatable requests continue."""
-        for sub in list(self._subs_by_query.get(event.query_id, ())):
+        for sub in self._work.find(event.query_id):
             if event.services and sub.service not in event.services:
                 continue
-            self._shard_by_key[(sub.query.pool, sub.service)].withdraw(sub)
-            self._close(sub, commands)
+            self._shards.get(sub.query.pool, sub.service).withdraw(sub)
+            self._work.close(sub, commands)
             for call in list(sub.call_by_id.values()) if event.is_abandoned else ():
-                self._cancel_call(call, commands)
+                self._work.cancel_call(call, commands)
 
     def _fail(
         self,
@@ -338,8 +360,9 @@
         state.withdraw(sub)
         if sub.last_failure is not None and reason is data.Refusal.NO_SERVER:
             reason = sub.last_failure
-        self._replies.add_failure(sub, subrequest.make_failure(sub, reason, state.holdings()))
-        self._close(sub, commands)
+        failure = state.make_failure(sub, reason, self._clock.monotonic())
+        self._replies.add_failure(sub, failure)
+        self._work.close(sub, commands)
 
     def _refuse(
         self, sub: subrequest.SubRequest, reason: data.Refusal, commands: list[events.Command]
@@ -347,54 +370,3 @@
         """Reports to the entry that a sub-request was refused before it was queued."""
         commands.append(events.CountRefusal(reason))
         self._replies.add_failure(sub, fanout.Failure(sub.service, sub.attempt, reason, False))
-
-    def _close(self, sub: subrequest.SubRequest, commands: list[events.Command]) -> None:
-        """Removes a sub-request, and cancels its calls once they have run for a grace period.
-
-        A call that completes keeps its connection reusable and yields its exact latency.
-        """
-        sub.closed = True
-        subs = self._subs_by_query[sub.query.query_id]
-        subs.remove(sub)
-        if not subs:
-            del self._subs_by_query[sub.query.query_id]
-        median_seconds = self._hedge_policies.policy_for(sub).median_seconds()
-        grace = median_seconds * self._options.finish_latencies
-        now = self._clock.monotonic()
-        for call in list(sub.call_by_id.values()):
-            cancel = functools.partial(self._cancel_call, call)
-            if call.started_at + grace <= now:
-                cancel(commands)
-            else:
-                self._timers.schedule(call.started_at + grace, cancel)
-
-    def _cancel_call(self, call: subrequest.Call, commands: list[events.Command]) -> None:
-        """Cancels a call whose results are not needed, if its query is repeatable."""
-        is_in_flight = call.call_id in self._call_by_id
-        if is_in_flight and call.sub.query.repeatable and not call.cancelled:
-            call.cancelled = True
-            commands.append(events.CancelCall(call.call_id))
-
-    def _remove_call(self, call_id: int) -> subrequest.Call | None:
-        call = self._call_by_id.pop(call_id, None)
-        if call is not None:
-            del call.server.started_at_by_call_id[call_id]
-            del call.sub.call_by_id[call_id]
-        return call
-
-    def _get_shard(self, pool_id: data.PoolId, service: data.ServiceId) -> shard.ShardState | None:
-        """Returns a shard's state, created on first use; None if undefined or no server is left."""
-        state = self._shard_by_key.get((pool_id, service))
-        if state is not None:
-            return state if state.server_by_id else None
-        pool = self._tables.pool_by_id.get(pool_id)
-        servers = pool.servers_by_service.get(service) if pool else None
-        if servers is None:
-            return None
-        grace = self._options.leaving_grace_seconds
-        state = shard.ShardState(pool_id, service, self._policies.make_order(), grace)
-        state.keys = shard.fixed_keys(pool, service)
-        # It is unknown when leaving servers began to leave; their grace period counts as over.
-        state.update(servers, self._limit_share, -math.inf)
-        self._shard_by_key[(pool_id, service)] = state
-        return state
--- a/monsoonhoist/core/retry_after.py
+++ b/monsoonhoist/core/retry_after.py
@@ -22,14 +22,15 @@
 _JITTER_STEPS = 1000
 
 
-def delay_seconds(reason: data.Refusal | None, request_id: str) -> float:
+def delay_seconds(reason: data.Refusal | None, key: str, wait_seconds: float = 0.0) -> float:
     """Returns the delay after which to retry, in seconds, with jitter.
 
     Args:
         reason: Why the request was refused; None for the default delay.
-        request_id: The caller's id of the request, from which the jitter is derived; empty if none
-            was sent.
+        key: Text from which the jitter is derived, different for each request.
+        wait_seconds: Time until servers are available; 0 if unknown. The delay is longer.
     """
     base = BASE_SECONDS_BY_REFUSAL.get(reason, DEFAULT_BASE_SECONDS)
-    fraction = hashing.stable_hash(request_id) % _JITTER_STEPS / _JITTER_STEPS
-    return base * (1.0 - JITTER_SHARE + 2.0 * JITTER_SHARE * fraction)
+    fraction = hashing.stable_hash(key) % _JITTER_STEPS / _JITTER_STEPS
+    delay = base * (1.0 - JITTER_SHARE + 2.0 * JITTER_SHARE * fraction)
+    return wait_seconds + delay if wait_seconds > 0.0 else delay
--- a/monsoonhoist/core/server.py
+++ b/monsoonhoist/core/server.py
@@ -59,6 +59,7 @@
         self._consecutive_failures = 0
         self._backoff_until = 0.0
         self._draining_until = 0.0
+        self._wait_until = 0.0
         self._leaving_since: float | None = None
         self._slowness = ADDED_SERVER_SLOWNESS if is_added else 1.0
         self._slowness_updated_at = -math.inf
@@ -82,7 +83,7 @@
         self._limit = min(self._limit, limit_max)
 
     def mark_leaving(self, now: float) -> None:
-        """Records that the table marks the server as leaving or no longer lists it."""
+        """Records that the server is leaving, or that the table no longer lists it."""
         if self._leaving_since is None:
             self._leaving_since = now
 
@@ -96,13 +97,13 @@
 
     def is_last_resort(self, now: float, grace_seconds: float) -> bool:
         """Returns whether a leaving server may still be called if no other is available."""
-        if self._leaving_since is None or now < self._backoff_until:
+        if self._leaving_since is None or now < self.available_at():
             return False
         return now - self._leaving_since < grace_seconds
 
     def available_at(self) -> float:
-        """Returns when backoff and draining end, in monotonic seconds."""
-        return max(self._backoff_until, self._draining_until)
+        """Returns when backoff, draining and requested wait end, in monotonic seconds."""
+        return max(self._backoff_until, self._draining_until, self._wait_until)
 
     @property
     def is_leaving(self) -> bool:
@@ -198,6 +199,10 @@
         """Makes the server unavailable for a fixed time after it reported that it is draining."""
         self._draining_until = now + DRAINING_UNAVAILABLE_SECONDS
 
+    def wait_until(self, until: float) -> None:
+        """Makes the server unavailable until a time, in monotonic seconds, as it has requested."""
+        self._wait_until = max(self._wait_until, until)
+
     def _update_slowness(self, latency_seconds: float, median_seconds: float, now: float) -> None:
         if median_seconds > 0.0:
             before = self.slowness(now, 0.0)
--- a/monsoonhoist/core/shard.py
+++ b/monsoonhoist/core/shard.py
@@ -4,12 +4,21 @@
 
 import msgspec
 
-from monsoonhoist.core import data, events, fanout, limits, server, subrequest
+from monsoonhoist.core import (
+    data,
+    events,
+    fanout,
+    limits,
+    server,
+    server_notices,
+    subrequest,
+)
 from monsoonhoist.policy import balance, order
 
 # A timeout starts a backoff of the server only if the call ran for at least this multiple of the
 # smoothed latency of the shard's fastest server.
 TIMEOUT_FAILURE_MIN_LATENCIES = 3.0
+MS_PER_SECOND = 1000
 # Reasons that indicate an unhealthy server rather than an overloaded one.
 _UNHEALTHY_REASONS = (
     data.Refusal.CONNECT_FAILED,
@@ -27,6 +36,7 @@
         queue: Queue of the sub-requests that wait for a server.
         leaving_grace_seconds: How long a server that is leaving may still be called if no other
             server is available (as a last resort).
+        notices: What servers have said about themselves.
 
     Attributes:
         pool: Pool of the shard.
@@ -43,6 +53,7 @@
         service: data.ServiceId,
         queue: order.Order[subrequest.SubRequest],
         leaving_grace_seconds: float,
+        notices: server_notices.ServerNotices,
     ):
         self.pool = pool
         self.service = service
@@ -52,6 +63,7 @@
         self.keys: data.KeyRange | None = None
         self._servers: tuple[data.Server, ...] = ()
         self._leaving_grace_seconds = leaving_grace_seconds
+        self._notices = notices
 
     def is_current(self, servers: tuple[data.Server, ...]) -> bool:
         """Returns whether ``update`` last applied this same tuple and kept no other server."""
@@ -62,7 +74,8 @@
     ) -> None:
         """Applies the shard's servers from a newer table.
 
-        A server whose address has changed gets a new state; calls in flight keep the old one.
+        A server whose address or incarnation has changed gets a new state; calls in flight keep
+        the old one.
         A server that is no longer in the table is kept while it may be a last resort.
 
         Args:
@@ -75,14 +88,11 @@
         for record in servers:
             state = self.server_by_id.get(record.server_id)
             limit_max = share.calls_max(record)
-            if state is None or state.server.address != record.address:
+            if state is None or not _is_same_process(state.server, record):
                 state = server.ServerState(record, limit_max, bool(self.server_by_id))
             else:
                 state.update(record, limit_max)
-            if record.leaving:
-                state.mark_leaving(now)
-            else:
-                state.mark_in_service()
+            self._apply_notice(state, now)
             state_by_id[record.server_id] = state
         for server_id, state in self.server_by_id.items():
             if server_id not in state_by_id:
@@ -91,6 +101,25 @@
                     state_by_id[server_id] = state
         self.server_by_id = state_by_id
 
+    def apply_notice(self, server_id: data.ServerId, now: float) -> bool:
+        """Applies a server's new notice; returns whether the shard has the server."""
+        state = self.server_by_id.get(server_id)
+        if state is None:
+            return False
+        self._apply_notice(state, now)
+        return True
+
+    def _apply_notice(self, state: server.ServerState, now: float) -> None:
+        """Marks a server as leaving or in service, by the table and by what it has said itself."""
+        notice = self._notices.find(state.server)
+        if notice.leaving_since is not None:
+            state.mark_leaving(notice.leaving_since)
+        elif state.server.leaving:
+            state.mark_leaving(now)
+        else:
+            state.mark_in_service()
+        state.wait_until(notice.wait_until)
+
     def push(self, sub: subrequest.SubRequest) -> None:
         """Adds a sub-request to the queue."""
         sub.queued = True
@@ -136,6 +165,21 @@
             event.response,
         )
 
+    def make_failure(
+        self, sub: subrequest.SubRequest, reason: data.Refusal, now: float
+    ) -> fanout.Failure:
+        """Returns the failure that reports a sub-request without results to the entry."""
+        return fanout.Failure(
+            sub.service,
+            sub.attempt,
+            reason,
+            sub.may_have_run,
+            self.holdings(),
+            sub.last_response,
+            calls=sub.calls - sub.unused_calls,
+            wait_ms=self.wait_ms(now),
+        )
+
     def fastest_latency_seconds(self) -> float:
         """Returns the smoothed latency of the fastest server; 0 while that of any is unknown."""
         return min((state.latency_seconds for state in self.server_by_id.values()), default=0.0)
@@ -158,6 +202,13 @@
         ]
         return min(times, default=math.inf)
 
+    def wait_ms(self, now: float) -> int:
+        """Returns the time until a server is available, in milliseconds; 0 if unknown or now."""
+        available_at = self.available_at()
+        if available_at == math.inf or self.is_any_available(now):
+            return 0
+        return max(0, math.ceil((available_at - now) * MS_PER_SECOND))
+
     def cannot_meet_deadline(self, sub: subrequest.SubRequest, now: float) -> bool:
         """Returns whether a sub-request has less time left than the fastest server needs.
 
@@ -221,6 +272,20 @@
             and state.may_hold(sub.snapshot, now)
         ]
 
+    def next_untried_at(self, sub: subrequest.SubRequest, now: float) -> float:
+        """Returns when the first untried server becomes available, in monotonic seconds.
+
+        Servers that are leaving do not count; without others the time is infinite.
+        """
+        times = [
+            state.available_at()
+            for state in self.server_by_id.values()
+            if not state.is_leaving
+            and state.server.server_id not in sub.tried_server_ids
+            and state.may_hold(sub.snapshot, now)
+        ]
+        return min(times, default=math.inf)
+
     def hedge_candidates(self, sub: subrequest.SubRequest, now: float) -> list[server.ServerState]:
         """Returns the servers with free capacity that a hedge may be sent to now.
 
@@ -313,9 +378,14 @@
     return data.KeyRange(position, position + 1)
 
 
+def _is_same_process(known: data.Server, listed: data.Server) -> bool:
+    """Returns whether two records of a server are of the same start of its process."""
+    return known.address == listed.address and known.incarnation == listed.incarnation
+
+
 def classify_failure(event: events.CallFailed) -> events.CallFailed:
     """Reclassifies a refusal because of load if the server reports that it has free slots."""
-    load = event.load
+    load = event.report.load
     if event.reason is not data.Refusal.SHED or load is None or load.running >= load.slots:
         return event
     return msgspec.structs.replace(event, reason=data.Refusal.SHED_WITHOUT_LOAD)
--- a/monsoonhoist/core/subrequest.py
+++ b/monsoonhoist/core/subrequest.py
@@ -52,6 +52,8 @@
         allowed: Number of calls that the entry has allowed, the first included.
         pending_request_reason: Reason of the request for one more call to which the entry has not
             replied yet; None if there is none.
+        next_request_reason: Reason of the request to make if the pending one is denied; None if
+            there is none.
     """
 
     origin: data.InstanceId
@@ -73,6 +75,16 @@
     queued: bool = False
     allowed: int = 1
     pending_request_reason: data.RetryReason | None = None
+    next_request_reason: data.RetryReason | None = None
+
+    def add_call(self, call: Call) -> None:
+        """Records the start of a call."""
+        if not self.calls:
+            self.queue_delay_seconds = call.started_at - self.arrived_at
+        self.calls += 1
+        self.tried_server_ids.append(call.server.server.server_id)
+        self.call_by_id[call.call_id] = call
+        call.server.started_at_by_call_id[call.call_id] = call.started_at
 
 
 def make_sub_request(batch: messages.SubBatch, service: data.ServiceId, now: float) -> SubRequest:
@@ -88,27 +100,6 @@
     return SubRequest(batch.origin, spec, service, batch.attempt, batch.snapshot, deadline, now)
 
 
-def make_failure(
-    sub: SubRequest, reason: data.Refusal, holdings: tuple[data.Holding, ...]
-) -> fanout.Failure:
-    """Returns the failure of a sub-request to report to the entry.
-
-    Args:
-        sub: The sub-request.
-        reason: Why there are no results.
-        holdings: Snapshots that the shard's servers hold.
-    """
-    return fanout.Failure(
-        sub.service,
-        sub.attempt,
-        reason,
-        sub.may_have_run,
-        holdings,
-        sub.last_response,
-        calls=sub.calls - sub.unused_calls,
-    )
-
-
 def make_start_call(call: Call, choices: tuple[events.Choice, ...]) -> events.StartCall:
     """Returns the command that starts a call.
 
--- a/monsoonhoist/core/tickets.py
+++ b/monsoonhoist/core/tickets.py
@@ -8,6 +8,7 @@
 
 import collections
 import enum
+import re
 
 import msgspec
 
@@ -18,6 +19,8 @@
 # Most tickets that an instance stores.
 TICKETS_MAX = 100_000
 _SEPARATOR = "~"
+# Numbers of a ticket: both fit into 64 bits.
+_NUMBER_PATTERN = re.compile(r"[0-9]{1,19}")
 
 
 class Ticket(msgspec.Struct, frozen=True):
@@ -44,7 +47,7 @@
 def decode(text: data.TicketId) -> Ticket | None:
     """Returns the contents of a ticket, or None if the text is not a well-formed ticket."""
     fields = text.split(_SEPARATOR)
-    if len(fields) != 4 or not (fields[2].isdecimal() and fields[3].isdecimal()):
+    if len(fields) != 4 or not all(map(_NUMBER_PATTERN.fullmatch, fields[2:])):
         return None
     return Ticket(
         data.RouteId(fields[0]),
@@ -81,14 +84,14 @@
     Attributes:
         issued_at: When the ticket was issued, in monotonic seconds.
         running: Whether its request is running.
-        query_text: Query of the request that used the ticket; empty before the first use.
+        query_text: Query of the request that used the ticket; None before the first use.
         answer: Final answer; None until there is one.
     """
 
     def __init__(self, issued_at: float):
         self.issued_at = issued_at
         self.running = False
-        self.query_text = ""
+        self.query_text: str | None = None
         self.answer: data.Answer | None = None
 
 
@@ -117,6 +120,11 @@
         """Number of tickets whose request is running."""
         return sum(state.running for state in self._state_by_sequence.values())
 
+    @property
+    def remembered(self) -> int:
+        """Number of tickets in the store."""
+        return len(self._state_by_sequence)
+
     def issue(self, route: data.RouteId) -> Ticket | None:
         """Issues a ticket, or returns None if the store is full."""
         self._remove_expired()
@@ -149,7 +157,7 @@
         if state is None:
             detail = f"tickets are remembered for {RETENTION_SECONDS:.0f} s"
             return _answer_unknown(request, data.Refusal.TICKET_FORGOTTEN, detail)
-        if state.query_text and state.query_text != request.query:
+        if state.query_text not in (None, request.query):
             detail = "the ticket was used for another request"
             answer = answer_builder.make_not_run(
                 request.request_id, data.Refusal.TICKET_MALFORMED, detail
@@ -175,10 +183,14 @@
 
     def _remove_expired(self) -> None:
         cutoff = self._clock.monotonic() - RETENTION_SECONDS
-        while self._state_by_sequence:
-            sequence, state = next(iter(self._state_by_sequence.items()))
-            if state.issued_at > cutoff or state.running:
-                return
+        expired: list[int] = []
+        # Tickets are stored in the order in which they were issued.
+        for sequence, state in self._state_by_sequence.items():
+            if state.issued_at > cutoff:
+                break
+            if not state.running:
+                expired.append(sequence)
+        for sequence in expired:
             del self._state_by_sequence[sequence]
 
 
--- a/monsoonhoist/core/traces.py
+++ b/monsoonhoist/core/traces.py
@@ -2,7 +2,8 @@
 
 A trace is a file of JSON lines: a header, then one line for each event with its time and the
 resulting commands. A replay passes the events to a new kernel, whose clock is set to the
-recorded times; the encoded commands must be identical to the recorded ones.
+recorded times; the commands must be equal to the recorded ones. Fields that records have gained
+since the recording have their defaults in it.
 """
 
 import enum
@@ -10,7 +11,8 @@
 
 import msgspec
 
-from monsoonhoist.core import clock, data, events, kernel
+from monsoonhoist import decoding, errors
+from monsoonhoist.core import clock, data, diagnostics, events, kernel
 
 
 class Role(enum.Enum):
@@ -58,7 +60,7 @@
 
     steps: int
     answers: tuple[data.Answer, ...]
-    findings: tuple[data.Finding, ...]
+    findings: tuple[diagnostics.Finding, ...]
 
 
 def encode_header(header: Header) -> bytes:
@@ -95,26 +97,28 @@
         The answers, and the differences from the recording. A malformed line ends the replay.
     """
     source = iter(lines)
-    findings: list[data.Finding] = []
+    findings: list[diagnostics.Finding] = []
     answers: list[data.Answer] = []
-    steps = 0
+    line_number = 1
     try:
-        header = msgspec.json.decode(next(source, b""), type=Header)
-        replayer = _Replayer(header)
-        for number, line in enumerate(source, start=2):
-            step = msgspec.json.decode(line, type=Step)
+        replayer = _Replayer(decoding.decode_json(next(source, b""), Header))
+        for line in source:
+            line_number += 1
+            step = decoding.decode_json(line, Step)
             commands = replayer.run_step(step)
-            steps += 1
             answers.extend(
                 command.answer for command in commands if isinstance(command, events.Respond)
             )
-            if msgspec.json.encode(commands) != bytes(step.commands):
-                place = data.Place(file, step.role.value, number)
-                findings.append(data.Finding(place, "the commands differ from the recorded ones"))
-    except msgspec.MsgspecError as error:
-        place = data.Place(file, line=steps + 1)
-        findings.append(data.Finding(place, f"malformed line: {error}"))
-    return Replay(steps, tuple(answers), tuple(findings))
+            if commands != decoding.decode_json(step.commands, list[events.Command]):
+                place = diagnostics.Place(file, step.role.value, line_number)
+                findings.append(
+                    diagnostics.Finding(place, "the commands differ from the recorded ones")
+                )
+    except (errors.MalformedInputError, errors.UnknownPolicyError) as error:
+        place = diagnostics.Place(file, line=line_number)
+        findings.append(diagnostics.Finding(place, f"malformed line: {error}"))
+        line_number -= 1
+    return Replay(max(0, line_number - 1), tuple(answers), tuple(findings))
 
 
 class _Replayer:
@@ -130,7 +134,7 @@
         """Handles an event at its recorded time and returns the commands."""
         self._clock.now_seconds = step.at
         if step.role is Role.ENTRY:
-            entry_event = msgspec.json.decode(step.event, type=events.EntryEvent)
+            entry_event = decoding.decode_json(step.event, events.EntryEvent)
             return self._kernel.entry.handle(entry_event)
-        owner_event = msgspec.json.decode(step.event, type=events.OwnerEvent)
+        owner_event = decoding.decode_json(step.event, events.OwnerEvent)
         return self._kernel.owner.handle(owner_event)
--- a/monsoonhoist/errors.py
+++ b/monsoonhoist/errors.py
@@ -1,11 +1,11 @@
 """Exceptions of the program.
 
 Every exception class that the program defines derives from ``MonsoonError``. Findings about
-settings and tables are records (``data.Finding``). Those about settings are raised as a group, in
-a ``SettingsError``; those about tables are never raised.
+settings and tables are records (``diagnostics.Finding``). Those about settings are raised as a
+group, in a ``SettingsError``; those about tables are never raised.
 """
 
-from monsoonhoist.core import data
+from monsoonhoist.core import data, diagnostics
 
 
 class MonsoonError(Exception):
@@ -20,11 +20,15 @@
             sections.
     """
 
-    def __init__(self, findings: tuple[data.Finding, ...]):
+    def __init__(self, findings: tuple[diagnostics.Finding, ...]):
         self.findings = findings
         super().__init__("; ".join(finding.describe() for finding in findings))
 
 
+class MalformedInputError(MonsoonError):
+    """Text that another program wrote cannot be decoded."""
+
+
 class ProtocolError(MonsoonError):
     """Data received from another instance violates the protocol."""
 
--- a/monsoonhoist/metrics.py
+++ b/monsoonhoist/metrics.py
@@ -37,6 +37,8 @@
 # Number of routes with a histogram of their own; all others share one label value.
 ROUTE_LABELS_MAX = 64
 OTHER_ROUTES = "other"
+# Where table values come from: the configuration service, or another instance.
+TABLE_VALUE_SOURCES = ("service", "peer")
 
 Labels = tuple[tuple[str, str], ...]
 ReadGauge = Callable[[], dict[Labels, float]]
@@ -200,7 +202,8 @@
             for rank in data.Rank:
                 self._answers.add(0, outcome=outcome.value, rank=rank.value)
         for acceptance in store.Acceptance:
-            self._table_values.add(0, result=acceptance.value)
+            for source in TABLE_VALUE_SOURCES:
+                self._table_values.add(0, result=acceptance.value, source=source)
         unlabelled = (self._calls, self._sub_requests, self._late_replies, self._pauses)
         for counter in (*unlabelled, self._log_lines_left_out, self._attempts_exceeded):
             counter.add(0)
--- a/monsoonhoist/node/backends.py
+++ b/monsoonhoist/node/backends.py
@@ -1,14 +1,17 @@
 """Task that sends calls to backend servers over HTTP and reads their replies."""
 
 import abc
+import logging
 from collections.abc import Callable
 
 import msgspec
 
 from monsoonhoist import metrics
-from monsoonhoist.core import clock, data, events
+from monsoonhoist.core import clock, data, events, exchange
 from monsoonhoist.node import curl, task
 
+_log = logging.getLogger(__name__)
+
 BackendCommand = events.StartCall | events.CancelCall
 
 
@@ -35,6 +38,10 @@
     def make_health_check(self, server: data.Server) -> curl.HttpCall | None:
         """Returns a health check, which opens a connection, or None if the protocol has none."""
 
+    @abc.abstractmethod
+    def read_report(self, reply: curl.HttpReply) -> exchange.ServerReport:
+        """Returns what a server says about itself in a response, also to a health check."""
+
     @abc.abstractmethod
     def read_reply(
         self, command: events.StartCall, reply: curl.HttpReply
@@ -103,10 +110,16 @@
             self._report(events.CallFailed(command.call_id, reason, False))
             return
         self._counters.count_call()
-        call = self._protocol.make_call(
-            command, self._call_name(command.call_id), remaining_seconds
-        )
-        transfer = self._driver.start(call, lambda reply: self._finish(command, reply))
+        try:
+            call = self._protocol.make_call(
+                command, self._call_name(command.call_id), remaining_seconds
+            )
+            transfer = self._driver.start(call, lambda reply: self._finish(command, reply))
+        except Exception:
+            _log.exception("call not started", extra={"server": command.server.server_id})
+            reason = data.Refusal.INTERNAL_ERROR
+            self._report(events.CallFailed(command.call_id, reason, False))
+            return
         self._pending_by_call[command.call_id] = _PendingCall(command, transfer, now)
 
     def _cancel_call(self, call_id: int) -> None:
@@ -123,7 +136,12 @@
 
     def _finish(self, command: events.StartCall, reply: curl.HttpReply) -> None:
         pending = self._pending_by_call.pop(command.call_id)
-        self._report_end(pending, self._protocol.read_reply(command, reply))
+        try:
+            event = self._protocol.read_reply(command, reply)
+        except Exception:
+            _log.exception("reply not read", extra={"server": command.server.server_id})
+            event = events.CallFailed(command.call_id, data.Refusal.MALFORMED_REPLY, True)
+        self._report_end(pending, event)
 
     def _report_end(
         self, pending: _PendingCall, event: events.CallReplied | events.CallFailed
--- a/monsoonhoist/node/config_service.py
+++ b/monsoonhoist/node/config_service.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from monsoonhoist import metrics
+from monsoonhoist import decoding, errors, metrics
 from monsoonhoist.core import data, membership, messages
 from monsoonhoist.node import curl, dialect, replication
 from monsoonhoist.tables import store
@@ -129,7 +129,7 @@
         self._wait_max = wait_max
         self._index = 0
 
-    async def read(self, table_store: store.TableStore) -> tuple[messages.TableValue, ...]:
+    async def read(self, table_store: store.TableStore) -> replication.Reading:
         """Waits for a change and returns the values that are newer than the store's."""
         revision_index = await self._client.watch(self._index, self._wait_max)
         values = []
@@ -137,7 +137,7 @@
             if not table_store.has_processed(key, number):
                 values.append(await self._client.fetch_value(key))
         self._index = revision_index.index
-        return tuple(values)
+        return replication.Reading(tuple(values))
 
     def reset(self) -> None:
         """Makes the next read cover all keys."""
@@ -179,11 +179,14 @@
                 self._handle_instances(await self._client.fetch_instances())
             except replication.ConfigServiceError as error:
                 _log.warning("instance list not read", extra={"error": str(error)})
+            except Exception:
+                # The list is read again after the usual interval, as after any other failure.
+                _log.exception("reading of the instance list failed")
             await asyncio.sleep(self._period.total_seconds())
 
 
 def _decode(body: bytes, reply_type: type) -> object:
     try:
-        return msgspec.json.decode(body, type=reply_type)
-    except msgspec.MsgspecError as error:
+        return decoding.decode_json(body, reply_type)
+    except errors.MalformedInputError as error:
         raise replication.ConfigServiceError(f"malformed reply: {error}") from error
--- a/monsoonhoist/node/curl.py
+++ b/monsoonhoist/node/curl.py
@@ -8,6 +8,7 @@
 import collections
 import datetime
 import io
+import logging
 from collections.abc import Callable
 
 import msgspec
@@ -22,6 +23,10 @@
 RESPONSE_BYTES_MAX = 8_388_608
 # Most connections that curl keeps for reuse, to all servers together.
 IDLE_CONNECTIONS_MAX = 4096
+# Encoding of request lines and header fields, which keeps all bytes.
+HEADER_ENCODING = "latin-1"
+
+_log = logging.getLogger(__name__)
 
 
 class HttpCall(msgspec.Struct, frozen=True):
@@ -86,15 +91,18 @@
         self.body = io.BytesIO()
         self.headers: list[exchange.Header] = []
         self.is_foreign = False
+        self.is_head_complete = False
         self._expected_header = expected_header
 
     def handle_header(self, line: bytes) -> int | None:
         """Records a header line; returns -1 to make curl end the call and close its connection."""
-        name, separator, value = line.decode("latin-1").partition(":")
+        self.is_head_complete = not line.strip()
+        # A status line begins a response; the headers of an interim one are discarded.
+        if line.startswith(b"HTTP/"):
+            self.headers.clear()
+            return None
+        name, separator, value = line.decode(HEADER_ENCODING).partition(":")
         if not separator:
-            # A status line begins a response; the headers of an interim one are discarded.
-            if line.startswith(b"HTTP/"):
-                self.headers.clear()
             return None
         header = exchange.Header(name.strip(), value.strip())
         self.headers.append(header)
@@ -158,7 +166,7 @@
         self._multi.close()
 
     def _set_options(self, handle: pycurl.Curl, call: HttpCall, transfer: Transfer) -> None:
-        handle.setopt(pycurl.URL, call.url)
+        handle.setopt(pycurl.URL, call.url.encode(HEADER_ENCODING))
         handle.setopt(pycurl.NOSIGNAL, 1)
         handle.setopt(pycurl.PROXY, "")
         handle.setopt(pycurl.TCP_NODELAY, 1)
@@ -178,7 +186,8 @@
         if call.method == "HEAD":
             handle.setopt(pycurl.NOBODY, 1)
         if call.headers:
-            handle.setopt(pycurl.HTTPHEADER, list(call.headers))
+            lines = [line.encode(HEADER_ENCODING) for line in call.headers]
+            handle.setopt(pycurl.HTTPHEADER, lines)
 
     def _watch_socket(self, action: int, descriptor: int, multi: object, data: object) -> None:
         """Callback of curl to start or stop watching a socket on the event loop."""
@@ -231,17 +240,23 @@
     def _finish(self, transfer: Transfer, code: int, message: str) -> None:
         handle = transfer.handle
         del self._transfer_by_handle[handle]
+        # curl reports success if the server closes the connection within the head.
+        is_complete = not code and transfer.is_head_complete
         reply = HttpReply(
-            status=0 if code else handle.getinfo(pycurl.RESPONSE_CODE),
+            status=handle.getinfo(pycurl.RESPONSE_CODE) if is_complete else 0,
             body=transfer.body.getvalue(),
             sent=handle.getinfo(pycurl.REQUEST_SIZE) > 0,
             timed_out=code == pycurl.E_OPERATION_TIMEDOUT,
-            error=message,
+            error=message if code or is_complete else "the head of the response is incomplete",
             headers=tuple(transfer.headers),
             is_foreign=transfer.is_foreign,
         )
         self._release(handle)
-        transfer.on_done(reply)
+        try:
+            transfer.on_done(reply)
+        except Exception:
+            # The other calls that ended at the same time must still be reported.
+            _log.exception("end of a call not handled")
 
     def _release(self, handle: pycurl.Curl) -> None:
         """Removes a handle from the multi handle and keeps it for reuse if there is room."""
--- a/monsoonhoist/node/node.py
+++ b/monsoonhoist/node/node.py
@@ -32,6 +32,7 @@
     readiness,
     replication,
     request_log,
+    stream_protocol,
     ticket_runner,
     trace,
     views,
@@ -44,7 +45,7 @@
 _log = logging.getLogger(__name__)
 
 
-class Node(peers.PeerListener):
+class Node(stream_protocol.PeerListener):
     """One instance in both of its roles, entry and owner.
 
     Args:
@@ -96,11 +97,12 @@
         self._owner = self._make_task(traces.Role.OWNER, self._kernel.owner)
         self.dialect = dialect.make_dialect(config)
         self._driver = curl.CurlDriver(config.timing.backend_idle_ms)
+        protocol = self.dialect.make_protocol()
         self._backends = backends.BackendTask(
             f"{self.name}.{incarnation}",
             time_source,
             self._driver,
-            self.dialect.make_protocol(),
+            protocol,
             self.counters,
             self._owner.submit,
         )
@@ -149,9 +151,10 @@
         )
         self._background_tasks: set[asyncio.Task[None]] = set()
         self._warm_up = warmup.ConnectionWarmUp(
-            self.name, self._kernel.ownership, self.dialect.make_protocol(), self._driver
+            self.name, self._kernel, protocol, self._driver, self._owner.submit
         )
-        handlers = (self._handle_view, self._entry.submit, self._owner.submit, self._warm_up.submit)
+        tasks = (self._entry, self._owner, self._warm_up)
+        handlers = (self.pending_queries.set_view, *(each.submit for each in tasks))
         self._view_publisher = views.ViewPublisher(
             config, self.members, self.replicator, self._streams, handlers, time_source
         )
@@ -269,7 +272,7 @@
                 self._handle_batch(message)
             case messages.BatchCheck():
                 self.send(sender, messages.BatchTaken(message.query_id))
-            case messages.Cancel() | messages.CallsAllowed():
+            case messages.Cancel() | messages.CallsAllowed() | messages.ServersLeaving():
                 self._owner.submit(message_events.to_owner_event(message))
             case messages.Members():
                 self._handle_members(sender, message)
@@ -370,9 +373,6 @@
             return
         self._spawn(self.ticket_runner.handle_forwarded(sender, use))
 
-    def _handle_view(self, view: events.ViewChanged) -> None:
-        self.pending_queries.set_tables(view.tables)
-
     def _handle_listed(self, listed: tuple[membership.ListedInstance, ...]) -> None:
         """Applies the platform's instance list."""
         self.members.set_listed(listed)
--- a/monsoonhoist/node/pending_queries.py
+++ b/monsoonhoist/node/pending_queries.py
@@ -48,11 +48,11 @@
         """Whether a table of routes is in force."""
         return bool(self._tables.route_by_id)
 
-    def set_tables(self, tables: data.Tables) -> None:
-        """Sets the tables in force and rebuilds the route index if they have changed."""
-        if tables is not self._tables:
-            self._tables = tables
-            self._route_index = routing.RouteIndex(tables.route_by_id.values())
+    def set_view(self, view: events.ViewChanged) -> None:
+        """Applies the tables of a view, and rebuilds the route index if they have changed."""
+        if view.tables is not self._tables:
+            self._tables = view.tables
+            self._route_index = routing.RouteIndex(view.tables.route_by_id.values())
 
     def find_route(self, route_id: data.RouteId) -> data.Route | None:
         """Returns the route in force with an id, or None."""
@@ -62,6 +62,10 @@
         """Returns the route in force that matches a host and a path, or None."""
         return self._route_index.find(host, path)
 
+    def next_id(self) -> data.QueryId:
+        """Returns an unused query id."""
+        return data.QueryId(f"{self._id_prefix}.{next(self._query_numbers)}")
+
     def start(
         self, route_id: data.RouteId, request: exchange.CallerRequest, remaining_ms: int = 0
     ) -> asyncio.Future[events.Respond]:
@@ -73,7 +77,7 @@
             remaining_ms: Milliseconds left until the deadline of a request with a ticket, which
                 another instance may have forwarded; otherwise 0.
         """
-        query_id = data.QueryId(f"{self._id_prefix}.{next(self._query_numbers)}")
+        query_id = self.next_id()
         future: asyncio.Future[events.Respond] = asyncio.get_running_loop().create_future()
         self._future_by_query[query_id] = future
         self._query_by_future[future] = query_id
--- a/monsoonhoist/node/replication.py
+++ b/monsoonhoist/node/replication.py
@@ -17,6 +17,8 @@
 import random
 from collections.abc import Callable, Iterable
 
+import msgspec
+
 from monsoonhoist import errors, metrics
 from monsoonhoist.core import clock, data, messages
 from monsoonhoist.tables import store
@@ -41,11 +43,24 @@
     """The configuration service did not return a usable reply."""
 
 
+class Reading(msgspec.Struct, frozen=True):
+    """Result of reading the configuration service.
+
+    Attributes:
+        values: New values.
+        listed_number: Revision number up to which all keys of the service were read; 0 if only
+            changes were read, or if the service numbers the revisions of each key by themselves.
+    """
+
+    values: tuple[messages.TableValue, ...]
+    listed_number: int = 0
+
+
 class TableReader(abc.ABC):
     """Reads table values from the configuration service."""
 
     @abc.abstractmethod
-    async def read(self, table_store: store.TableStore) -> tuple[messages.TableValue, ...]:
+    async def read(self, table_store: store.TableStore) -> Reading:
         """Waits for a change, up to the timeout of the watch, and returns new values.
 
         The first call after ``reset`` does not wait and covers all keys.
@@ -106,7 +121,9 @@
         accepted = [value.key for value in values if self._offer_value(value, source)]
         if not accepted:
             return
-        extra = {"count": len(accepted), "keys": accepted[:LOGGED_KEYS_MAX], "source": source}
+        logged = accepted[:LOGGED_KEYS_MAX]
+        numbers = [self.store.revision_by_key[key].number for key in logged]
+        extra = {"count": len(accepted), "keys": logged, "numbers": numbers, "source": source}
         _log.info("table values in force", extra=extra)
         self.store.apply_accepted()
         self.changed_at = self._clock.monotonic()
@@ -258,7 +275,9 @@
                 await asyncio.sleep(ROLE_CHECK_INTERVAL_SECONDS)
                 continue
             try:
-                self._replicator.offer(await self._reader.read(self._replicator.store), "service")
+                reading = await self._reader.read(self._replicator.store)
+                self._replicator.offer(reading.values, "service")
+                self._replicator.store.record_listing(reading.listed_number)
                 self.has_read_all = True
                 self._must_read = False
                 self._on_read()
@@ -267,6 +286,17 @@
                 failures = 0
             except ConfigServiceError as error:
                 _log.warning("configuration service not read", extra={"error": str(error)})
-                delay = min(RETRY_MAX_SECONDS, self._retry_delay_seconds * 2**failures)
                 failures += 1
-                await asyncio.sleep(delay * random.uniform(0.75, 1.25))
+                await asyncio.sleep(self._retry_delay(failures))
+            except Exception:
+                # An error of the program must not end the loop: the instance would go on serving
+                # by tables that grow old.
+                _log.exception("reading of the configuration service failed")
+                self._reader.reset()
+                failures += 1
+                await asyncio.sleep(self._retry_delay(failures))
+
+    def _retry_delay(self, failures: int) -> float:
+        """Returns the delay before the next read, in seconds, after consecutive failures."""
+        delay = min(RETRY_MAX_SECONDS, self._retry_delay_seconds * 2 ** (failures - 1))
+        return delay * random.uniform(0.75, 1.25)
--- a/monsoonhoist/node/search.py
+++ b/monsoonhoist/node/search.py
@@ -5,7 +5,8 @@
 
 import msgspec
 
-from monsoonhoist.core import data, events
+from monsoonhoist import decoding, errors
+from monsoonhoist.core import data, events, exchange
 from monsoonhoist.node import backends, curl
 
 CANCEL_TIMEOUT = datetime.timedelta(seconds=1)
@@ -132,6 +133,10 @@
         """Returns None, since connections are opened only by calls."""
         return None
 
+    def read_report(self, reply: curl.HttpReply) -> exchange.ServerReport:
+        """Returns an empty report: what a server says of itself is in the body of its replies."""
+        return exchange.NO_REPORT
+
     def read_reply(
         self, command: events.StartCall, reply: curl.HttpReply
     ) -> events.CallReplied | events.CallFailed:
@@ -157,8 +162,8 @@
 
 def _read_results(call_id: int, body: bytes) -> events.CallReplied | events.CallFailed:
     try:
-        search_reply = msgspec.json.decode(body, type=SearchReply)
-    except msgspec.MsgspecError as error:
+        search_reply = decoding.decode_json(body, SearchReply)
+    except errors.MalformedInputError as error:
         _log.warning("malformed reply of a backend server", extra={"error": str(error)})
         return events.CallFailed(call_id, data.Refusal.BACKEND_ERROR, True)
     return events.CallReplied(
@@ -174,8 +179,8 @@
 def _read_refusal(call_id: int, body: bytes) -> events.CallFailed:
     """Returns a refusal; one without a known code does not prove that the request did not run."""
     try:
-        refusal = msgspec.json.decode(body, type=RefusalReply)
-    except msgspec.MsgspecError:
+        refusal = decoding.decode_json(body, RefusalReply)
+    except errors.MalformedInputError:
         return events.CallFailed(call_id, data.Refusal.BACKEND_ERROR, True)
     reason = _REFUSAL_BY_CODE.get(refusal.refused)
     if reason is None:
--- a/monsoonhoist/node/ticket_runner.py
+++ b/monsoonhoist/node/ticket_runner.py
@@ -4,6 +4,7 @@
 import itertools
 from collections.abc import Callable
 
+from monsoonhoist import errors
 from monsoonhoist.core import answer_builder, data, events, exchange, messages, tickets
 
 MS_PER_SECOND = 1000
@@ -14,6 +15,10 @@
 Send = Callable[[data.InstanceId, messages.Message], bool]
 
 
+class HolderLostError(errors.MonsoonError):
+    """The stream to the instance that holds a ticket was lost."""
+
+
 class TicketRunner:
     """Runs non-repeatable requests at the instance that issued their ticket, the holder.
 
@@ -91,7 +96,7 @@
         for forward_id, holder in self._holder_by_forward.items():
             future = self._future_by_forward[forward_id]
             if holder == instance and not future.done():
-                future.cancel()
+                future.set_exception(HolderLostError(instance))
 
     async def _run_once(
         self, ticket: tickets.Ticket, request: data.Request, remaining_ms: int
@@ -138,7 +143,7 @@
                 return self._make_unknown_answer(request, data.Refusal.TICKET_HOLDER_GONE, detail)
             timeout_seconds = remaining_ms / MS_PER_SECOND + FORWARD_MARGIN_SECONDS
             return await asyncio.wait_for(future, timeout_seconds)
-        except asyncio.CancelledError:
+        except HolderLostError:
             detail = "the stream to the instance that holds the ticket was lost"
             return self._make_unknown_answer(request, data.Refusal.TICKET_HOLDER_GONE, detail)
         except TimeoutError:
--- a/monsoonhoist/node/warmup.py
+++ b/monsoonhoist/node/warmup.py
@@ -2,12 +2,12 @@
 
 import asyncio
 import collections
+import functools
 import logging
 from collections.abc import Callable
 
-from monsoonhoist.core import data, events, warming
+from monsoonhoist.core import data, events, exchange, kernel, warming
 from monsoonhoist.node import backends, curl, task
-from monsoonhoist.policy import ownership
 
 # Interval between two connections. The instances of all cells start together; the interval
 # leaves the servers' slots free for callers' requests in between.
@@ -24,23 +24,26 @@
 
     Args:
         instance: This instance.
-        ownership_policy: Chooses the instances that call the servers of a shard.
+        local_kernel: Its kernel, which chooses the servers and may defer health checks.
         protocol: Protocol of the servers.
         driver: HTTP client.
+        report: Receives what servers say about themselves.
     """
 
     def __init__(
         self,
         instance: data.InstanceId,
-        ownership_policy: ownership.Ownership,
+        local_kernel: kernel.Kernel,
         protocol: backends.Protocol,
         driver: curl.CurlDriver,
+        report: Callable[[events.ServerReported], None],
     ):
         super().__init__()
         self._instance = instance
-        self._ownership_policy = ownership_policy
+        self._kernel = local_kernel
         self._protocol = protocol
         self._driver = driver
+        self._report = report
         self._selected_addresses: set[str] = set()
         self._pending_servers: collections.deque[data.Server] = collections.deque()
         self._task: asyncio.Task[None] | None = None
@@ -53,7 +56,7 @@
 
     def handle(self, message: events.ViewChanged) -> None:
         """Queues the servers that this instance is to call and has not connected to."""
-        servers = warming.servers_to_connect(message, self._instance, self._ownership_policy)
+        servers = warming.servers_to_connect(message, self._instance, self._kernel.ownership)
         self._pending_servers.extend(
             server for server in servers if server.address not in self._selected_addresses
         )
@@ -65,20 +68,19 @@
         while self._pending_servers:
             server = self._pending_servers.popleft()
             call = self._protocol.make_health_check(server)
-            if call is not None:
-                self._driver.start(call, _make_callback(server))
+            if call is not None and self._kernel.owner.reports.may_check(server):
+                self._driver.start(call, functools.partial(self._handle_reply, server))
                 await asyncio.sleep(CONNECT_SPACING_SECONDS)
 
+    def _handle_reply(self, server: data.Server, reply: curl.HttpReply) -> None:
+        """Reports what the server says about itself, or logs that the connection failed.
 
-def _make_callback(server: data.Server) -> Callable[[curl.HttpReply], None]:
-    """Returns a callback that logs a failed connection.
-
-    The failure is not recorded for the server, whose health depends on the owner's calls only.
-    """
-
-    def log_failure(reply: curl.HttpReply) -> None:
+        The failure is not recorded for the server, whose health depends on the owner's calls only.
+        """
         if not reply.status:
             extra = {"server": server.server_id, "error": reply.error}
             _log.info("connection not opened ahead", extra=extra)
-
-    return log_failure
+            return
+        report = self._protocol.read_report(reply)
+        if report != exchange.NO_REPORT:
+            self._report(events.ServerReported(server, report))
--- a/monsoonhoist/node/web.py
+++ b/monsoonhoist/node/web.py
@@ -5,7 +5,7 @@
 import msgspec
 from tornado import httpserver, web
 
-from monsoonhoist import errors, metrics
+from monsoonhoist import decoding, errors, metrics
 from monsoonhoist.core import answer_builder, data, retry_after
 from monsoonhoist.node import node, phases, status
 
@@ -13,6 +13,7 @@
 # Larger than any accepted body, so that the handler, not Tornado, refuses a body with a reason.
 SERVER_BODY_BYTES_MAX = 134_217_728
 IDLE_TIMEOUT_SECONDS = 60
+STATUS_INTERNAL_ERROR = 500
 
 _log = logging.getLogger(__name__)
 
@@ -55,8 +56,13 @@
 
     def write_error(self, status_code: int, **kwargs: object) -> None:
         """Sends an error of Tornado, or an uncaught exception, as an answer record."""
-        answer = data.Answer("", data.Outcome.NOT_RUN, data.Refusal.BAD_REQUEST, self._reason)
-        self.send_json(status_code, answer)
+        self.send_json(status_code, self.make_error_answer(status_code))
+
+    def make_error_answer(self, status_code: int) -> data.Answer:
+        """Returns the answer for an error, of which nothing has run."""
+        is_own_error = status_code >= STATUS_INTERNAL_ERROR
+        reason = data.Refusal.INTERNAL_ERROR if is_own_error else data.Refusal.BAD_REQUEST
+        return answer_builder.make_not_run("", reason, self._reason)
 
 
 @web.stream_request_body
@@ -67,6 +73,7 @@
         """Creates an empty body buffer."""
         super().initialize(local_node)
         self._body = bytearray()
+        self._may_have_run = False
 
     def prepare(self) -> None:
         """Refuses a request whose Content-Length exceeds the size limit."""
@@ -82,6 +89,13 @@
         if len(self._body) > self._node.config.limits.body_bytes:
             self._refuse_body()
 
+    def make_error_answer(self, status_code: int) -> data.Answer:
+        """Returns the answer for an error, which is unknown once the request has been started."""
+        if not self._may_have_run:
+            return super().make_error_answer(status_code)
+        detail = "the request may have run; an error of this instance lost its answer"
+        return answer_builder.make_unknown("", data.Refusal.INTERNAL_ERROR, detail)
+
     def refuse(self, request: data.Request, reason: data.Refusal, detail: str) -> None:
         """Sends, counts and logs an answer that says the request did not run."""
         answer = answer_builder.make_not_run(request.request_id, reason, detail)
@@ -99,7 +113,8 @@
         if answer.outcome is data.Outcome.NOT_RUN:
             status_code = _STATUS_BY_REFUSAL.get(answer.reason, status_code)
         if status_code in (429, 503):
-            seconds = retry_after.delay_seconds(answer.reason, answer.request_id)
+            key = answer.request_id or self._node.pending_queries.next_id()
+            seconds = retry_after.delay_seconds(answer.reason, key, answer.wait_ms / MS_PER_SECOND)
             self.set_header("Retry-After", str(max(1, round(seconds))))
         self.send_json(status_code, answer)
 
@@ -136,6 +151,7 @@
         if self._node.active >= self._node.config.limits.callers:
             self.refuse(request, data.Refusal.OVERLOAD, "too many requests at this instance")
         elif route is None or route.repeatable:
+            self._may_have_run = True
             respond = await self._node.pending_queries.start(
                 data.RouteId(route_id), request.to_caller_request()
             )
@@ -153,6 +169,7 @@
             self.refuse(request, data.Refusal.DEADLINE_OUT_OF_RANGE, detail)
             return
         remaining_ms = request.deadline_ms or limit_ms
+        self._may_have_run = True
         answer = await self._node.ticket_runner.run(route.route_id, request, remaining_ms)
         self.count_and_send(route.rank, answer)
 
@@ -218,8 +235,8 @@
         RequestError: If the body is malformed or ``limit`` is out of range.
     """
     try:
-        request = msgspec.json.decode(body, type=data.Request)
-    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
+        request = decoding.decode_json(body, data.Request)
+    except errors.MalformedInputError as error:
         raise errors.RequestError(data.Refusal.BAD_REQUEST, f"malformed body: {error}") from error
     if not 1 <= request.limit <= results_max:
         detail = f"limit must be from 1 to {results_max}"
--- a/monsoonhoist/platform/backend_protocol.py
+++ b/monsoonhoist/platform/backend_protocol.py
@@ -1,6 +1,7 @@
 """HTTP protocol for calls to the platform's backend servers."""
 
 import datetime
+import re
 
 from monsoonhoist.core import data, events, exchange
 from monsoonhoist.node import backends, curl
@@ -10,6 +11,11 @@
 EMPTY_KEY_RANGE = data.KeyRange(0, 0)
 STATUS_MISDIRECTED = 421
 STATUS_SERVER_ERROR = 500
+STATUS_UNAVAILABLE = 503
+# Numbers of the load: running requests, waiting requests, slots and, from some servers, the pace.
+LOAD_FIELDS_MIN = 3
+LOAD_FIELDS_MAX = 4
+_COUNT_PATTERN = re.compile(r"[0-9]{1,9}")
 # Headers that curl adds by default. They are suppressed unless the caller sent them.
 CURL_DEFAULT_HEADERS = ("Accept", "User-Agent", "Content-Type", "Expect")
 # Header fields of a response that are not forwarded to the caller, in lower case.
@@ -69,6 +75,15 @@
             headers=tuple(f"{name}:" for name in CURL_DEFAULT_HEADERS),
         )
 
+    def read_report(self, reply: curl.HttpReply) -> exchange.ServerReport:
+        """Returns what a server says about itself in the headers of a response."""
+        leaving = _find_header(reply.headers, wire_names.LEAVING_HEADER)
+        return exchange.ServerReport(
+            is_leaving=leaving is not None and leaving.value == wire_names.LEAVING_VALUE,
+            wait_seconds=_parse_wait_seconds(reply),
+            load=_parse_load(reply),
+        )
+
     def read_reply(
         self, command: events.StartCall, reply: curl.HttpReply
     ) -> events.CallReplied | events.CallFailed:
@@ -78,23 +93,26 @@
         is a failure if the response would be merged or the server itself failed; otherwise the
         response is forwarded to the caller.
         """
+        report = self.read_report(reply)
         if not reply.status:
-            return _make_transport_failure(command.call_id, reply)
+            return _make_transport_failure(command.call_id, reply, report)
         if (
             _find_header(reply.headers, wire_names.NOT_RUN_HEADER) is not None
             or reply.status == STATUS_MISDIRECTED
         ):
-            return _make_refusal(command.call_id, reply)
+            return _make_refusal(command.call_id, reply, report)
         proof = _find_header(reply.headers, wire_names.PROOF_HEADER)
         is_encoded = _find_header(reply.headers, "Content-Encoding") is not None
         if proof is None or is_encoded:
             reason = data.Refusal.MALFORMED_REPLY
-            return events.CallFailed(command.call_id, reason, True)
+            return events.CallFailed(command.call_id, reason, True, report=report)
         is_forwarded = command.query.passes_response
         response = exchange.Response(reply.status, _forwarded_headers(reply.headers), reply.body)
         if reply.status // 100 != 2 and (not is_forwarded or reply.status >= STATUS_SERVER_ERROR):
             reason = data.Refusal.BACKEND_ERROR
-            return events.CallFailed(command.call_id, reason, True, response=response)
+            return events.CallFailed(
+                command.call_id, reason, True, response=response, report=report
+            )
         return events.CallReplied(
             call_id=command.call_id,
             snapshot=command.snapshot,
@@ -104,34 +122,59 @@
             draining=False,
             proof=proof.value,
             response=response if is_forwarded else None,
+            report=report,
         )
 
 
-def _make_transport_failure(call_id: int, reply: curl.HttpReply) -> events.CallFailed:
-    """Returns the failure of a call without a complete response."""
+def _make_transport_failure(
+    call_id: int, reply: curl.HttpReply, report: exchange.ServerReport
+) -> events.CallFailed:
+    """Returns the failure of a call without a complete response.
+
+    The headers that did arrive are believed, unless they belong to another request.
+    """
     if reply.is_foreign:
         return events.CallFailed(call_id, data.Refusal.MALFORMED_REPLY, True)
     if not reply.sent:
         reason = data.Refusal.TIMEOUT if reply.timed_out else data.Refusal.CONNECT_FAILED
         return events.CallFailed(call_id, reason, False)
     reason = data.Refusal.TIMEOUT if reply.timed_out else data.Refusal.CONNECTION_LOST
-    return events.CallFailed(call_id, reason, True)
+    return events.CallFailed(call_id, reason, True, report=report)
 
 
-def _make_refusal(call_id: int, reply: curl.HttpReply) -> events.CallFailed:
+def _make_refusal(
+    call_id: int, reply: curl.HttpReply, report: exchange.ServerReport
+) -> events.CallFailed:
     """Returns the failure of a call whose response proves that nothing was run."""
-    is_misdirected = reply.status == STATUS_MISDIRECTED
-    reason = data.Refusal.WRONG_SERVER if is_misdirected else data.Refusal.SHED
-    return events.CallFailed(call_id, reason, False, load=_parse_load(reply))
+    if reply.status == STATUS_MISDIRECTED:
+        # Another server has the address now, and the headers describe that one.
+        return events.CallFailed(call_id, data.Refusal.WRONG_SERVER, False)
+    return events.CallFailed(call_id, data.Refusal.SHED, False, report=report)
 
 
 def _parse_load(reply: curl.HttpReply) -> exchange.Load | None:
-    """Returns the load that the server reports, or None without a valid header."""
+    """Returns the load that the server reports, or None without a valid header.
+
+    The header has three numbers or more; those after the fourth are ignored.
+    """
     header = _find_header(reply.headers, wire_names.LOAD_HEADER)
-    fields = header.value.split(",") if header is not None else []
-    if len(fields) != 3 or not all(field.strip().isdecimal() for field in fields):
+    fields = header.value.split(",")[:LOAD_FIELDS_MAX] if header is not None else []
+    numbers = [field.strip() for field in fields]
+    if len(numbers) < LOAD_FIELDS_MIN or not all(map(_COUNT_PATTERN.fullmatch, numbers)):
         return None
-    return exchange.Load(*(int(field) for field in fields))
+    return exchange.Load(*(int(number) for number in numbers))
+
+
+def _parse_wait_seconds(reply: curl.HttpReply) -> float:
+    """Returns how long a server that is full wants nothing; 0 without a valid header."""
+    header = _find_header(reply.headers, wire_names.WAIT_HEADER)
+    if reply.status != STATUS_UNAVAILABLE or header is None:
+        return 0.0
+    try:
+        seconds = float(header.value)
+    except ValueError:
+        return 0.0
+    return seconds if seconds > 0.0 else 0.0
 
 
 def _split_records(body: bytes) -> tuple[bytes, ...]:
--- a/monsoonhoist/platform/callers.py
+++ b/monsoonhoist/platform/callers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import re
 
 import msgspec
 from tornado import httpserver, httputil, iostream
@@ -14,6 +15,7 @@
 
 HEADER_BYTES_MAX = 65_536
 BODY_BYTES_MAX = 16_777_216
+MS_PER_SECOND = 1000
 STATUS_OK = 200
 STATUS_BAD_REQUEST = 400
 STATUS_NOT_FOUND = 404
@@ -28,6 +30,9 @@
     wire_names.SERVER_ID_HEADER.lower(),
 }
 
+# A longer number exceeds any route's deadline, which then applies.
+_DEADLINE_PATTERN = re.compile(r"[0-9]{1,15}")
+
 _log = logging.getLogger(__name__)
 
 
@@ -74,7 +79,7 @@
         request = exchange.CallerRequest(
             request_id=request_id,
             content=self._make_http_request(),
-            deadline_ms=_parse_deadline_ms(self._headers),
+            deadline_ms=parse_deadline_ms(self._headers),
             is_clamped=True,
         )
         self._answer_future = self._node.pending_queries.start(route.route_id, request)
@@ -97,7 +102,8 @@
 
     def _refuse(self, answer: data.Answer) -> None:
         self._node.pending_queries.record_refusal(answer)
-        self._send(make_response(events.Respond(data.QueryId(""), answer)))
+        query_id = self._node.pending_queries.next_id()
+        self._send(make_response(events.Respond(query_id, answer)))
 
     def _handle_answer(
         self, route: data.Route, answer_future: asyncio.Future[events.Respond]
@@ -217,8 +223,12 @@
     status = _failure_status(answer)
     headers = (exchange.Header("Content-Type", "text/plain"),)
     if answer.outcome is data.Outcome.NOT_RUN and status == STATUS_UNAVAILABLE:
-        seconds = f"{retry_after.delay_seconds(answer.reason, answer.request_id):.3f}"
-        headers = (*headers, exchange.Header("Retry-After", seconds))
+        seconds = retry_after.delay_seconds(
+            answer.reason,
+            answer.request_id or command.query_id,
+            answer.wait_ms / MS_PER_SECOND,
+        )
+        headers = (*headers, exchange.Header("Retry-After", f"{seconds:.3f}"))
     reason = answer.reason.value if answer.reason else ""
     return exchange.Response(status, headers, f"{reason}\n".encode())
 
@@ -251,7 +261,7 @@
     return STATUS_TIMEOUT if answer.reason is data.Refusal.TIMEOUT else STATUS_BAD_GATEWAY
 
 
-def _parse_deadline_ms(headers: httputil.HTTPHeaders) -> int:
+def parse_deadline_ms(headers: httputil.HTTPHeaders) -> int:
     """Returns the caller's deadline in milliseconds from now; 0 without a valid header."""
     text = headers.get(wire_names.DEADLINE_HEADER, "")
-    return int(text) if text.isdecimal() else 0
+    return int(text) if _DEADLINE_PATTERN.fullmatch(text) else 0
--- a/monsoonhoist/platform/reader.py
+++ b/monsoonhoist/platform/reader.py
@@ -5,14 +5,13 @@
 
 import asyncio
 import base64
-import binascii
 import datetime
 import logging
 import urllib.parse
 
 import msgspec
 
-from monsoonhoist import metrics
+from monsoonhoist import decoding, errors, metrics
 from monsoonhoist.core import data, messages
 from monsoonhoist.node import curl, replication
 from monsoonhoist.platform import wire_names
@@ -84,7 +83,7 @@
         self._revision_by_prefix: dict[str, int] = {}
         self._watch_task_by_prefix: dict[str, asyncio.Task[WatchReply]] = {}
 
-    async def read(self, table_store: store.TableStore) -> tuple[messages.TableValue, ...]:
+    async def read(self, table_store: store.TableStore) -> replication.Reading:
         """Returns new values; a removed item has an empty value.
 
         The first reading covers all keys. Later ones wait until a watch ends. If the store no
@@ -118,7 +117,7 @@
             task.cancel()
         self._watch_task_by_prefix.clear()
 
-    async def _read_all(self, table_store: store.TableStore) -> tuple[messages.TableValue, ...]:
+    async def _read_all(self, table_store: store.TableStore) -> replication.Reading:
         """Reads all items; server keys that the store no longer has get empty values."""
         values: list[messages.TableValue] = []
         for prefix in wire_names.WATCHED_KEY_PREFIXES:
@@ -133,7 +132,8 @@
             ]
             self._revision_by_prefix[prefix] = revision
             values += [*listed_values, *removed]
-        return tuple(values)
+        listed_number = min(self._revision_by_prefix.values())
+        return replication.Reading(tuple(values), listed_number)
 
     async def _read_range(self, prefix: str) -> tuple[list[messages.TableValue], int]:
         """Returns the items with a prefix, and the revision to watch from.
@@ -154,7 +154,7 @@
                 return values, revision
             after = page.items[-1].key
 
-    async def _wait_for_changes(self) -> tuple[messages.TableValue, ...]:
+    async def _wait_for_changes(self) -> replication.Reading:
         """Waits until the watch of any prefix ends, and returns the changes that it reported."""
         for prefix in wire_names.WATCHED_KEY_PREFIXES:
             if prefix not in self._watch_task_by_prefix:
@@ -168,7 +168,7 @@
                 reply = task.result()
                 self._revision_by_prefix[prefix] = reply.current_rev
                 values += [_make_table_value(item) for item in reply.events]
-        return tuple(values)
+        return replication.Reading(tuple(values))
 
     async def _watch_once(self, prefix: str) -> WatchReply:
         """Waits for the settle delay and then for changes of keys with a prefix."""
@@ -213,8 +213,8 @@
 
 def _decode(body: bytes, reply_type: type) -> object:
     try:
-        return msgspec.json.decode(body, type=reply_type)
-    except msgspec.MsgspecError as error:
+        return decoding.decode_json(body, reply_type)
+    except errors.MalformedInputError as error:
         raise replication.ConfigServiceError(f"malformed reply of the store: {error}") from error
 
 
@@ -224,6 +224,7 @@
     if not item.removed:
         try:
             text = base64.b64decode(item.value).decode()
-        except (binascii.Error, UnicodeDecodeError) as error:
+        # The base class of the errors of base64 and of UTF-8.
+        except ValueError as error:
             _log.error("item that cannot be read", extra={"key": item.key, "error": str(error)})
     return messages.TableValue(data.TableKey(item.key), item.rev, text)
--- a/monsoonhoist/platform/store_format.py
+++ b/monsoonhoist/platform/store_format.py
@@ -5,109 +5,15 @@
 
 import msgspec
 
-from monsoonhoist.core import data, hashing
-from monsoonhoist.platform import wire_names
+from monsoonhoist import decoding, errors
+from monsoonhoist.core import data, diagnostics, hashing
+from monsoonhoist.platform import store_records, wire_names
 from monsoonhoist.tables import store
 
 # Rank of a route by its priority, which starts at 0 for the most urgent.
 RANK_BY_PRIORITY = data.RANK_ORDER
 # Name of the policy that merges the results of gathered requests.
 MERGE_POLICY = "greatest-records"
-# Connection limit of a server whose service defines none.
-UNLIMITED_CONNECTIONS = 10_000
-
-
-class SplitConfig(msgspec.Struct, frozen=True, rename="pascal"):
-    """A service that receives a share of a route's requests, in proportion to its weight."""
-
-    service: str
-    weight: float
-
-
-class RouteConfig(msgspec.Struct, frozen=True, rename="pascal"):
-    """A route of the configuration.
-
-    Attributes:
-        name: Name of the route.
-        host: Host of its requests.
-        prefix: Path prefix of its requests.
-        type: ``idempotent`` if a request may be repeated. Gathered requests always may.
-        timeout_ms: Deadline, in milliseconds.
-        goal_ms: Latency goal, in milliseconds; 0 for none.
-        priority: Urgency, from 0 for the most urgent.
-        attempts: Largest number of backend servers that one request may be sent to, for each shard.
-        service: Service that runs the requests, unless ``split`` or ``gather`` names services.
-        split: Services among which the requests are divided.
-        gather: Services that each receive every request, as shards whose results are merged.
-        top_k: Number of merged results.
-        min_shard_share: Smallest share of the shards that a merged answer may include.
-    """
-
-    name: str
-    host: str
-    prefix: str
-    type: str
-    timeout_ms: float
-    goal_ms: float = 0.0
-    priority: int = 0
-    attempts: int = 1
-    service: str = ""
-    split: tuple[SplitConfig, ...] = ()
-    gather: tuple[str, ...] = ()
-    top_k: int = 0
-    min_shard_share: float = 0.0
-
-
-class ServiceConfig(msgspec.Struct, frozen=True, rename="pascal"):
-    """A service of the configuration.
-
-    Attributes:
-        name: Name of the service.
-        max_conns: Number of connections that each of its servers accepts.
-        health_path: Path of the health check; empty for none.
-    """
-
-    name: str
-    max_conns: int = UNLIMITED_CONNECTIONS
-    health_path: str = ""
-
-
-class LimitsConfig(msgspec.Struct, frozen=True, rename="pascal"):
-    """Limits for callers' requests and connections, in bytes and milliseconds; not used."""
-
-    max_header_bytes: int = 0
-    max_body_bytes: int = 0
-    header_timeout_ms: float = 0
-    idle_timeout_ms: float = 0
-
-
-class ConfigValue(msgspec.Struct, frozen=True, rename="pascal"):
-    """The configuration, which operators write as one value."""
-
-    version: int
-    routes: tuple[RouteConfig, ...]
-    services: tuple[ServiceConfig, ...] = ()
-    limits: LimitsConfig = LimitsConfig()
-
-
-class ServerValue(msgspec.Struct, frozen=True, rename="pascal"):
-    """The value of the item that a backend server publishes about itself.
-
-    Attributes:
-        service: Service that the server belongs to.
-        addr: ``host:port`` of its HTTP interface.
-        zone: Availability zone.
-        slots: Number of requests that it processes concurrently.
-        state: ``ready`` or ``draining``.
-        warmup_left_ms: Remaining time of its warm-up, in milliseconds, which is not used.
-    """
-
-    service: str
-    addr: str
-    zone: str
-    slots: int
-    state: str
-    warmup_left_ms: float = 0
 
 
 class PlatformFormat(store.TableFormat):
@@ -121,7 +27,7 @@
 
     def __init__(self, hedge_budget: float):
         self._hedge_budget = hedge_budget
-        self._config_by_service_name: dict[str, ServiceConfig] = {}
+        self._config_by_service_name: dict[str, store_records.ServiceConfig] = {}
         self._keys_by_service: dict[data.ServiceId, set[data.TableKey]] = {}
 
     def parse(self, key: data.TableKey, file: str, text: str) -> store.ParsedValue:
@@ -131,9 +37,11 @@
         if key != wire_names.CONFIG_KEY:
             return store.ParsedValue(())
         try:
-            return store.ParsedValue((), msgspec.json.decode(text, type=ConfigValue))
-        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-            return store.ParsedValue((data.Finding(data.Place(file), str(error)),))
+            config = decoding.decode_json(text, store_records.ConfigValue)
+        except errors.MalformedInputError as error:
+            return store.ParsedValue((diagnostics.Finding(diagnostics.Place(file), str(error)),))
+        findings = tuple(store_records.find_config_problems(file, config))
+        return store.ParsedValue(findings, None if findings else config)
 
     def update_tables(
         self,
@@ -147,7 +55,7 @@
         pools remain the same objects.
         """
         config = content_by_key.get(wire_names.CONFIG_KEY)
-        if not isinstance(config, ConfigValue):
+        if not isinstance(config, store_records.ConfigValue):
             return tables
         if wire_names.CONFIG_KEY in changed_keys or not tables.pool_by_id:
             self._keys_by_service = _group_keys(content_by_key)
@@ -163,7 +71,7 @@
         return data.Tables(tables.route_by_id, pool_by_id)
 
     def _build_tables(
-        self, config: ConfigValue, content_by_key: Mapping[data.TableKey, object]
+        self, config: store_records.ConfigValue, content_by_key: Mapping[data.TableKey, object]
     ) -> data.Tables:
         """Builds all routes and pools."""
         self._config_by_service_name = {
@@ -248,35 +156,39 @@
     """Parses a server's value; a malformed one is accepted with a warning and defines no server."""
     if not text:
         return store.ParsedValue(())
+    server_id = key.removeprefix(wire_names.SERVER_KEY_PREFIX)
     try:
-        server_value = msgspec.json.decode(text, type=ServerValue)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        return store.ParsedValue((), None, (data.Finding(data.Place(file), str(error)),))
-    if server_value.state not in ("ready", "draining"):
-        finding = data.Finding(data.Place(file), f"unknown state {server_value.state!r}")
-        return store.ParsedValue((), None, (finding,))
+        server_value = decoding.decode_json(text, store_records.ServerValue)
+        problem = store_records.find_server_problem(server_id, server_value)
+    except errors.MalformedInputError as error:
+        problem = str(error)
+    if problem is not None:
+        return store.ParsedValue((), None, (diagnostics.Finding(diagnostics.Place(file), problem),))
     server = data.Server(
-        server_id=data.ServerId(key.removeprefix(wire_names.SERVER_KEY_PREFIX)),
+        server_id=data.ServerId(server_id),
         service=data.ServiceId(server_value.service),
         address=server_value.addr,
         zone=data.ZoneId(server_value.zone),
         slots=max(1, server_value.slots),
-        connections=UNLIMITED_CONNECTIONS,
+        connections=store_records.UNLIMITED_CONNECTIONS,
         leaving=server_value.state == "draining",
+        incarnation=server_value.born,
     )
     return store.ParsedValue((), server)
 
 
-def _apply_service_config(server: data.Server, service_config: ServiceConfig | None) -> data.Server:
+def _apply_service_config(
+    server: data.Server, service_config: store_records.ServiceConfig | None
+) -> data.Server:
     """Returns a server with its service's connection limit and health check path."""
     if service_config is None:
         return server
     return msgspec.structs.replace(
-        server, connections=service_config.max_conns, health_path=service_config.health_path
+        server, connections=max(1, service_config.max_conns), health_path=service_config.health_path
     )
 
 
-def _service_sets(route_config: RouteConfig) -> Iterable[tuple[str, ...]]:
+def _service_sets(route_config: store_records.RouteConfig) -> Iterable[tuple[str, ...]]:
     """Returns the sets of services of a route; each request is sent to one of the sets.
 
     A route with ``gather`` has one set, in which each service is a shard and receives a
@@ -314,7 +226,7 @@
     )
 
 
-def _make_route(route_config: RouteConfig, hedge_budget: float) -> data.Route:
+def _make_route(route_config: store_records.RouteConfig, hedge_budget: float) -> data.Route:
     is_gathered = bool(route_config.gather)
     pools = [_make_pool_id(services, is_gathered) for services in _service_sets(route_config)]
     return data.Route(
--- a/monsoonhoist/platform/wire_names.py
+++ b/monsoonhoist/platform/wire_names.py
@@ -10,9 +10,14 @@
 PROOF_HEADER = "X-Server-Stamp"
 PROOFS_HEADER = "X-Part-Stamps"
 MISSING_SHARDS_HEADER = "X-Missing-Parts"
-# Headers of a backend server that refused a request without running any of it, and its load.
+# Header of a backend server that refused a request without running any of it.
 NOT_RUN_HEADER = "X-Not-Run"
+# Headers in which a backend server describes itself: its load, that it is leaving, and, in a
+# refusal, for how many seconds it is to receive nothing.
 LOAD_HEADER = "X-Backend-Load"
+LEAVING_HEADER = "Server-Leaving"
+LEAVING_VALUE = "1"
+WAIT_HEADER = "Retry-After"
 
 READY_PATH = "/api/ready"
 RANGE_PATH = "/api/kv-range"
--- a/monsoonhoist/settings.py
+++ b/monsoonhoist/settings.py
@@ -11,12 +11,13 @@
 
 import msgspec
 
-from monsoonhoist import errors
-from monsoonhoist.core import budget, data, kernel, kernel_config, watcher_selection
+from monsoonhoist import addresses, errors
+from monsoonhoist.core import budget, data, diagnostics, kernel, kernel_config, watcher_selection
 from monsoonhoist.policy import registry
 from monsoonhoist.tables import ini
 
-_OPTIONAL_ADDRESS_PATTERN = r"^([0-9.]+:[0-9]{1,5})?$"
+# Bounds of periods and timeouts that must not be 0.
+_Period = ini.bounded_milliseconds(1, 3_600_000)
 
 
 class InstanceSection(ini.Model):
@@ -52,17 +53,19 @@
     dialect: Annotated[str, msgspec.Meta(pattern=r"^(native|platform)$")] = "native"
     config_url: Annotated[str, msgspec.Meta(pattern=r"^(https?://.*)?$")] = ""
     instances_url: Annotated[str, msgspec.Meta(pattern=r"^(https?://.*)?$")] = ""
-    store: Annotated[str, msgspec.Meta(pattern=_OPTIONAL_ADDRESS_PATTERN)] = ""
+    store: str = ""
     seeds: Annotated[str, msgspec.Meta(pattern=r"^[0-9.:, ]*$")] = ""
 
     def problems(self) -> tuple[ini.Problem, ...]:
-        """Returns an error for each address that the dialect requires and that is missing."""
+        """Returns an error for each address that is required and missing, or that is invalid."""
         needed = ("config_url", "instances_url") if self.dialect == "native" else ("store",)
-        return tuple(
+        missing = tuple(
             ini.Problem(name, f"required with dialect = {self.dialect}")
             for name in needed
             if not getattr(self, name)
         )
+        store_problem = addresses.find_problem(self.store) if self.store else None
+        return missing + ((ini.Problem("store", store_problem),) if store_problem else ())
 
     def seed_hosts(self) -> tuple[str, ...]:
         """Returns the IP addresses of the seeds."""
@@ -78,9 +81,17 @@
         control: Server for operators, with the status and the metrics.
     """
 
-    callers: Annotated[str, msgspec.Meta(pattern=_OPTIONAL_ADDRESS_PATTERN)] = ""
-    ready: Annotated[str, msgspec.Meta(pattern=_OPTIONAL_ADDRESS_PATTERN)] = ""
-    control: Annotated[str, msgspec.Meta(pattern=_OPTIONAL_ADDRESS_PATTERN)] = ""
+    callers: str = ""
+    ready: str = ""
+    control: str = ""
+
+    def problems(self) -> tuple[ini.Problem, ...]:
+        """Returns an error for each invalid address."""
+        return _find_address_problems(self)
+
+    def missing(self) -> tuple[str, ...]:
+        """Returns the names of the addresses that are not set."""
+        return tuple(name for name in self.__struct_fields__ if not getattr(self, name))
 
 
 class ExtraCallsSection(ini.Model):
@@ -98,8 +109,8 @@
     """
 
     ratio: Annotated[float, msgspec.Meta(ge=0, le=1)] = 0.05
-    allowance: Annotated[float, msgspec.Meta(ge=0)] = 40.0
-    window_seconds: Annotated[float, msgspec.Meta(gt=0)] = 10.0
+    allowance: Annotated[float, msgspec.Meta(ge=0, le=1_000_000)] = 40.0
+    window_seconds: Annotated[float, msgspec.Meta(gt=0, le=3600)] = 10.0
     refusals_cost: bool = False
     hedges_use_allowance: bool = False
     finish_latencies: Annotated[float, msgspec.Meta(ge=0, le=100)] = 0.0
@@ -111,8 +122,8 @@
     Attributes:
         body_bytes: Largest body of a caller's request; native dialect only.
         frame_bytes: Largest message from another instance.
-        stream_buffer_bytes: Most received bytes buffered on a stream between instances; bytes to
-            be sent are not limited.
+        stream_buffer_bytes: Most bytes buffered on a stream between instances, for each direction;
+            a stream with more is closed and opened again.
         callers: Number of requests and calls in flight at which queries are refused; a request
             counts once in each task that holds it; native dialect only.
         results: Most results that a caller may request; native dialect only.
@@ -153,19 +164,19 @@
             tables again.
     """
 
-    heartbeat_ms: datetime.timedelta = datetime.timedelta(milliseconds=200)
-    silence_ms: datetime.timedelta = datetime.timedelta(milliseconds=800)
-    backend_connect_ms: datetime.timedelta = datetime.timedelta(milliseconds=150)
+    heartbeat_ms: _Period = datetime.timedelta(milliseconds=200)
+    silence_ms: _Period = datetime.timedelta(milliseconds=800)
+    backend_connect_ms: _Period = datetime.timedelta(milliseconds=150)
     backend_idle_ms: datetime.timedelta = datetime.timedelta(seconds=30)
-    instances_poll_ms: datetime.timedelta = datetime.timedelta(seconds=1)
-    watch_ms: datetime.timedelta = datetime.timedelta(seconds=10)
+    instances_poll_ms: _Period = datetime.timedelta(seconds=1)
+    watch_ms: _Period = datetime.timedelta(seconds=10)
     watch_settle_ms: datetime.timedelta = datetime.timedelta(0)
-    service_retry_ms: datetime.timedelta = datetime.timedelta(milliseconds=500)
+    service_retry_ms: _Period = datetime.timedelta(milliseconds=500)
     balancer_lag_ms: datetime.timedelta = datetime.timedelta(seconds=2)
     drain_max_ms: datetime.timedelta = datetime.timedelta(seconds=60)
-    pause_ms: datetime.timedelta = datetime.timedelta(milliseconds=500)
-    caller_body_ms: datetime.timedelta = datetime.timedelta(seconds=5)
-    caller_idle_ms: datetime.timedelta = datetime.timedelta(seconds=75)
+    pause_ms: _Period = datetime.timedelta(milliseconds=500)
+    caller_body_ms: _Period = datetime.timedelta(seconds=5)
+    caller_idle_ms: _Period = datetime.timedelta(seconds=75)
     leaving_grace_ms: datetime.timedelta = datetime.timedelta(0)
     hold_after_pause: bool = True
 
@@ -266,7 +277,7 @@
         )
 
 
-def parse(file: str, text: str) -> tuple[Settings | None, tuple[data.Finding, ...]]:
+def parse(file: str, text: str) -> tuple[Settings | None, tuple[diagnostics.Finding, ...]]:
     """Parses and validates settings.
 
     Args:
@@ -288,17 +299,38 @@
             if model is not None:
                 model_by_name[name] = model
         elif field.required and not source.findings:
-            place = data.Place(file, name)
-            findings.append(data.Finding(place, f"the section [{name}] is missing"))
+            place = diagnostics.Place(file, name)
+            findings.append(diagnostics.Finding(place, f"the section [{name}] is missing"))
     for name, section in source.section_by_name.items():
         if name not in field_by_name:
-            place = data.Place(file, name, section.line)
-            findings.append(data.Finding(place, "no such section"))
+            place = diagnostics.Place(file, name, section.line)
+            findings.append(diagnostics.Finding(place, "no such section"))
+    if not findings and model_by_name["platform"].dialect == "platform":
+        findings.extend(_find_missing_addresses(file, model_by_name.get("listen", ListenSection())))
     if findings:
         return None, tuple(findings)
     return Settings(**model_by_name), ()
 
 
+def _find_missing_addresses(file: str, listen: ListenSection) -> list[diagnostics.Finding]:
+    """Returns a finding for each address that the dialect ``platform`` requires."""
+    place = diagnostics.Place(file, "listen")
+    return [
+        diagnostics.Finding(place, f"{name}: required with dialect = platform")
+        for name in listen.missing()
+    ]
+
+
+def _find_address_problems(section: ListenSection) -> tuple[ini.Problem, ...]:
+    """Returns an error for each address that is set and invalid."""
+    problem_by_name = {
+        name: addresses.find_problem(getattr(section, name))
+        for name in section.__struct_fields__
+        if getattr(section, name)
+    }
+    return tuple(ini.Problem(name, problem) for name, problem in problem_by_name.items() if problem)
+
+
 def load(path: pathlib.Path) -> Settings:
     """Reads settings from a file.
 
@@ -308,7 +340,7 @@
     try:
         text = path.read_text(encoding="utf-8")
     except (OSError, UnicodeDecodeError) as error:
-        finding = data.Finding(data.Place(str(path)), f"cannot be read: {error}")
+        finding = diagnostics.Finding(diagnostics.Place(str(path)), f"cannot be read: {error}")
         raise errors.SettingsError((finding,)) from error
     settings, findings = parse(str(path), text)
     if settings is None:
--- a/monsoonhoist/tables/ini.py
+++ b/monsoonhoist/tables/ini.py
@@ -12,9 +12,10 @@
 
 import msgspec
 
-from monsoonhoist.core import data
+from monsoonhoist.core import diagnostics
 
-_SECTION_PATTERN = re.compile(r"^\[(?P<name>[^\]]+)\]")
+# The same pattern as that of ``configparser``.
+_SECTION_PATTERN = re.compile(r"^\[(?P<name>.+)\]")
 _OPTION_PATTERN = re.compile(r"^(?P<name>[^\s:=#;][^:=]*?)\s*[:=]")
 
 ModelT = TypeVar("ModelT", bound="Model")
@@ -27,6 +28,10 @@
     high_ms: int
 
 
+# Bounds of each duration, unless its annotation has narrower ones. The upper bound is one day.
+ANY_DURATION = Bounds(0, 86_400_000)
+
+
 def bounded_milliseconds(low_ms: int, high_ms: int) -> object:
     """Returns the annotation of a duration from ``low_ms`` to ``high_ms``, both included."""
     return Annotated[datetime.timedelta, Bounds(low_ms, high_ms)]
@@ -82,7 +87,7 @@
 
     file: str
     section_by_name: dict[str, Section]
-    findings: tuple[data.Finding, ...]
+    findings: tuple[diagnostics.Finding, ...]
 
 
 def read(file: str, text: str) -> Source:
@@ -101,18 +106,21 @@
     try:
         parser.read_string(text, source=file)
     except configparser.Error as error:
-        place = data.Place(file, getattr(error, "section", ""), _error_line(error))
+        place = diagnostics.Place(file, getattr(error, "section", ""), _error_line(error))
         message = error.message.replace("\n", " ")
-        return Source(file, {}, (data.Finding(place, message),))
-    section_by_name = _find_sections(text)
-    for name in section_by_name:
-        section_by_name[name].value_by_option.update(parser.items(name))
+        return Source(file, {}, (diagnostics.Finding(place, message),))
+    found_by_name = _find_sections(text)
+    section_by_name: dict[str, Section] = {}
+    for name in parser.sections():
+        section = found_by_name.get(name, Section(name, 0, {}, {}))
+        section.value_by_option.update(parser.items(name))
+        section_by_name[name] = section
     return Source(file, section_by_name, ())
 
 
 def check(
     source: Source, section: Section, model_class: type[ModelT]
-) -> tuple[ModelT | None, list[data.Finding]]:
+) -> tuple[ModelT | None, list[diagnostics.Finding]]:
     """Validates a section against a model.
 
     Args:
@@ -135,7 +143,7 @@
             continue
         try:
             value_by_option[field.name] = _convert(text, types[field.name])
-        except (ValueError, msgspec.ValidationError) as error:
+        except (ValueError, OverflowError, msgspec.ValidationError) as error:
             problems.append(Problem(field.name, str(error)))
     unknown = [option for option in section.value_by_option if option not in types]
     problems += [Problem(option, "no such option") for option in unknown]
@@ -160,11 +168,11 @@
         return _parse_boolean(text)
     if not _is_duration(annotation):
         return msgspec.convert(text, annotation, strict=False, dec_hook=_construct)
-    duration = datetime.timedelta(milliseconds=int(text))
-    for bounds in _find_bounds(annotation):
-        if not bounds.low_ms <= int(text) <= bounds.high_ms:
+    milliseconds = int(text)
+    for bounds in (*_find_bounds(annotation), ANY_DURATION):
+        if not bounds.low_ms <= milliseconds <= bounds.high_ms:
             raise ValueError(f"must be from {bounds.low_ms} to {bounds.high_ms}")
-    return duration
+    return datetime.timedelta(milliseconds=milliseconds)
 
 
 def _construct(target_type: type, text: str) -> object:
@@ -199,11 +207,13 @@
         yield from _find_bounds(part)
 
 
-def _make_finding(source: Source, section: Section, problem: Problem) -> data.Finding:
+def _make_finding(source: Source, section: Section, problem: Problem) -> diagnostics.Finding:
     """Converts a problem to a finding with its place in the source."""
     line = section.line_by_option.get(problem.option, section.line)
     prefix = f"{problem.option}: " if problem.option else ""
-    return data.Finding(data.Place(source.file, section.name, line), f"{prefix}{problem.message}")
+    return diagnostics.Finding(
+        diagnostics.Place(source.file, section.name, line), f"{prefix}{problem.message}"
+    )
 
 
 def _find_sections(text: str) -> dict[str, Section]:
@@ -221,6 +231,8 @@
 
 def _error_line(error: configparser.Error) -> int:
     """Returns the first line number in an error of the parser, or 0 if it has none."""
-    if isinstance(error, configparser.ParsingError) and error.errors:
-        return error.errors[0][0]
+    # Only some of the parser's errors list several lines, and only some of the others have a line.
+    line_errors = getattr(error, "errors", None)
+    if line_errors:
+        return line_errors[0][0]
     return getattr(error, "lineno", None) or 0
--- a/monsoonhoist/tables/native.py
+++ b/monsoonhoist/tables/native.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Collection, Mapping
 
-from monsoonhoist.core import data
+from monsoonhoist.core import data, diagnostics
 from monsoonhoist.tables import pools, routes, store
 
 
@@ -38,7 +38,7 @@
     """Parses and validates a value; the result depends on the value alone."""
     if len(text.encode()) > store.VALUE_BYTES_MAX:
         message = f"the value is larger than {store.VALUE_BYTES_MAX} bytes"
-        return store.ParsedValue((data.Finding(data.Place(file), message),))
+        return store.ParsedValue((diagnostics.Finding(diagnostics.Place(file), message),))
     if key == routes.TABLE_KEY:
         table = routes.parse(file, text)
         return store.ParsedValue(table.findings, table)
@@ -46,4 +46,4 @@
         part = pools.parse(key, file, text)
         return store.ParsedValue(part.findings, part)
     message = f"the key {key!r} is neither routes nor a pool"
-    return store.ParsedValue((data.Finding(data.Place(file), message),))
+    return store.ParsedValue((diagnostics.Finding(diagnostics.Place(file), message),))
--- a/monsoonhoist/tables/pools.py
+++ b/monsoonhoist/tables/pools.py
@@ -9,12 +9,12 @@
 
 import msgspec
 
-from monsoonhoist.core import data
+from monsoonhoist import addresses
+from monsoonhoist.core import data, diagnostics
 from monsoonhoist.tables import ini
 
 KEY_PREFIX = "pool/"
 _SERVER_PREFIX = "server "
-_ADDRESS_PATTERN = r"^[0-9.]+:[0-9]{1,5}$"
 _NonEmptyStr = Annotated[str, msgspec.Meta(min_length=1)]
 
 
@@ -28,17 +28,21 @@
     """Options of a ``[server NAME]`` section."""
 
     service: _NonEmptyStr
-    address: Annotated[str, msgspec.Meta(pattern=_ADDRESS_PATTERN)]
+    address: str
     zone: _NonEmptyStr
     slots: Annotated[int, msgspec.Meta(ge=1, le=10_000)]
     connections: Annotated[int, msgspec.Meta(ge=1, le=100_000)]
     leaving: bool = False
 
     def problems(self) -> tuple[ini.Problem, ...]:
-        """Returns an error if the server accepts fewer connections than it has slots."""
+        """Returns an error if the address is invalid or there are fewer connections than slots."""
+        found: list[ini.Problem] = []
+        address_problem = addresses.find_problem(self.address)
+        if address_problem is not None:
+            found.append(ini.Problem("address", address_problem))
         if self.connections < self.slots:
-            return (ini.Problem("", "connections must not be fewer than slots"),)
-        return ()
+            found.append(ini.Problem("", "connections must not be fewer than slots"))
+        return tuple(found)
 
 
 class PoolPart(msgspec.Struct, frozen=True):
@@ -54,7 +58,7 @@
     pool_id: data.PoolId
     key_space: int
     servers: tuple[data.Server, ...]
-    findings: tuple[data.Finding, ...]
+    findings: tuple[diagnostics.Finding, ...]
 
 
 def is_pool_key(key: data.TableKey) -> bool:
@@ -95,10 +99,12 @@
                     _make_server(section.name.removeprefix(_SERVER_PREFIX).strip(), model)
                 )
         else:
-            place = data.Place(file, section.name, section.line)
-            findings.append(data.Finding(place, "sections must be [pool] or [server NAME]"))
+            place = diagnostics.Place(file, section.name, section.line)
+            findings.append(diagnostics.Finding(place, "sections must be [pool] or [server NAME]"))
     if not source.findings and "pool" not in source.section_by_name:
-        findings.append(data.Finding(data.Place(file), "the section [pool] is missing"))
+        findings.append(
+            diagnostics.Finding(diagnostics.Place(file), "the section [pool] is missing")
+        )
     return PoolPart(pool_id_of(key), key_space, tuple(servers), tuple(findings))
 
 
--- a/monsoonhoist/tables/review.py
+++ b/monsoonhoist/tables/review.py
@@ -2,25 +2,27 @@
 
 import pathlib
 
-from monsoonhoist.core import data
+from monsoonhoist.core import data, diagnostics
 from monsoonhoist.tables import native, pools, routes
 
 
 def review_files(
     routes_path: pathlib.Path | None, pool_specs: tuple[str, ...]
-) -> tuple[data.Finding, ...]:
+) -> tuple[diagnostics.Finding, ...]:
     """Returns all errors in the files, including routes whose pool is not among the files.
 
     Args:
         routes_path: File with the table of routes, or None.
         pool_specs: ``NAME=FILE`` for each pool. Without any, the pools of routes are not checked.
     """
-    findings: list[data.Finding] = []
+    findings: list[diagnostics.Finding] = []
     parts: list[pools.PoolPart] = []
     for spec in pool_specs:
         name, separator, file = spec.partition("=")
         if not separator:
-            findings.append(data.Finding(data.Place(spec), "must be written NAME=FILE"))
+            findings.append(
+                diagnostics.Finding(diagnostics.Place(spec), "must be written NAME=FILE")
+            )
             continue
         key = data.TableKey(f"{pools.KEY_PREFIX}{name}")
         text = _read_file(file, findings)
@@ -39,23 +41,23 @@
     return tuple(findings)
 
 
-def _read_file(file: str, findings: list[data.Finding]) -> str | None:
+def _read_file(file: str, findings: list[diagnostics.Finding]) -> str | None:
     """Returns the text of a file, or None after adding a finding if it cannot be read."""
     try:
         return pathlib.Path(file).read_text(encoding="utf-8")
     except (OSError, UnicodeDecodeError) as error:
-        findings.append(data.Finding(data.Place(file), f"cannot be read: {error}"))
+        findings.append(diagnostics.Finding(diagnostics.Place(file), f"cannot be read: {error}"))
         return None
 
 
 def _find_undefined_pools(
     file: str, table: routes.RoutesTable, parts: list[pools.PoolPart]
-) -> list[data.Finding]:
+) -> list[diagnostics.Finding]:
     """Returns a finding for each route whose pool is not defined by any of the parts."""
     defined_pools = {part.pool_id for part in parts}
     return [
-        data.Finding(
-            data.Place(file, f"route {route.route_id}"),
+        diagnostics.Finding(
+            diagnostics.Place(file, f"route {route.route_id}"),
             f"the pool {route.pool!r} is not among the pools given",
         )
         for route in table.route_by_id.values()
--- a/monsoonhoist/tables/routes.py
+++ b/monsoonhoist/tables/routes.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from monsoonhoist.core import data
+from monsoonhoist.core import data, diagnostics
 from monsoonhoist.tables import ini
 
 TABLE_KEY = data.TableKey("routes")
@@ -48,7 +48,7 @@
     """
 
     route_by_id: dict[data.RouteId, data.Route]
-    findings: tuple[data.Finding, ...]
+    findings: tuple[diagnostics.Finding, ...]
 
 
 def parse(file: str, text: str) -> RoutesTable:
@@ -66,8 +66,8 @@
     route_by_id: dict[data.RouteId, data.Route] = {}
     for section in source.section_by_name.values():
         if not section.name.startswith(_ROUTE_PREFIX):
-            place = data.Place(file, section.name, section.line)
-            findings.append(data.Finding(place, "sections must be named [route NAME]"))
+            place = diagnostics.Place(file, section.name, section.line)
+            findings.append(diagnostics.Finding(place, "sections must be named [route NAME]"))
             continue
         model, errors = ini.check(source, section, RouteModel)
         findings.extend(errors)
--- a/monsoonhoist/tables/store.py
+++ b/monsoonhoist/tables/store.py
@@ -8,17 +8,20 @@
 import abc
 import enum
 import hashlib
+import logging
 from collections.abc import Collection, Mapping
 
 import msgspec
 
-from monsoonhoist.core import data, hashing, messages
+from monsoonhoist.core import data, diagnostics, hashing, messages
 
 VALUE_BYTES_MAX = 1_000_000
 # Number of buckets into which the keys are hashed when two instances compare their revisions.
 BUCKET_COUNT = 64
 BUCKET_DIGEST_BYTES = 8
 
+_log = logging.getLogger(__name__)
+
 
 class Acceptance(enum.Enum):
     """What the store did with an offered value.
@@ -45,7 +48,7 @@
     """
 
     acceptance: Acceptance
-    findings: tuple[data.Finding, ...] = ()
+    findings: tuple[diagnostics.Finding, ...] = ()
 
 
 def digest_of(text: str) -> bytes:
@@ -63,9 +66,9 @@
         warnings: Errors that do not prevent the value from being accepted.
     """
 
-    findings: tuple[data.Finding, ...]
+    findings: tuple[diagnostics.Finding, ...]
     content: object = None
-    warnings: tuple[data.Finding, ...] = ()
+    warnings: tuple[diagnostics.Finding, ...] = ()
 
 
 class TableFormat(abc.ABC):
@@ -117,6 +120,16 @@
         self._changed_keys: set[data.TableKey] = set()
         self._rejected_by_key: dict[data.TableKey, messages.Revision] = {}
         self._digest_by_bucket = [0] * BUCKET_COUNT
+        self._listed_number = 0
+
+    def record_listing(self, number: int) -> None:
+        """Records that all keys with a value at a revision number have been offered.
+
+        A value of another key that is older than the number has been removed since. An instance
+        that was cut off may still have it in force and offer it. The removal is then put in force
+        in its place, and so reaches that instance too.
+        """
+        self._listed_number = max(self._listed_number, number)
 
     def offer(self, value: messages.TableValue) -> OfferResult:
         """Accepts a value that is valid and newer than the current one of its key.
@@ -130,14 +143,16 @@
             What was done with the value, and the errors or warnings found in it. If the value is
             the last one of its key that was rejected, it is reported as known, without its errors.
         """
-        revision = messages.Revision(value.key, value.number, digest_of(value.text))
         current = self.revision_by_key.get(value.key)
+        if current is None and value.number < self._listed_number:
+            value = messages.TableValue(value.key, self._listed_number, "")
+        revision = messages.Revision(value.key, value.number, digest_of(value.text))
         if current is not None and _sort_key(revision) <= _sort_key(current):
             is_known = revision == current
             return OfferResult(Acceptance.KNOWN if is_known else Acceptance.OLDER)
         if self._rejected_by_key.get(value.key) == revision:
             return OfferResult(Acceptance.KNOWN)
-        parsed = self._format.parse(value.key, value.key, value.text)
+        parsed = self._parse(value)
         if parsed.findings:
             self._rejected_by_key[value.key] = revision
             return OfferResult(Acceptance.REJECTED, parsed.findings)
@@ -150,6 +165,15 @@
         self._changed_keys.add(value.key)
         return OfferResult(Acceptance.ACCEPTED, parsed.warnings)
 
+    def _parse(self, value: messages.TableValue) -> ParsedValue:
+        """Parses a value; an unexpected error is a finding, so that it affects this value only."""
+        try:
+            return self._format.parse(value.key, value.key, value.text)
+        except Exception as error:
+            _log.exception("table value not parsed", extra={"key": value.key})
+            message = f"cannot be parsed: {type(error).__name__}: {error}"
+            return ParsedValue((diagnostics.Finding(diagnostics.Place(value.key), message),))
+
     def apply_accepted(self) -> None:
         """Updates the tables with the values accepted since the last call."""
         if self._changed_keys:
--- a/soak/native.py
+++ b/soak/native.py
@@ -6,10 +6,12 @@
 
 import collections
 import json
+import pathlib
 import random
 import signal
 import threading
 import time
+from collections.abc import Iterator
 
 import msgspec
 
@@ -28,6 +30,22 @@
 QUERY_PAUSE_SECONDS = 0.01
 BOOKING_PAUSE_SECONDS = 0.05
 INSTANCES = (1, 2, 3)
+# Message of the log line about table values that were accepted.
+IN_FORCE_MESSAGE = "table values in force"
+
+
+class RevisionInForce(msgspec.Struct, frozen=True):
+    """A revision that an instance has put in force.
+
+    Attributes:
+        incarnation: Incarnation of the instance.
+        key: Key of the table.
+        number: Number of the revision.
+    """
+
+    incarnation: int
+    key: str
+    number: int
 
 
 class Booking(msgspec.Struct):
@@ -293,12 +311,24 @@
     violations = []
     for log in sorted(deployment.folder.glob("node-*.log")):
         number_by_key: dict[tuple[int, str], int] = {}
-        for line in log.read_text(encoding="utf-8").splitlines():
-            if "table value in force" not in line:
-                continue
-            row = json.loads(line)
-            key = (row["incarnation"], row["key"])
-            if row["number"] < number_by_key.get(key, 0):
-                violations.append(f"{log.name}: {row['key']} was rolled back to {row['number']}")
-            number_by_key[key] = row["number"]
+        revisions = list(read_revisions_in_force(log))
+        if not revisions:
+            violations.append(f"{log.name} has no line about table values in force")
+        for revision in revisions:
+            key = (revision.incarnation, revision.key)
+            if revision.number < number_by_key.get(key, 0):
+                violations.append(
+                    f"{log.name}: {revision.key} was rolled back to {revision.number}"
+                )
+            number_by_key[key] = revision.number
     return violations
+
+
+def read_revisions_in_force(log: pathlib.Path) -> Iterator[RevisionInForce]:
+    """Yields the revisions that an instance has put in force, as far as its log lists them."""
+    for line in log.read_text(encoding="utf-8").splitlines():
+        if IN_FORCE_MESSAGE not in line:
+            continue
+        row = json.loads(line)
+        for key, number in zip(row["keys"], row["numbers"], strict=True):
+            yield RevisionInForce(row["incarnation"], key, number)
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -85,6 +85,7 @@
         self.process_by_number: dict[int, subprocess.Popen] = {}
         self.version = 1
         self._service_by_server: dict[str, str] = {}
+        self._born_by_server: dict[str, int] = {}
         self._loop = asyncio.new_event_loop()
         self._thread = threading.Thread(target=self._loop.run_forever, daemon=True)
 
@@ -148,9 +149,15 @@
             "State": state,
             "WarmupLeftMs": 0,
             "Seq": 1,
+            "born": self._born_by_server.get(name, 1),
         }
         self.store.put(f"servers/{name}", json.dumps(registration).encode())
 
+    def register_start(self, name: str) -> None:
+        """Registers a later start of a server."""
+        self._born_by_server[name] = self._born_by_server.get(name, 1) + 1
+        self.set_state(name, "ready")
+
     def set_state(self, name: str, state: str) -> None:
         """Registers a server with a state, or unregisters it if the state is ``removed``."""
         if state == "removed":
--- a/standins/shards.py
+++ b/standins/shards.py
@@ -11,6 +11,8 @@
 # Number and size of the records of a shard.
 RECORDS = 12
 RECORD_BYTES = 16
+# Delay of a second copy of a reply, after which the connection is idle.
+SECOND_COPY_DELAY_SECONDS = 0.02
 
 
 @dataclasses.dataclass
@@ -23,14 +25,18 @@
             request with status 503 or 421 before it runs. After the request ran, ``lost`` closes
             the connection without a reply, ``error`` replies with status 500, ``foreign_id`` with
             the id of another request, ``no_proof`` without a proof, ``encoded`` with a content
-            encoding, ``truncated`` with half of the body and ``not_http`` with bytes that are not
-            HTTP.
+            encoding, ``truncated`` with half of the body, ``cut_head`` with part of the head,
+            ``second_copy`` with the same reply twice, the second time on the idle connection,
+            ``endless_head`` and ``endless_body`` with bytes until the connection is closed, and
+            ``not_http`` with bytes that are not HTTP.
         remaining_faults: Number of further requests that the fault affects; -1 for no limit.
+        is_leaving: Whether the server says in each reply that it is leaving.
     """
 
     work_seconds: float = 0.005
     fault: str = ""
     remaining_faults: int = -1
+    is_leaving: bool = False
 
 
 @dataclasses.dataclass
@@ -145,7 +151,13 @@
             return False
         writer.write(self._encode_reply(request, fault))
         await writer.drain()
-        return fault not in ("truncated", "not_http")
+        if fault == "second_copy":
+            await asyncio.sleep(SECOND_COPY_DELAY_SECONDS)
+            writer.write(self._encode_reply(request, fault))
+        while fault in _ENDLESS_BYTES_BY_FAULT:
+            writer.write(_ENDLESS_BYTES_BY_FAULT[fault])
+            await writer.drain()
+        return fault not in ("truncated", "cut_head", "not_http")
 
     def _next_fault(self) -> str:
         """Returns the fault of the next reply and decrements the number of further faults."""
@@ -170,12 +182,23 @@
             )
         if fault == "encoded":
             lines.append("Content-Encoding: gzip")
-        lines += ["X-Backend-Load: 0,0,2", "X-Extra: kept", f"Content-Length: {len(body)}"]
+        if self.behaviour.is_leaving:
+            lines.append("Server-Leaving: 1")
+        lines += ["X-Backend-Load: 0,0,2,100", "X-Extra: kept"]
+        head = "\r\n".join(lines).encode() + b"\r\n"
+        if fault in ("cut_head", "endless_head"):
+            return head
+        if fault == "endless_body":
+            return head + b"\r\n"
         if fault == "truncated":
-            body = body[: len(body) // 2]
-        return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+            return head + f"Content-Length: {len(body)}\r\n\r\n".encode() + body[: len(body) // 2]
+        return head + f"Content-Length: {len(body)}\r\n\r\n".encode() + body
 
 
+_ENDLESS_BYTES_BY_FAULT = {
+    "endless_head": b"X-Filler: " + b"x" * 4096 + b"\r\n",
+    "endless_body": b"x" * 65_536,
+}
 _REFUSAL_BY_FAULT = {
     "shed": b"HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n",
     "wrong_server": b"HTTP/1.1 421 Wrong\r\nX-Instance: i-x\r\nContent-Length: 0\r\n\r\n",
