Carry messages between instances by callbacks, and acknowledge on the other stream

An idle instance of 40 took 2.07% of a core. A profile of 8 s: 152 wake-ups a second; each frame took two reads through futures, two changes of epoll and 32 us to decode; each heartbeat had a reply of its own although the peer sends heartbeats too; the pause detector ticked 20 times a second.

MessageStream is an asyncio protocol (tornado's loop) that passes complete frames on; frames are encoded and decoded by msgspec's MessagePack codec, the bytes are equal (0.5 us for a heartbeat, 4.7 for a reply of nine parts, 40 before). A heartbeat names the last one received on the stream in the other direction, which then needs no reply; instances of the build before still get replies. Ticks are 100 ms apart. Bytes that wait to be sent stay limited.

--- a/monsoonhoist/core/messages.py
+++ b/monsoonhoist/core/messages.py
@@ -9,7 +9,6 @@
 
 import zlib
 
-import msgpack
 import msgspec
 
 from monsoonhoist import errors
@@ -48,11 +47,15 @@
         tables_digest: Digest of all table revisions in force at the sender.
         report: Latest read of the configuration service that the sender knows of; None
             if it knows of none.
+        acknowledged: Number of the last heartbeat received on the stream in the other direction,
+            which saves a ``HeartbeatReply``; 0 if there is none, -1 from an instance that does not
+            read this field.
     """
 
     sequence: int
     tables_digest: bytes
     report: ConfigReadReport | None = None
+    acknowledged: int = -1
 
 
 class HeartbeatReply(msgspec.Struct, frozen=True, array_like=True, tag="beat-reply"):
@@ -315,10 +318,13 @@
 )
 
 
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(Message)
+
+
 def encode(message: Message) -> bytes:
     """Returns the message encoded as MessagePack."""
-    builtins = msgspec.to_builtins(message, builtin_types=(bytes,), str_keys=False)
-    return msgpack.packb(builtins)
+    return _encoder.encode(message)
 
 
 def pack_table(value: TableValue) -> PackedTable:
@@ -360,14 +366,6 @@
         ProtocolError: If the bytes are not exactly one well-formed message.
     """
     try:
-        builtins = msgpack.unpackb(body, strict_map_key=False, use_list=True)
-        return msgspec.convert(builtins, type=Message)
-    # A map with a key that is not hashable ends in a ``TypeError``.
-    except (
-        ValueError,
-        TypeError,
-        msgpack.UnpackException,
-        msgspec.ValidationError,
-        RecursionError,
-    ) as error:
+        return _decoder.decode(body)
+    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
         raise errors.ProtocolError(f"malformed message: {error}") from error
--- a/monsoonhoist/errors.py
+++ b/monsoonhoist/errors.py
@@ -37,6 +37,10 @@
     """A frame exceeds the size limit of the settings."""
 
 
+class StreamError(MonsoonError):
+    """A stream between instances is closed, or too many bytes wait to be sent on it."""
+
+
 class RequestError(MonsoonError):
     """A caller's request is invalid.
 
--- a/monsoonhoist/node/outbound_stream.py
+++ b/monsoonhoist/node/outbound_stream.py
@@ -4,8 +4,6 @@
 import logging
 from collections.abc import Callable
 
-from tornado import tcpclient
-
 from monsoonhoist import errors, metrics
 from monsoonhoist.core import clock, data, messages
 from monsoonhoist.node import stream_protocol, streams
@@ -53,18 +51,37 @@
         self._listener = listener
         self._stream: streams.MessageStream | None = None
         self._last_received_at = 0.0
-        self._task: asyncio.Task[None] | None = None
+        self._heartbeat_scheduled_at = 0.0
+        self._sequence = 0
+        # Number of the latest heartbeat of the other instance that is not acknowledged yet.
+        self._heard_sequence = 0
+        self._greeting: asyncio.Future[messages.Hello] | None = None
+        self._heartbeat_timer: asyncio.TimerHandle | None = None
+        self._connect_task: asyncio.Task[None] | None = None
 
     def start(self) -> None:
         """Starts connecting."""
-        self._task = asyncio.create_task(self._run(), name=f"link {self.member.instance}")
+        self._connect_after(0.0)
 
     def close(self) -> None:
         """Closes the stream permanently."""
-        if self._task is not None:
-            self._task.cancel()
+        if self._connect_task is not None:
+            self._connect_task.cancel()
         self._disconnect()
 
+    def acknowledge(self, heartbeat: messages.Heartbeat) -> bool:
+        """Handles a heartbeat that the other instance sent on its own stream.
+
+        Returns:
+            Whether the next heartbeat of this stream will acknowledge it.
+        """
+        if not self.is_up or heartbeat.acknowledged < 0:
+            return False
+        if heartbeat.acknowledged:
+            self._last_received_at = self._clock.monotonic()
+        self._heard_sequence = heartbeat.sequence
+        return True
+
     def send(self, message: messages.Message) -> bool:
         """Queues a message for sending; returns whether it was queued."""
         self._last_used_at = self._clock.monotonic()
@@ -75,63 +92,112 @@
             return False
         try:
             sent = self._stream.send(message)
-        except stream_protocol.STREAM_ERRORS as error:
-            self._handle_loss(error)
+        except errors.StreamError as error:
+            self._handle_end(error)
             return False
         self._counters.count_stream_bytes(sent, type(message).__name__)
         return True
 
-    async def _run(self) -> None:
+    def _connect_after(self, delay_seconds: float) -> None:
+        """Starts connecting after a delay."""
+        self._connect_task = asyncio.create_task(
+            self._connect(delay_seconds), name=f"link {self.member.instance}"
+        )
+
+    async def _connect(self, delay_seconds: float) -> None:
+        """Connects, with a delay that doubles after each failure, until the stream is up."""
         delay = RECONNECT_MIN_SECONDS
+        await asyncio.sleep(delay_seconds)
         while True:
             try:
                 await self._open()
-                delay = RECONNECT_MIN_SECONDS
-                await self._run_until_lost()
-            except (*stream_protocol.STREAM_ERRORS, errors.ProtocolError, TimeoutError) as error:
+                return
+            except (OSError, errors.ProtocolError, errors.StreamError, TimeoutError) as error:
                 self._handle_loss(error)
             except Exception as error:
                 # The stream is opened again, as after any other loss.
                 _log.exception("stream failed", extra={"peer": self.member.instance})
                 self._handle_loss(error)
-            if self._is_idle():
-                asyncio.get_running_loop().call_soon(self._close_idle, self.member.instance)
+            self._close_if_idle()
             await asyncio.sleep(delay)
             delay = min(RECONNECT_MAX_SECONDS, delay * 2)
 
-    async def _run_until_lost(self) -> None:
-        """Reads replies and sends heartbeats until either ends, then ends the other one too."""
-        tasks = [
-            asyncio.create_task(self._read_replies()),
-            asyncio.create_task(self._send_heartbeats()),
-        ]
-        try:
-            await asyncio.gather(*tasks)
-        finally:
-            for task in tasks:
-                task.cancel()
-
     async def _open(self) -> None:
         """Connects and exchanges greetings."""
-        silence = self._options.silence.total_seconds()
-        tcp_stream = await tcpclient.TCPClient().connect(
-            self.member.host,
-            self.member.peer_port,
-            max_buffer_size=self._options.buffer_bytes,
-            timeout=self._options.silence,
+        loop = asyncio.get_running_loop()
+        self._greeting = loop.create_future()
+        self._stream = streams.MessageStream(
+            self._options.frame_bytes,
+            self._options.buffer_bytes,
+            self._handle_message,
+            self._handle_end,
         )
-        tcp_stream.max_write_buffer_size = self._options.buffer_bytes
-        self._stream = streams.MessageStream(tcp_stream, self._options.frame_bytes)
-        self._stream.send(messages.Hello(self._options.deployment, self._listener.local_member()))
-        hello = await asyncio.wait_for(self._stream.receive(), silence)
-        stream_protocol.check_hello(hello, self._options.deployment)
+        async with asyncio.timeout(self._options.silence.total_seconds()):
+            stream = self._stream
+            await loop.create_connection(lambda: stream, self.member.host, self.member.peer_port)
+            greeting = messages.Hello(self._options.deployment, self._listener.local_member())
+            stream.send(greeting)
+            hello = await self._greeting
         self._last_received_at = self._clock.monotonic()
         self.member = hello.member
         self.is_up = True
+        self._schedule_heartbeat()
         _log.info("stream up", extra={"peer": self.member.instance})
         self._listener.handle_stream_change(self.member, True)
         self._flush_queue()
 
+    def _handle_message(self, message: messages.Message) -> None:
+        """Handles the greeting and the acknowledgements of heartbeats."""
+        self._last_received_at = self._clock.monotonic()
+        if not self._greeting.done():
+            stream_protocol.check_hello(message, self._options.deployment)
+            self._greeting.set_result(message)
+        elif not isinstance(message, messages.HeartbeatReply):
+            raise errors.ProtocolError(f"{type(message).__name__} instead of a heartbeat reply")
+
+    def _handle_end(self, error: Exception) -> None:
+        """Handles the end of the connection, before or after the greeting."""
+        if not self.is_up:
+            if not self._greeting.done():
+                self._greeting.set_exception(error)
+            return
+        self._handle_loss(error)
+        self._close_if_idle()
+        self._connect_after(RECONNECT_MIN_SECONDS)
+
+    def _schedule_heartbeat(self) -> None:
+        self._heartbeat_scheduled_at = self._clock.monotonic()
+        period = self._options.heartbeat.total_seconds()
+        self._heartbeat_timer = asyncio.get_running_loop().call_later(period, self._send_heartbeat)
+
+    def _send_heartbeat(self) -> None:
+        """Sends a heartbeat, or ends the stream if earlier ones were not acknowledged in time."""
+        now = self._clock.monotonic()
+        # A missing acknowledgement after a pause of this process is not the peer's failure.
+        if now - self._heartbeat_scheduled_at > 2 * self._options.heartbeat.total_seconds():
+            self._last_received_at = now
+        if now - self._last_received_at > self._options.silence.total_seconds():
+            self._handle_end(TimeoutError("no acknowledgement of a heartbeat in time"))
+            return
+        if self._is_idle():
+            self._close_if_idle()
+            return
+        self._sequence += 1
+        heartbeat = messages.Heartbeat(
+            self._sequence,
+            self._listener.tables_digest(),
+            self._listener.latest_read_report(),
+            self._heard_sequence,
+        )
+        self._heard_sequence = 0
+        try:
+            # The label of heartbeats in the metric; other messages have the name of their class.
+            self._counters.count_stream_bytes(self._stream.send(heartbeat), "Beat")
+        except errors.StreamError as error:
+            self._handle_end(error)
+            return
+        self._schedule_heartbeat()
+
     def _flush_queue(self) -> None:
         """Sends the queued messages; reports them as unsent if the stream is not up."""
         self._is_queueing = False
@@ -176,6 +242,10 @@
         unused = self._clock.monotonic() - self._last_used_at
         return not self.is_persistent and unused > IDLE_TIMEOUT_SECONDS
 
+    def _close_if_idle(self) -> None:
+        if self._is_idle():
+            asyncio.get_running_loop().call_soon(self._close_idle, self.member.instance)
+
     def _handle_loss(self, error: Exception) -> None:
         was_up = self.is_up
         self._disconnect()
@@ -187,6 +257,8 @@
 
     def _disconnect(self) -> None:
         self.is_up = False
+        if self._heartbeat_timer is not None:
+            self._heartbeat_timer.cancel()
         if self._stream is not None:
             self._stream.close()
             self._stream = None
--- a/monsoonhoist/node/pause.py
+++ b/monsoonhoist/node/pause.py
@@ -7,7 +7,7 @@
 
 from monsoonhoist.core import clock
 
-TICK_SECONDS = 0.05
+TICK_SECONDS = 0.1
 # Time after a pause in which received data may have been buffered in a socket during the pause.
 STALE_MESSAGES_SECONDS = 0.1
 
--- a/monsoonhoist/node/peers.py
+++ b/monsoonhoist/node/peers.py
@@ -32,11 +32,11 @@
         self._counters = counters
         self._listener = listener
         self._stream_by_id: dict[data.InstanceId, outbound_stream.OutboundStream] = {}
-        self._server = inbound_server.InboundServer(options, listener)
+        self._server = inbound_server.InboundServer(options, listener, self._acknowledge)
 
     def listen(self, host: str, port: int) -> None:
         """Accepts streams on an address."""
-        self._server.listen(port, address=host)
+        self._server.listen(host, port)
 
     def set_neighbours(self, members: tuple[data.Member, ...]) -> None:
         """Maintains streams to these neighbours; others stay open only while in use."""
@@ -55,6 +55,11 @@
         """Returns the instances whose streams are up, sorted."""
         return tuple(sorted(name for name, stream in self._stream_by_id.items() if stream.is_up))
 
+    def _acknowledge(self, instance: data.InstanceId, heartbeat: messages.Heartbeat) -> bool:
+        """Handles a heartbeat; returns whether the stream to its sender acknowledges it."""
+        stream = self._stream_by_id.get(instance)
+        return stream is not None and stream.acknowledge(heartbeat)
+
     def send(self, instance: data.InstanceId, message: messages.Message) -> bool:
         """Sends a message to an instance.
 
@@ -91,8 +96,7 @@
 
     async def close(self) -> None:
         """Closes all streams."""
-        self._server.stop()
-        self._server.close_streams()
+        self._server.close()
         for stream in self._stream_by_id.values():
             stream.close()
         self._stream_by_id.clear()
@@ -120,6 +124,7 @@
         host=str(instance.host),
         peer_port=instance.peer_port,
         zone=data.ZoneId(instance.zone),
+        capacity=instance.capacity,
     )
 
 
--- a/monsoonhoist/node/stream_protocol.py
+++ b/monsoonhoist/node/stream_protocol.py
@@ -3,13 +3,10 @@
 import datetime
 
 import msgspec
-from tornado import iostream
 
 from monsoonhoist import errors
 from monsoonhoist.core import data, messages
 
-STREAM_ERRORS = (iostream.StreamClosedError, iostream.StreamBufferFullError, OSError)
-
 
 class PeerOptions(msgspec.Struct, frozen=True):
     """Settings of the streams.
@@ -17,7 +14,7 @@
     Attributes:
         deployment: Name of the deployment, which must be the same on both sides.
         frame_bytes: Maximum length of an accepted frame.
-        buffer_bytes: Maximum number of bytes buffered on a stream, for each direction.
+        buffer_bytes: Most bytes that may wait to be sent on a stream.
         heartbeat: Interval between heartbeats.
         silence: Timeout for connecting, for the greeting and for acknowledgements of heartbeats.
     """
