Derive membership once for each change, and pass records on together

Each call of live(), other_members() or watch_position() sorted all known instances, several times for each view and four times a second; at the start of a fleet each record led to a view and to a message to each neighbour.

What is derived from the membership is kept until it changes.

--- a/features/neighbours.feature
+++ b/features/neighbours.feature
@@ -19,3 +19,8 @@
     And 40 more answers have been received
     Then every answer is complete or reports correctly what is missing
     And eventually a query to route "boat-search" at instance 1 is answered completely
+
+  Scenario: Records that arrive close together are passed on in one message
+    Given an instance with streams to "a" and "b"
+    When 30 records of other instances arrive from "a" one after another
+    Then it has sent 1 message with 30 records to "b" and none to "a"
--- a/monsoonhoist/core/membership.py
+++ b/monsoonhoist/core/membership.py
@@ -5,6 +5,7 @@
 has failed. The views of different instances may differ.
 """
 
+import functools
 import math
 from collections.abc import Iterable
 
@@ -48,6 +49,33 @@
         self._member_by_id: dict[data.InstanceId, data.Member] = {}
         self._listed_by_id: dict[data.InstanceId, ListedInstance] = {}
         self._down_instances: set[data.InstanceId] = set()
+        self._snapshot: _Snapshot | None = None
+
+    def _mark_changed(self) -> None:
+        """Counts a change of the view; what is derived from the view is computed again."""
+        self.revision += 1
+        self._snapshot = None
+
+    def _current(self) -> "_Snapshot":
+        """Returns what is derived from the present view."""
+        if self._snapshot is None:
+            self._snapshot = self._make_snapshot()
+        return self._snapshot
+
+    def _make_snapshot(self) -> "_Snapshot":
+        member_by_id = {
+            row.instance: _as_member(row)
+            for row in self._listed_by_id.values()
+            if row.instance != self.local_member.instance
+        }
+        member_by_id.update(self._member_by_id)
+        others = tuple(member_by_id[instance] for instance in sorted(member_by_id))
+        live = [
+            member for member in others if self.state_of(member.instance) is data.MemberState.LIVE
+        ]
+        if self.local_member.state is data.MemberState.LIVE or not live:
+            live.append(self.local_member)
+        return _Snapshot(others, tuple(sorted(live, key=lambda member: member.instance)))
 
     def set_listed(self, rows: Iterable[ListedInstance]) -> None:
         """Replaces the platform's instance list by a newly read one.
@@ -57,12 +85,12 @@
         listed_by_id = {row.instance: row for row in rows}
         if listed_by_id != self._listed_by_id:
             self._listed_by_id = listed_by_id
-            self.revision += 1
+            self._mark_changed()
         for instance in list(self._down_instances):
             if instance not in self._listed_by_id and instance in self._member_by_id:
                 del self._member_by_id[instance]
                 self._down_instances.discard(instance)
-                self.revision += 1
+                self._mark_changed()
 
     def merge(self, members: Iterable[data.Member]) -> tuple[data.Member, ...]:
         """Applies records received from other instances; returns those that were new.
@@ -76,7 +104,7 @@
             current = self._member_by_id.get(member.instance)
             if current is None or _version_key(member) > _version_key(current):
                 self._member_by_id[member.instance] = member
-                self.revision += 1
+                self._mark_changed()
                 new_members.append(member)
                 if current is None or member.incarnation > current.incarnation:
                     self._down_instances.discard(member.instance)
@@ -86,7 +114,7 @@
         """Records whether the stream to an instance is up."""
         if is_up != (instance in self._down_instances):
             return
-        self.revision += 1
+        self._mark_changed()
         if is_up:
             self._down_instances.discard(instance)
         else:
@@ -94,7 +122,7 @@
 
     def mark_leaving(self) -> data.Member:
         """Marks this instance as leaving and returns its new record."""
-        self.revision += 1
+        self._mark_changed()
         self.local_member = msgspec.structs.replace(
             self.local_member, version=self.local_member.version + 1, state=data.MemberState.LEAVING
         )
@@ -125,56 +153,46 @@
 
         These are the instances that are listed or have sent a record about themselves.
         """
-        member_by_id = {
-            row.instance: _as_member(row)
-            for row in self._listed_by_id.values()
-            if row.instance != self.local_member.instance
-        }
-        member_by_id.update(self._member_by_id)
-        return tuple(member_by_id[instance] for instance in sorted(member_by_id))
+        return self._current().others
 
-    def live(self) -> tuple[data.InstanceId, ...]:
-        """Returns the live instances, which may own shards, sorted.
+    def live_members(self) -> tuple[data.Member, ...]:
+        """Returns the records of the live instances, sorted by name.
 
         This instance is included while it is leaving only if no other instance is live.
         """
-        others = [
-            member.instance
-            for member in self.other_members()
-            if self.state_of(member.instance) is data.MemberState.LIVE
-        ]
-        if self.local_member.state is data.MemberState.LIVE or not others:
-            others.append(self.local_member.instance)
-        return tuple(sorted(others))
+        return self._current().live
+
+    def live(self) -> tuple[data.InstanceId, ...]:
+        """Returns the live instances, which may own shards, sorted."""
+        return self._current().live_instances
 
     def cell(self, size: int) -> tuple[data.InstanceId, ...]:
         """Returns the live instances of this instance's cell, sorted.
 
         The instances of an availability zone are assigned to its cells round-robin in the order
-        of their names, so that all instances with the same view compute the same cells. An
-        instance that is not in its own view of the live ones is alone in its cell.
+        of their capacity and names, so that all instances with the same view compute the same
+        cells. An instance that is not in its own view of the live ones is alone in its cell.
 
         Args:
             size: Intended number of instances of a cell.
         """
-        zone_instances = self._live_in_zone()
+        zone_members = self._live_in_zone()
         local_name = self.local_member.instance
-        if local_name not in zone_instances:
+        if local_name not in {member.instance for member in zone_members}:
             return (local_name,)
-        cell_count = max(1, round(len(zone_instances) / size))
-        return tuple(zone_instances[zone_instances.index(local_name) % cell_count :: cell_count])
+        cell_count = max(1, round(len(zone_members) / size))
+        # Instances of a large capacity come first, so that each cell gets its part of them.
+        ordered = sorted(zone_members, key=lambda member: (-member.capacity, member.instance))
+        position = [member.instance for member in ordered].index(local_name) % cell_count
+        return tuple(sorted(member.instance for member in ordered[position::cell_count]))
 
     def member_count(self) -> int:
         """Returns the number of known instances, including this one."""
-        others = self._member_by_id.keys() | self._listed_by_id.keys()
-        return len(others | {self.local_member.instance})
+        return len(self.other_members()) + 1
 
-    def _live_in_zone(self) -> list[data.InstanceId]:
-        """Returns the live instances in this instance's availability zone, sorted."""
-        zone = self.local_member.zone
-        zone_by_id = {member.instance: member.zone for member in self.other_members()}
-        zone_by_id[self.local_member.instance] = zone
-        return [instance for instance in self.live() if zone_by_id.get(instance) == zone]
+    def _live_in_zone(self) -> list[data.Member]:
+        """Returns the live instances in this instance's availability zone, sorted by name."""
+        return [member for member in self.live_members() if member.zone == self.local_member.zone]
 
     def watch_position(self) -> int:
         """Returns this instance's position, from 0, in the order of watchers.
@@ -184,10 +202,7 @@
 
         An instance that is not in its own view of the live ones gets the position after the last.
         """
-        candidates = sorted(self.live(), key=_watch_weight, reverse=True)
-        if self.local_member.instance not in candidates:
-            return len(candidates)
-        return candidates.index(self.local_member.instance)
+        return self._current().watch_position(self.local_member.instance)
 
     def is_watcher(self, watchers_per_zone: int) -> bool:
         """Returns whether this instance should watch the configuration service.
@@ -197,7 +212,8 @@
         Args:
             watchers_per_zone: Number of watchers in each zone.
         """
-        candidates = sorted(self._live_in_zone(), key=_watch_weight, reverse=True)
+        zone_instances = [member.instance for member in self._live_in_zone()]
+        candidates = sorted(zone_instances, key=_watch_weight, reverse=True)
         return self.local_member.instance in candidates[:watchers_per_zone]
 
     def neighbours(
@@ -244,6 +260,29 @@
         return hashing.stable_hash(*sorted((self.local_member.instance, member.instance)))
 
 
+class _Snapshot:
+    """What is derived from one revision of the view.
+
+    Args:
+        others: Records of all other known instances, sorted by name.
+        live: Records of the live instances, sorted by name.
+    """
+
+    def __init__(self, others: tuple[data.Member, ...], live: tuple[data.Member, ...]):
+        self.others = others
+        self.live = live
+        self.live_instances = tuple(member.instance for member in live)
+
+    @functools.cached_property
+    def _position_by_instance(self) -> dict[data.InstanceId, int]:
+        candidates = sorted(self.live_instances, key=_watch_weight, reverse=True)
+        return {instance: position for position, instance in enumerate(candidates)}
+
+    def watch_position(self, instance: data.InstanceId) -> int:
+        """Returns an instance's position, from 0, in the order of watchers."""
+        return self._position_by_instance.get(instance, len(self.live))
+
+
 def _as_member(row: ListedInstance) -> data.Member:
     """Returns a listed instance as a record that is older than any that the instance sends."""
     return data.Member(
--- a/monsoonhoist/node/node.py
+++ b/monsoonhoist/node/node.py
@@ -25,6 +25,7 @@
     curl,
     dialect,
     kernels,
+    member_gossip,
     pause,
     peers,
     pending_queries,
@@ -118,6 +119,9 @@
             lambda: self._view_publisher.refresh(),
         )
         self._listing = self.dialect.make_listing(self._driver, self.counters, self._handle_listed)
+        self._member_gossip = member_gossip.MemberGossip(
+            self.members, self.send, self._streams.connected_instances
+        )
         self._watcher = replication.ConfigServiceWatcher(
             config.timing.service_retry_ms,
             self.dialect.make_reader(self._driver, self.counters),
@@ -221,6 +225,8 @@
         self._watcher.stop()
         self._listing.stop()
         self._pauses.stop()
+        self._member_gossip.stop()
+        self._view_publisher.stop()
         for task in list(self._background_tasks):
             task.cancel()
         await self._streams.close()
@@ -353,14 +359,8 @@
         self._owner.submit(message_events.to_owner_event(batch))
 
     def _handle_members(self, sender: data.InstanceId, message: messages.Members) -> None:
-        """Merges membership records and forwards those that changed."""
-        updates = self.members.merge(message.members)
-        if not updates:
-            return
-        for instance in self._streams.connected_instances():
-            if instance != sender:
-                self.send(instance, messages.Members(updates))
-        self._view_publisher.refresh()
+        if self._member_gossip.merge(sender, message):
+            self._view_publisher.refresh()
 
     def _handle_ticket_use(self, sender: data.InstanceId, use: messages.TicketUse) -> None:
         """Runs a forwarded request; refuses it if it may predate a pause."""
--- a/monsoonhoist/node/views.py
+++ b/monsoonhoist/node/views.py
@@ -1,5 +1,7 @@
 """Builds the view on which the kernels base decisions: tables, live instances and the cell."""
 
+import asyncio
+import math
 from collections.abc import Callable
 
 import msgspec
@@ -11,6 +13,9 @@
 # How long unreachable instances still count when limits are divided among the instances: they may
 # be working behind a network partition.
 FLEET_SIZE_HOLD_SECONDS = 600.0
+# Least time between two views that differ in their instances only. While a fleet starts, records
+# of instances arrive one after another, and each view costs time in proportion to the fleet.
+VIEW_INTERVAL_SECONDS = 0.05
 
 
 class _NeighbourInputs(msgspec.Struct, frozen=True):
@@ -57,10 +62,38 @@
         self._replicator = replicator
         self._peer_streams = peer_streams
         self._subscribers = subscribers
+        self._clock = time_source
+        self._published_at = -math.inf
+        self._pending_refresh: asyncio.TimerHandle | None = None
         self._fleet_size_max = sliding_maximum.SlidingMaximum(time_source, FLEET_SIZE_HOLD_SECONDS)
 
     def refresh(self) -> None:
-        """Publishes a new view if tables or instances have changed, and updates the streams."""
+        """Publishes a new view if tables or instances have changed, and updates the streams.
+
+        New tables are in force at once. Changes of instances that follow the last view closely are
+        published together.
+        """
+        has_new_tables = self.view is None or self.view.tables is not self._replicator.store.tables
+        elapsed = self._clock.monotonic() - self._published_at
+        if has_new_tables or elapsed >= VIEW_INTERVAL_SECONDS:
+            self._refresh_now()
+            return
+        if self._pending_refresh is not None:
+            return
+        self._pending_refresh = asyncio.get_running_loop().call_later(
+            VIEW_INTERVAL_SECONDS - elapsed, self._run_pending_refresh
+        )
+
+    def stop(self) -> None:
+        """Cancels a view that is to be published."""
+        if self._pending_refresh is not None:
+            self._pending_refresh.cancel()
+
+    def _run_pending_refresh(self) -> None:
+        self._pending_refresh = None
+        self._refresh_now()
+
+    def _refresh_now(self) -> None:
         tables = self._replicator.store.tables
         fleet_size = self._fleet_size_max.add(self._members.member_count())
         if self._is_current(tables, fleet_size):
@@ -72,10 +105,21 @@
             self._neighbour_inputs = inputs
             degree = self._spread_settings.neighbours
             self._peer_streams.set_neighbours(self._members.neighbours(degree, cell.members))
-        self.view = events.ViewChanged(tables, live, cell.members, cell.count, fleet_size)
+        self.view = events.ViewChanged(
+            tables, live, cell.members, cell.count, fleet_size, self._capacities(cell)
+        )
+        self._published_at = self._clock.monotonic()
         for notify in self._subscribers:
             notify(self.view)
 
+    def _capacities(self, cell: cells.CellView) -> dict[data.InstanceId, float]:
+        """Returns the capacities of the instances of the cell."""
+        return {
+            member.instance: member.capacity
+            for member in self._members.live_members()
+            if member.instance in cell.members
+        }
+
     def _is_current(self, tables: data.Tables, fleet_size: int) -> bool:
         """Returns whether neither tables nor instances have changed since the last view."""
         if self.view is None or self._neighbour_inputs is None:
@@ -86,5 +130,6 @@
     def _choose_cell(self, tables: data.Tables, fleet_size: int, live_count: int) -> cells.CellView:
         if not self._has_cells:
             return cells.NO_CELL
-        size = self._spread_settings.cell_size or cells.size_for(live_count, tables)
+        capacity = cells.mean_capacity(self._members.live_members())
+        size = self._spread_settings.cell_size or cells.size_for(live_count, tables, capacity)
         return cells.make_view(self._members, size, fleet_size)
