Size cells and divide shards by the capacity of instances

Cause. size_for took a core of typical speed for each instance; on the large deployment 180 of 195 have half a core, and needed twice the time for their part of 87 calls.

The template tells the share and the speed of the core; records of members carry the capacity; cells are sized by the mean, get equal parts of the large instances, and divide their shards by weighted rendezvous hashing.

--- a/features/cells.feature
+++ b/features/cells.feature
@@ -16,6 +16,26 @@
       | 90     | 67          | 59   | 1000      | 34   |
       | 850    | 67          | 330  | 7500      | 249  |
 
+  Scenario Outline: Instances of a small capacity form larger cells
+    Given tables with 87 shards, 120 connections per server and a latency goal of 59 ms
+    Then the cells of 195 instances of <capacity> cores each have <size> instances each
+
+    Examples:
+      | capacity | size |
+      | 1.0      | 5    |
+      | 0.5      | 10   |
+      | 2.0      | 4    |
+
+  Scenario: Cells get equal parts of the instances of a large capacity
+    Given 36 instances in 1 zone, of which 4 have 2.0 cores and the others 0.5
+    Then each of the 4 cells of size 9 has 1 instance of 2.0 cores
+    And each instance of a cell sees the same cell
+
+  Scenario: Instances own shards in proportion to their capacity
+    Given a cell of 9 instances, of which one has 2.0 cores and the others 0.5
+    Then of 3000 shards that instance owns 30% to 37%
+    And shards move only to or from an instance whose capacity changes
+
   Scenario: All instances of a zone see the same cells
     Given 30 instances in 3 zones
     Then cells of size 4 have 3 to 5 instances, all of one zone
--- a/features/steps/cells.py
+++ b/features/steps/cells.py
@@ -5,6 +5,7 @@
 from behave import given, then
 
 from monsoonhoist.core import cells, data, membership
+from monsoonhoist.policy import ownership
 
 
 @given(
@@ -41,12 +42,38 @@
     assert derived_size == size, derived_size
 
 
+@then(
+    "the cells of {instances:d} instances of {capacity:f} cores each have {size:d} instances each"
+)
+def check_size_by_capacity(context, instances, capacity, size):
+    """Checks the size of a cell of instances with a given capacity."""
+    derived_size = cells.size_for(instances, context.tables, capacity)
+    assert derived_size == size, derived_size
+
+
 @given("{count:d} instances in {zones:d} zones")
-def make_members(context, count, zones):
+def make_equal_members(context, count, zones):
+    """Makes the membership of each instance, which contains all instances."""
+    make_members(context, [1.0] * count, zones)
+
+
+@given(
+    "{count:d} instances in 1 zone, of which {large_count:d} have {large:f} cores"
+    " and the others {small:f}"
+)
+def make_unequal_members(context, count, large_count, large, small):
+    """Makes the membership of instances of two capacities, which alternate by name."""
+    is_large = [number % (count // large_count) == 0 for number in range(count)]
+    make_members(context, [large if flag else small for flag in is_large], 1)
+
+
+def make_members(context, capacities, zones):
     """Makes the membership of each instance, which contains all instances."""
     members = [
-        data.Member(f"i{number:02d}", 1, 0, data.MemberState.LIVE, "h", 1, f"z{number % zones}")
-        for number in range(count)
+        data.Member(
+            f"i{number:02d}", 1, 0, data.MemberState.LIVE, "h", 1, f"z{number % zones}", capacity
+        )
+        for number, capacity in enumerate(capacities)
     ]
     context.membership_by_id = {}
     for member in members:
@@ -65,6 +92,53 @@
         assert zones == {view.local_member.zone}, zones
 
 
+@then("each of the {cell_count:d} cells of size {size:d} has 1 instance of {capacity:f} cores")
+def check_large_members(context, cell_count, size, capacity):
+    """Checks the number of cells, and of instances with a given capacity in each."""
+    views = context.membership_by_id
+    found = {view.cell(size) for view in views.values()}
+    assert len(found) == cell_count, found
+    for cell in found:
+        capacities = [views[name].local_member.capacity for name in cell]
+        assert capacities.count(capacity) == 1, cell
+
+
+@given("a cell of {count:d} instances, of which one has {large:f} cores and the others {small:f}")
+def make_cell(context, count, large, small):
+    """Makes the ownership policy of a cell."""
+    context.instances = tuple(data.InstanceId(f"i{number}") for number in range(count))
+    context.policy = ownership.CellOwnership(context.instances[0])
+    capacities = dict.fromkeys(context.instances, small) | {context.instances[0]: large}
+    context.policy.set_capacities(capacities)
+
+
+def find_owners(context, shard_count=3000):
+    """Returns the owner of each shard."""
+    return [
+        context.policy.owners(data.PoolId("p"), data.ServiceId(f"s{number}"), context.instances)[0]
+        for number in range(shard_count)
+    ]
+
+
+@then("of {shard_count:d} shards that instance owns {least:d}% to {most:d}%")
+def check_share(context, shard_count, least, most):
+    """Checks the share of the first instance."""
+    owned = find_owners(context, shard_count).count(context.instances[0])
+    assert least * shard_count <= 100 * owned <= most * shard_count, owned
+
+
+@then("shards move only to or from an instance whose capacity changes")
+def check_moves(context):
+    """Changes the capacity of one instance and compares the owners."""
+    before = find_owners(context)
+    changed = context.instances[3]
+    context.policy.set_capacities(
+        dict.fromkeys(context.instances, 0.5) | {context.instances[0]: 2.0, changed: 1.0}
+    )
+    moves = [pair for pair in zip(before, find_owners(context), strict=True) if len(set(pair)) > 1]
+    assert moves and all(changed in pair for pair in moves), moves[:5]
+
+
 @then("each instance of a cell sees the same cell")
 def check_same(context):
     """Checks that the members of a cell agree on it."""
--- a/monsoonhoist/core/cells.py
+++ b/monsoonhoist/core/cells.py
@@ -1,6 +1,7 @@
 """Cells, the groups of instances that share the calls to backend servers, and their size."""
 
 import math
+from collections.abc import Sequence
 
 import msgspec
 
@@ -10,6 +11,8 @@
 CALL_CPU_SECONDS = 0.0004
 # Share of the shortest latency goal that an instance may spend on the calls of one query.
 CALLS_SHARE_OF_GOAL = 0.11
+# Least capacity of an instance that is assumed.
+CAPACITY_MIN = 0.05
 # Connections to each server that a cell needs, so that one is free for a hedge.
 CONNECTIONS_PER_CELL_MIN = 2.0
 
@@ -26,6 +29,13 @@
     count: int
 
 
+def mean_capacity(members: Sequence[data.Member]) -> float:
+    """Returns the mean capacity of instances, in cores of typical speed; 1 without instances."""
+    if not members:
+        return 1.0
+    return sum(member.capacity for member in members) / len(members)
+
+
 # View in a deployment without cells.
 NO_CELL = CellView((), 0)
 
@@ -41,7 +51,7 @@
     return CellView(members.cell(size), max(1, round(fleet_size / size)))
 
 
-def size_for(instance_count: int, tables: data.Tables) -> int:
+def size_for(instance_count: int, tables: data.Tables, mean_capacity: float = 1.0) -> int:
     """Returns the number of instances that should form a cell.
 
     This is the smallest size that satisfies two conditions. The processor time of an instance's
@@ -52,6 +62,7 @@
     Args:
         instance_count: Number of live instances.
         tables: Tables in force.
+        mean_capacity: Mean capacity of an instance, in cores of typical speed.
     """
     shards_max = max(
         (len(pool.servers_by_service) for pool in tables.pool_by_id.values()), default=0
@@ -70,7 +81,12 @@
     size = 1.0
     if goals:
         size = max(
-            size, math.floor(shards_max * CALL_CPU_SECONDS / (CALLS_SHARE_OF_GOAL * min(goals)))
+            size,
+            math.floor(
+                shards_max
+                * CALL_CPU_SECONDS
+                / (CALLS_SHARE_OF_GOAL * min(goals) * max(CAPACITY_MIN, mean_capacity))
+            ),
         )
     if connections:
         cells_max = min(connections) * limits.USABLE_CONNECTIONS_SHARE / CONNECTIONS_PER_CELL_MIN
--- a/monsoonhoist/core/data.py
+++ b/monsoonhoist/core/data.py
@@ -268,6 +268,8 @@
         host: IP address.
         peer_port: TCP port for streams from other instances.
         zone: Availability zone.
+        capacity: Processor time per second that the instance may use, in seconds on a core of
+            typical speed.
     """
 
     instance: InstanceId
@@ -277,6 +279,7 @@
     host: str
     peer_port: int
     zone: ZoneId
+    capacity: float = 1.0
 
 
 class KeyRange(msgspec.Struct, frozen=True, array_like=True):
--- a/monsoonhoist/core/owner_selector.py
+++ b/monsoonhoist/core/owner_selector.py
@@ -1,6 +1,6 @@
 """Selection of the owner instance that receives a sub-request."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 
 from monsoonhoist.core import data
 from monsoonhoist.policy import ownership
@@ -21,9 +21,14 @@
         self._instances: tuple[data.InstanceId, ...] = (instance,)
         self._silent_instances: set[data.InstanceId] = set()
 
-    def set_instances(self, instances: tuple[data.InstanceId, ...]) -> None:
-        """Sets the instances that share the calls to backend servers."""
+    def set_instances(
+        self,
+        instances: tuple[data.InstanceId, ...],
+        capacity_by_instance: Mapping[data.InstanceId, float],
+    ) -> None:
+        """Sets the instances that share the calls to backend servers, and their capacities."""
         self._instances = instances
+        self._policy.set_capacities(capacity_by_instance)
         self._silent_instances.intersection_update(instances)
 
     def mark_responsive(self, instance: data.InstanceId) -> None:
--- a/monsoonhoist/policy/ownership.py
+++ b/monsoonhoist/policy/ownership.py
@@ -1,7 +1,8 @@
 """Policies that choose the instances that call the backend servers of a shard."""
 
 import abc
-from collections.abc import Sequence
+import math
+from collections.abc import Mapping, Sequence
 
 from monsoonhoist.core import data, hashing, limits
 from monsoonhoist.policy import registry
@@ -11,6 +12,8 @@
 OWNER_CONNECTION_SHARE = 0.5
 # One owner and two stand-bys, so that a shard still has an owner if two of them are silent.
 OWNERS_MAX = 3
+# Number of distinct hash values.
+HASH_RANGE = 2**64
 
 
 class Ownership(abc.ABC):
@@ -28,6 +31,10 @@
             instances: Live instances.
         """
 
+    @abc.abstractmethod
+    def set_capacities(self, capacity_by_instance: Mapping[data.InstanceId, float]) -> None:
+        """Sets the capacities of instances; those of others are 1."""
+
     @abc.abstractmethod
     def limit_share(self, instance_count: int) -> limits.LimitShare:
         """Returns the shares of the servers' limits that one instance may use.
@@ -39,7 +46,7 @@
 
 @registry.register(registry.Kind.OWNERSHIP, "rendezvous")
 class RendezvousOwnership(Ownership):
-    """Assigns each shard to the instance with the highest weight.
+    """Assigns each shard to the instance with the highest weight, in proportion to capacities.
 
     Rendezvous hashing: Thaler and Ravishankar, "Using name-based mappings to increase
     hit rates", IEEE/ACM Transactions on Networking 6(1), 1998. The owners of a pool are first
@@ -53,6 +60,13 @@
     def __init__(self, instance: data.InstanceId):
         self._owners_by_pool: dict[data.PoolId, PoolOwners] = {}
         self._instances: tuple[data.InstanceId, ...] = ()
+        self._capacity_by_instance: Mapping[data.InstanceId, float] = {}
+
+    def set_capacities(self, capacity_by_instance: Mapping[data.InstanceId, float]) -> None:
+        """Sets the capacities by which shards are divided."""
+        if capacity_by_instance != self._capacity_by_instance:
+            self._capacity_by_instance = dict(capacity_by_instance)
+            self._owners_by_pool.clear()
 
     def owners(
         self, pool: data.PoolId, service: data.ServiceId, instances: Sequence[data.InstanceId]
@@ -62,9 +76,9 @@
             self._update_instances(tuple(instances))
         pool_owners = self._owners_by_pool.get(pool)
         if pool_owners is None:
-            pool_owners = PoolOwners(
-                tuple(_sort_by_weight(pool, self._instances)[: self.pool_owners_max])
-            )
+            capacities = self._capacity_by_instance
+            ordered = _sort_by_weight(pool, self._instances, capacities)
+            pool_owners = PoolOwners(tuple(ordered[: self.pool_owners_max]), capacities)
             self._owners_by_pool[pool] = pool_owners
         return pool_owners.owners(pool, service)
 
@@ -88,26 +102,38 @@
         """Returns whether any added instance would be one of the pool's owners."""
         if len(pool_owners.members) < self.pool_owners_max:
             return bool(added)
-        lowest_weight = _weight(pool, pool_owners.members[-1])
-        return any(_weight(pool, instance) > lowest_weight for instance in added)
+        capacities = self._capacity_by_instance
+        lowest_weight = _weight(pool, pool_owners.members[-1], capacities)
+        return any(_weight(pool, instance, capacities) > lowest_weight for instance in added)
 
 
 class PoolOwners:
     """Instances among which the shards of one pool are divided.
 
-    Attributes:
+    Args:
         members: The instances, in descending order of their weight for the pool.
+        capacity_by_instance: Capacities of the instances; 1 for those that are not contained.
+
+    Attributes:
+        members: The instances.
     """
 
-    def __init__(self, members: tuple[data.InstanceId, ...]):
+    def __init__(
+        self,
+        members: tuple[data.InstanceId, ...],
+        capacity_by_instance: Mapping[data.InstanceId, float],
+    ):
         self.members = members
+        self._capacity_by_instance = capacity_by_instance
         self._owners_by_service: dict[data.ServiceId, tuple[data.InstanceId, ...]] = {}
 
     def owners(self, pool: data.PoolId, service: data.ServiceId) -> tuple[data.InstanceId, ...]:
         """Returns the owner of a shard, followed by its stand-bys."""
         owners = self._owners_by_service.get(service)
         if owners is None:
-            owners = tuple(_sort_by_weight(f"{pool}/{service}", self.members)[:OWNERS_MAX])
+            name = f"{pool}/{service}"
+            ordered = _sort_by_weight(name, self.members, self._capacity_by_instance)
+            owners = tuple(ordered[:OWNERS_MAX])
             self._owners_by_service[service] = owners
         return owners
 
@@ -119,6 +145,9 @@
     def __init__(self, instance: data.InstanceId):
         self._instance = instance
 
+    def set_capacities(self, capacity_by_instance: Mapping[data.InstanceId, float]) -> None:
+        """Does nothing, since each instance calls every server."""
+
     def owners(
         self, pool: data.PoolId, service: data.ServiceId, instances: Sequence[data.InstanceId]
     ) -> tuple[data.InstanceId, ...]:
@@ -147,10 +176,26 @@
         return limits.LimitShare(1.0, part * limits.USABLE_CONNECTIONS_SHARE)
 
 
-def _sort_by_weight(name: str, instances: Sequence[data.InstanceId]) -> list[data.InstanceId]:
+def _sort_by_weight(
+    name: str,
+    instances: Sequence[data.InstanceId],
+    capacity_by_instance: Mapping[data.InstanceId, float],
+) -> list[data.InstanceId]:
     """Returns the instances in descending order of their weight for a name."""
-    return sorted(instances, key=lambda instance: _weight(name, instance), reverse=True)
+    return sorted(
+        instances,
+        key=lambda instance: _weight(name, instance, capacity_by_instance),
+        reverse=True,
+    )
 
 
-def _weight(name: str, instance: data.InstanceId) -> tuple[int, str]:
-    return (hashing.stable_hash(instance, name), instance)
+def _weight(
+    name: str, instance: data.InstanceId, capacity_by_instance: Mapping[data.InstanceId, float]
+) -> tuple[float, str]:
+    """Returns an instance's weight for a name, in proportion to its capacity.
+
+    Weighted rendezvous hashing: Schindelhauer and Schomaker, "Weighted distributed hash tables",
+    SPAA 2005 (the logarithmic method).
+    """
+    uniform = (hashing.stable_hash(instance, name) + 0.5) / HASH_RANGE
+    return (-capacity_by_instance.get(instance, 1.0) / math.log(uniform), instance)
--- a/monsoonhoist/settings.py
+++ b/monsoonhoist/settings.py
@@ -26,6 +26,9 @@
     The native dialect serves callers and operators on ``http_port``. Other instances connect to
     ``peer_port``. If the port is mapped to another one on the way, ``peer_listen_port`` is the
     port on which the process listens.
+
+    The process may use the share ``cpu_share`` of a core, which is ``cpu_speed`` times as fast as
+    a typical one. Instances with more capacity own more shards.
     """
 
     name: Annotated[str, msgspec.Meta(pattern=r"^[A-Za-z0-9._-]+$")]
@@ -35,6 +38,13 @@
     http_port: Annotated[int, msgspec.Meta(ge=1, le=65535)]
     peer_port: Annotated[int, msgspec.Meta(ge=1, le=65535)]
     peer_listen_port: Annotated[int, msgspec.Meta(ge=0, le=65535)] = 0
+    cpu_share: Annotated[float, msgspec.Meta(gt=0, le=1024)] = 1.0
+    cpu_speed: Annotated[float, msgspec.Meta(gt=0, le=1024)] = 1.0
+
+    @property
+    def capacity(self) -> float:
+        """Processor time per second, in seconds on a core of typical speed."""
+        return self.cpu_share * self.cpu_speed
 
     def problems(self) -> tuple[ini.Problem, ...]:
         """Returns an error if ``http_port`` and ``peer_port`` are the same."""
@@ -122,8 +132,8 @@
     Attributes:
         body_bytes: Largest body of a caller's request; native dialect only.
         frame_bytes: Largest message from another instance.
-        stream_buffer_bytes: Most bytes buffered on a stream between instances, for each direction;
-            a stream with more is closed and opened again.
+        stream_buffer_bytes: Most bytes that may wait to be sent on a stream between instances; a
+            stream with more is closed and opened again.
         callers: Number of requests and calls in flight at which queries are refused; a request
             counts once in each task that holds it; native dialect only.
         results: Most results that a caller may request; native dialect only.
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -341,6 +341,8 @@
         "Listen.Ready": f"{host}:{READY_PORT}",
         "Listen.Control": f"{host}:{CONTROL_PORT}",
         "Bootstrap": "false",
+        "Limits.CpuShare": "1",
+        "Limits.Cores": "1",
         "Bounds.RetryRatio": "0.2",
         "Bounds.RetrySlack": "50",
         "Bounds.RetryWindowS": "10",
