--- a/monsoonhoist/core/server_reports.py
+++ b/monsoonhoist/core/server_reports.py
@@ -46,6 +46,8 @@
         Returns:
             The shards that are affected.
         """
+        if not report.is_leaving and report.wait_seconds <= 0.0:
+            return []
         now = self._clock.monotonic()
         notices = self._shards.notices
         was_leaving = notices.find(server).leaving_since is not None
--- a/monsoonhoist/platform/backend_protocol.py
+++ b/monsoonhoist/platform/backend_protocol.py
@@ -2,6 +2,7 @@
 
 import datetime
 import re
+from collections.abc import Mapping
 
 from monsoonhoist.core import data, events, exchange
 from monsoonhoist.node import backends, curl
@@ -18,6 +19,7 @@
 _COUNT_PATTERN = re.compile(r"[0-9]{1,9}")
 # Headers that curl adds by default. They are suppressed unless the caller sent them.
 CURL_DEFAULT_HEADERS = ("Accept", "User-Agent", "Content-Type", "Expect")
+CONTENT_ENCODING = "content-encoding"
 # Header fields of a response that are not forwarded to the caller, in lower case.
 UNFORWARDED_HEADERS = wire_names.CONNECTION_HEADERS | {"content-length", "expect"}
 
@@ -77,12 +79,7 @@
 
     def read_report(self, reply: curl.HttpReply) -> exchange.ServerReport:
         """Returns what a server says about itself in the headers of a response."""
-        leaving = _find_header(reply.headers, wire_names.LEAVING_HEADER)
-        return exchange.ServerReport(
-            is_leaving=leaving is not None and leaving.value == wire_names.LEAVING_VALUE,
-            wait_seconds=_parse_wait_seconds(reply),
-            load=_parse_load(reply),
-        )
+        return _make_report(reply.status, _values_by_name(reply.headers))
 
     def read_reply(
         self, command: events.StartCall, reply: curl.HttpReply
@@ -93,25 +90,21 @@
         is a failure if the response would be merged or the server itself failed; otherwise the
         response is forwarded to the caller.
         """
-        report = self.read_report(reply)
+        value_by_name = _values_by_name(reply.headers)
+        report = _make_report(reply.status, value_by_name)
         if not reply.status:
             return _make_transport_failure(command.call_id, reply, report)
-        if (
-            _find_header(reply.headers, wire_names.NOT_RUN_HEADER) is not None
-            or reply.status == STATUS_MISDIRECTED
-        ):
+        if wire_names.NOT_RUN_HEADER.lower() in value_by_name or reply.status == STATUS_MISDIRECTED:
             return _make_refusal(command.call_id, reply, report)
-        proof = _find_header(reply.headers, wire_names.PROOF_HEADER)
-        is_encoded = _find_header(reply.headers, "Content-Encoding") is not None
-        if proof is None or is_encoded:
+        proof = value_by_name.get(wire_names.PROOF_HEADER.lower())
+        if proof is None or CONTENT_ENCODING in value_by_name:
             reason = data.Refusal.MALFORMED_REPLY
             return events.CallFailed(command.call_id, reason, True, report=report)
         is_forwarded = command.query.passes_response
-        response = exchange.Response(reply.status, _forwarded_headers(reply.headers), reply.body)
         if reply.status // 100 != 2 and (not is_forwarded or reply.status >= STATUS_SERVER_ERROR):
             reason = data.Refusal.BACKEND_ERROR
             return events.CallFailed(
-                command.call_id, reason, True, response=response, report=report
+                command.call_id, reason, True, response=_make_response(reply), report=report
             )
         return events.CallReplied(
             call_id=command.call_id,
@@ -120,8 +113,8 @@
             holdings=(),
             results=() if is_forwarded else _split_records(reply.body),
             draining=False,
-            proof=proof.value,
-            response=response if is_forwarded else None,
+            proof=proof,
+            response=_make_response(reply) if is_forwarded else None,
             report=report,
         )
 
@@ -152,26 +145,49 @@
     return events.CallFailed(call_id, data.Refusal.SHED, False, report=report)
 
 
-def _parse_load(reply: curl.HttpReply) -> exchange.Load | None:
-    """Returns the load that the server reports, or None without a valid header.
+def _values_by_name(headers: tuple[exchange.Header, ...]) -> dict[str, str]:
+    """Returns the values of header fields by their names in lower case, the first of each name."""
+    return {header.name.lower(): header.value for header in reversed(headers)}
+
+
+def _make_report(status: int, value_by_name: Mapping[str, str]) -> exchange.ServerReport:
+    """Returns what a server says about itself in a response.
+
+    Args:
+        status: HTTP status of the response.
+        value_by_name: Values of its header fields by their names in lower case.
+    """
+    is_leaving = value_by_name.get(wire_names.LEAVING_HEADER.lower()) == wire_names.LEAVING_VALUE
+    wait_text = value_by_name.get(wire_names.WAIT_HEADER.lower(), "")
+    return exchange.ServerReport(
+        is_leaving=is_leaving,
+        wait_seconds=_parse_wait_seconds(wait_text) if status == STATUS_UNAVAILABLE else 0.0,
+        load=_parse_load(value_by_name.get(wire_names.LOAD_HEADER.lower(), "")),
+    )
+
+
+def _make_response(reply: curl.HttpReply) -> exchange.Response:
+    """Returns a response to forward, without the header fields of the connection."""
+    return exchange.Response(reply.status, _forwarded_headers(reply.headers), reply.body)
+
 
-    The header has three numbers or more; those after the fourth are ignored.
+def _parse_load(text: str) -> exchange.Load | None:
+    """Returns the load that a server reports, or None if the text is not valid.
+
+    It has three numbers or more; those after the fourth are ignored.
     """
-    header = _find_header(reply.headers, wire_names.LOAD_HEADER)
-    fields = header.value.split(",")[:LOAD_FIELDS_MAX] if header is not None else []
-    numbers = [field.strip() for field in fields]
+    if not text:
+        return None
+    numbers = [field.strip() for field in text.split(",")[:LOAD_FIELDS_MAX]]
     if len(numbers) < LOAD_FIELDS_MIN or not all(map(_COUNT_PATTERN.fullmatch, numbers)):
         return None
     return exchange.Load(*(int(number) for number in numbers))
 
 
-def _parse_wait_seconds(reply: curl.HttpReply) -> float:
-    """Returns how long a server that is full wants nothing; 0 without a valid header."""
-    header = _find_header(reply.headers, wire_names.WAIT_HEADER)
-    if reply.status != STATUS_UNAVAILABLE or header is None:
-        return 0.0
+def _parse_wait_seconds(text: str) -> float:
+    """Returns how long a server that is full wants nothing; 0 if the text is no positive number."""
     try:
-        seconds = float(header.value)
+        seconds = float(text)
     except ValueError:
         return 0.0
     return seconds if seconds > 0.0 else 0.0
