Own shards in the zone of their servers, so that messages cross zones once

The instances of each zone are divided into the same number of cells, and a cell consists of its instances in the entry's own zone and in the zones whose instances own shards for it. A shard's owner is in the entry's zone if a server is, else in the zone of a server (by a hash, so that both zones get their part); the first stand-by is in the zone of another server. Streams between zones that carry queries only have heartbeats a quarter as often. Connections are opened ahead to the servers of the own zone only. Cells of one instance (small sites) stay as they were.

--- a/monsoonhoist/core/cells.py
+++ b/monsoonhoist/core/cells.py
@@ -1,11 +1,11 @@
 """Cells, the groups of instances that share the calls to backend servers, and their size."""
 
 import math
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 
 import msgspec
 
-from monsoonhoist.core import data, limits, membership
+from monsoonhoist.core import data, limits, membership, placement
 
 # Processor time of a call to a backend server and its reply, on a core of typical speed.
 CALL_CPU_SECONDS = 0.0004
@@ -22,13 +22,17 @@
 
     Attributes:
         members: Instances of the cell, sorted.
-        count: Number of cells in all availability zones together.
+        count: Number of instances that own a shard, in all cells together.
     """
 
     members: tuple[data.InstanceId, ...]
     count: int
 
 
+# View in a deployment without cells.
+NO_CELL = CellView((), 0)
+
+
 def mean_capacity(members: Sequence[data.Member]) -> float:
     """Returns the mean capacity of instances, in cores of typical speed; 1 without instances."""
     if not members:
@@ -36,19 +40,49 @@
     return sum(member.capacity for member in members) / len(members)
 
 
-# View in a deployment without cells.
-NO_CELL = CellView((), 0)
-
-
-def make_view(members: membership.Membership, size: int, fleet_size: int) -> CellView:
+def make_view(
+    members: membership.Membership,
+    size: int,
+    fleet_size: int,
+    zones_by_service: Mapping[data.ServiceId, Sequence[data.ZoneId]],
+) -> CellView:
     """Returns the cell of an instance.
 
+    The instances of each zone are divided into the same number of cells. A cell consists of its
+    instances in the instance's own zone and in the zones whose instances own shards for it: a shard
+    without a server in the own zone has its owner in the zone of a server. One message then crosses
+    zones in place of each of the owner's calls.
+
     Args:
         members: The instance's view of all instances.
-        size: Intended number of instances in a cell.
+        size: Intended number of instances that share the calls of a query.
         fleet_size: Number of instances that share the servers' limits.
+        zones_by_service: Availability zones of the servers of each shard.
     """
-    return CellView(members.cell(size), max(1, round(fleet_size / size)))
+    own_zone = members.local_member.zone
+    serving = sorted({zone for zones in zones_by_service.values() for zone in zones})
+    remote = {
+        zone
+        for service, zones in zones_by_service.items()
+        if own_zone not in zones
+        for zone in placement.order_zones(service, zones, own_zone)[:1]
+    }
+    live_by_zone = members.live_by_zone()
+    if size <= 1 or not set(serving).issubset(live_by_zone):
+        return CellView(members.cell(size), max(1, round(fleet_size / size)))
+    # The zones that share the calls of a query: all serving ones, unless each zone has servers of
+    # its own.
+    zones_per_query = 1 if set(live_by_zone).issubset(serving) else len(serving)
+    zone_sizes = [len(live_by_zone[zone]) for zone in serving]
+    mean_zone_size = sum(zone_sizes) / len(zone_sizes) if zone_sizes else 0.0
+    cell_count = max(1, round(mean_zone_size * zones_per_query / size))
+    groups = [members.group(zone, cell_count) for zone in sorted({own_zone, *remote})]
+    owner_count = cell_count * max(1, len(serving))
+    known_share = max(1.0, fleet_size / max(1, len(members.live())))
+    return CellView(
+        tuple(sorted(instance for group in groups for instance in group)),
+        max(1, round(owner_count * known_share)),
+    )
 
 
 def size_for(instance_count: int, tables: data.Tables, mean_capacity: float = 1.0) -> int:
--- a/monsoonhoist/core/entry.py
+++ b/monsoonhoist/core/entry.py
@@ -103,7 +103,7 @@
     def _handle_view(self, event: events.ViewChanged) -> list[events.Command]:
         self._tables = event.tables
         instances = event.cell or event.instances
-        self._owner_selector.set_instances(instances, event.capacity_by_instance)
+        self._owner_selector.set_instances(instances, event.topology)
         self._allowances.set_share(event.budget_share)
         pools = self._tables.pool_by_id
         busy_pools = {state.pool.pool_id for state in self._query_by_id.values()}
--- a/monsoonhoist/core/events.py
+++ b/monsoonhoist/core/events.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from monsoonhoist.core import data, exchange, fanout, messages
+from monsoonhoist.core import data, exchange, fanout, messages, placement
 
 
 class ViewChanged(msgspec.Struct, frozen=True, tag="view-changed"):
@@ -21,7 +21,7 @@
         cells: Number of cells; 0 if there are none.
         fleet_size: Number of instances among which the budgets of extra calls are divided,
             including those known until recently; 0 for the number of live instances.
-        capacity_by_instance: Capacities of the instances of the cell, in cores of typical speed.
+        topology: Where the instances of the cell and the servers are.
     """
 
     tables: data.Tables
@@ -29,7 +29,7 @@
     cell: tuple[data.InstanceId, ...] = ()
     cells: int = 0
     fleet_size: int = 0
-    capacity_by_instance: dict[data.InstanceId, float] = {}
+    topology: placement.Topology = placement.NO_TOPOLOGY
 
     @property
     def budget_share(self) -> float:
--- a/monsoonhoist/core/membership.py
+++ b/monsoonhoist/core/membership.py
@@ -177,14 +177,29 @@
             size: Intended number of instances of a cell.
         """
         zone_members = self._live_in_zone()
+        return self.group(self.local_member.zone, max(1, round(len(zone_members) / size)))
+
+    def group(self, zone: data.ZoneId, group_count: int) -> tuple[data.InstanceId, ...]:
+        """Returns the live instances of a zone that are in the group of this instance, sorted.
+
+        The instances of each zone are divided into the same number of groups. This instance is
+        alone if it is not in its own view of the live ones.
+
+        Args:
+            zone: Availability zone.
+            group_count: Number of groups of each zone.
+        """
         local_name = self.local_member.instance
-        if local_name not in {member.instance for member in zone_members}:
+        ordered = [member.instance for member in _order_for_groups(self._live_in_zone())]
+        if local_name not in ordered:
             return (local_name,)
-        cell_count = max(1, round(len(zone_members) / size))
-        # Instances of a large capacity come first, so that each cell gets its part of them.
-        ordered = sorted(zone_members, key=lambda member: (-member.capacity, member.instance))
-        position = [member.instance for member in ordered].index(local_name) % cell_count
-        return tuple(sorted(member.instance for member in ordered[position::cell_count]))
+        index = ordered.index(local_name) % group_count
+        members = _order_for_groups(self.live_by_zone().get(zone, []))
+        return tuple(sorted(member.instance for member in members[index::group_count]))
+
+    def live_by_zone(self) -> dict[data.ZoneId, list[data.Member]]:
+        """Returns the live instances of each availability zone, sorted by name."""
+        return self._current().live_by_zone
 
     def member_count(self) -> int:
         """Returns the number of known instances, including this one."""
@@ -192,7 +207,7 @@
 
     def _live_in_zone(self) -> list[data.Member]:
         """Returns the live instances in this instance's availability zone, sorted by name."""
-        return [member for member in self.live_members() if member.zone == self.local_member.zone]
+        return self.live_by_zone().get(self.local_member.zone, [])
 
     def watch_position(self) -> int:
         """Returns this instance's position, from 0, in the order of watchers.
@@ -243,6 +258,14 @@
             cell_members + zone_neighbours + self._gossip_neighbours(other_zones, other_zones_count)
         )
 
+    def distant(self, instances: Iterable[data.InstanceId]) -> frozenset[data.InstanceId]:
+        """Returns those of the given live instances that are in another availability zone."""
+        zone_by_id = {member.instance: member.zone for member in self.live_members()}
+        own_zone = self.local_member.zone
+        return frozenset(
+            instance for instance in instances if zone_by_id.get(instance, own_zone) != own_zone
+        )
+
     def _gossip_neighbours(self, others: list[data.Member], degree: int) -> tuple[data.Member, ...]:
         """Returns at most ``degree`` of the given instances as neighbours for gossip."""
         if len(others) <= degree:
@@ -273,6 +296,14 @@
         self.live = live
         self.live_instances = tuple(member.instance for member in live)
 
+    @functools.cached_property
+    def live_by_zone(self) -> dict[data.ZoneId, list[data.Member]]:
+        """Live instances of each availability zone, sorted by name."""
+        members_by_zone: dict[data.ZoneId, list[data.Member]] = {}
+        for member in self.live:
+            members_by_zone.setdefault(member.zone, []).append(member)
+        return members_by_zone
+
     @functools.cached_property
     def _position_by_instance(self) -> dict[data.InstanceId, int]:
         candidates = sorted(self.live_instances, key=_watch_weight, reverse=True)
@@ -283,6 +314,14 @@
         return self._position_by_instance.get(instance, len(self.live))
 
 
+def _order_for_groups(members: Iterable[data.Member]) -> list[data.Member]:
+    """Returns instances in the order in which they are dealt to groups.
+
+    Instances of a large capacity come first, so that each group gets its part of them.
+    """
+    return sorted(members, key=lambda member: (-member.capacity, member.instance))
+
+
 def _as_member(row: ListedInstance) -> data.Member:
     """Returns a listed instance as a record that is older than any that the instance sends."""
     return data.Member(
--- a/monsoonhoist/core/owner_selector.py
+++ b/monsoonhoist/core/owner_selector.py
@@ -1,8 +1,8 @@
 """Selection of the owner instance that receives a sub-request."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable
 
-from monsoonhoist.core import data
+from monsoonhoist.core import data, placement
 from monsoonhoist.policy import ownership
 
 
@@ -24,11 +24,11 @@
     def set_instances(
         self,
         instances: tuple[data.InstanceId, ...],
-        capacity_by_instance: Mapping[data.InstanceId, float],
+        topology: placement.Topology,
     ) -> None:
-        """Sets the instances that share the calls to backend servers, and their capacities."""
+        """Sets the instances that share the calls to backend servers, and where they are."""
         self._instances = instances
-        self._policy.set_capacities(capacity_by_instance)
+        self._policy.set_topology(topology)
         self._silent_instances.intersection_update(instances)
 
     def mark_responsive(self, instance: data.InstanceId) -> None:
--- a/monsoonhoist/core/warming.py
+++ b/monsoonhoist/core/warming.py
@@ -20,7 +20,8 @@
     """Returns the servers to which an instance opens connections ahead.
 
     These are the servers, without leaving ones, of the shards that the instance owns in its cell,
-    in pools of at least ``SHARDS_MIN`` shards; none if there are fewer than ``CELLS_MIN`` cells.
+    in pools of at least ``SHARDS_MIN`` shards; none if there are fewer than ``CELLS_MIN`` cells. Of
+    a shard with servers in the instance's own availability zone, only those are selected.
 
     Args:
         view: Current tables and live instances.
@@ -30,12 +31,17 @@
     if view.cells < CELLS_MIN:
         return ()
     instances = view.cell or view.instances
+    own_zone = view.topology.zone_by_instance.get(instance)
     return tuple(
         server
         for pool in view.tables.pool_by_id.values()
         if len(pool.servers_by_service) >= SHARDS_MIN
         for service, servers in pool.servers_by_service.items()
         if policy.owners(pool.pool_id, service, instances)[0] == instance
-        for server in servers
-        if not server.leaving
+        for server in _nearest([server for server in servers if not server.leaving], own_zone)
     )
+
+
+def _nearest(servers: list[data.Server], own_zone: data.ZoneId | None) -> list[data.Server]:
+    """Returns the servers in an availability zone, or all if there are none in it."""
+    return [server for server in servers if server.zone == own_zone] or servers
--- a/monsoonhoist/node/outbound_stream.py
+++ b/monsoonhoist/node/outbound_stream.py
@@ -25,6 +25,7 @@
         member: The other instance.
         is_persistent: Whether the stream stays open while unused.
         is_up: Whether the stream is established.
+        heartbeat_factor: Multiple of the usual heartbeat interval and silence.
     """
 
     def __init__(
@@ -40,6 +41,7 @@
         self.member = member
         self.is_persistent = is_persistent
         self.is_up = False
+        self.heartbeat_factor = 1
         self._close_idle = close_idle
         self._queued: list[messages.Message] = []
         # A stream opened to send a message queues messages until its first connection attempt ends.
@@ -167,16 +169,18 @@
 
     def _schedule_heartbeat(self) -> None:
         self._heartbeat_scheduled_at = self._clock.monotonic()
-        period = self._options.heartbeat.total_seconds()
+        period = self._options.heartbeat.total_seconds() * self.heartbeat_factor
         self._heartbeat_timer = asyncio.get_running_loop().call_later(period, self._send_heartbeat)
 
     def _send_heartbeat(self) -> None:
         """Sends a heartbeat, or ends the stream if earlier ones were not acknowledged in time."""
         now = self._clock.monotonic()
         # A missing acknowledgement after a pause of this process is not the peer's failure.
-        if now - self._heartbeat_scheduled_at > 2 * self._options.heartbeat.total_seconds():
+        period = self._options.heartbeat.total_seconds() * self.heartbeat_factor
+        silence = self._options.silence.total_seconds() * self.heartbeat_factor
+        if now - self._heartbeat_scheduled_at > 2 * period:
             self._last_received_at = now
-        if now - self._last_received_at > self._options.silence.total_seconds():
+        if now - self._last_received_at > silence:
             self._handle_end(TimeoutError("no acknowledgement of a heartbeat in time"))
             return
         if self._is_idle():
--- a/monsoonhoist/node/peers.py
+++ b/monsoonhoist/node/peers.py
@@ -5,10 +5,16 @@
 stream; without acknowledgements it is closed, so that a broken network path is detected.
 """
 
+from collections.abc import Container
+
 from monsoonhoist import metrics, settings
 from monsoonhoist.core import clock, data, messages
 from monsoonhoist.node import inbound_server, outbound_stream, stream_protocol
 
+# Multiple of the heartbeat interval and of the silence on streams that carry queries between
+# zones. They are many, and an entry notices an owner that does not respond by itself.
+DISTANT_HEARTBEAT_FACTOR = 4
+
 
 class PeerStreams:
     """Opens, accepts and closes all streams of an instance.
@@ -38,8 +44,15 @@
         """Accepts streams on an address."""
         self._server.listen(host, port)
 
-    def set_neighbours(self, members: tuple[data.Member, ...]) -> None:
-        """Maintains streams to these neighbours; others stay open only while in use."""
+    def set_neighbours(
+        self, members: tuple[data.Member, ...], distant: Container[data.InstanceId] = ()
+    ) -> None:
+        """Maintains streams to these neighbours; others stay open only while in use.
+
+        Args:
+            members: The neighbours.
+            distant: Those of them whose streams carry queries only, and between zones.
+        """
         neighbours = {member.instance for member in members}
         for instance in list(self._stream_by_id):
             stream = self._stream_by_id[instance]
@@ -50,6 +63,9 @@
         for member in members:
             if member.instance not in self._stream_by_id:
                 self._open(member, is_persistent=True)
+        for instance, stream in self._stream_by_id.items():
+            is_distant = instance in distant
+            stream.heartbeat_factor = DISTANT_HEARTBEAT_FACTOR if is_distant else 1
 
     def connected_instances(self) -> tuple[data.InstanceId, ...]:
         """Returns the instances whose streams are up, sorted."""
--- a/monsoonhoist/node/views.py
+++ b/monsoonhoist/node/views.py
@@ -7,7 +7,15 @@
 import msgspec
 
 from monsoonhoist import settings
-from monsoonhoist.core import cells, clock, data, events, membership, sliding_maximum
+from monsoonhoist.core import (
+    cells,
+    clock,
+    data,
+    events,
+    membership,
+    placement,
+    sliding_maximum,
+)
 from monsoonhoist.node import peers, replication
 
 # How long unreachable instances still count when limits are divided among the instances: they may
@@ -62,6 +70,7 @@
         self._replicator = replicator
         self._peer_streams = peer_streams
         self._subscribers = subscribers
+        self._zones_by_service: dict[data.ServiceId, tuple[data.ZoneId, ...]] = {}
         self._clock = time_source
         self._published_at = -math.inf
         self._pending_refresh: asyncio.TimerHandle | None = None
@@ -104,21 +113,26 @@
         if inputs != self._neighbour_inputs:
             self._neighbour_inputs = inputs
             degree = self._spread_settings.neighbours
-            self._peer_streams.set_neighbours(self._members.neighbours(degree, cell.members))
+            neighbours = self._members.neighbours(degree, cell.members)
+            self._peer_streams.set_neighbours(neighbours, self._members.distant(cell.members))
         self.view = events.ViewChanged(
-            tables, live, cell.members, cell.count, fleet_size, self._capacities(cell)
+            tables, live, cell.members, cell.count, fleet_size, self._make_topology(cell)
         )
         self._published_at = self._clock.monotonic()
         for notify in self._subscribers:
             notify(self.view)
 
-    def _capacities(self, cell: cells.CellView) -> dict[data.InstanceId, float]:
-        """Returns the capacities of the instances of the cell."""
-        return {
-            member.instance: member.capacity
-            for member in self._members.live_members()
-            if member.instance in cell.members
-        }
+    def _make_topology(self, cell: cells.CellView) -> placement.Topology:
+        """Returns where the instances of the cell and the servers are."""
+        cell_members = set(cell.members)
+        members = [
+            member for member in self._members.live_members() if member.instance in cell_members
+        ]
+        return placement.Topology(
+            {member.instance: member.capacity for member in members},
+            {member.instance: member.zone for member in members},
+            self._zones_by_service,
+        )
 
     def _is_current(self, tables: data.Tables, fleet_size: int) -> bool:
         """Returns whether neither tables nor instances have changed since the last view."""
@@ -132,4 +146,6 @@
             return cells.NO_CELL
         capacity = cells.mean_capacity(self._members.live_members())
         size = self._spread_settings.cell_size or cells.size_for(live_count, tables, capacity)
-        return cells.make_view(self._members, size, fleet_size)
+        if self.view is None or self.view.tables is not tables:
+            self._zones_by_service = placement.find_zones(tables)
+        return cells.make_view(self._members, size, fleet_size, self._zones_by_service)
--- a/monsoonhoist/policy/ownership.py
+++ b/monsoonhoist/policy/ownership.py
@@ -4,7 +4,7 @@
 import math
 from collections.abc import Mapping, Sequence
 
-from monsoonhoist.core import data, hashing, limits
+from monsoonhoist.core import data, hashing, limits, placement
 from monsoonhoist.policy import registry
 
 # Share of a server's connections that one owner uses. If the views of two instances differ and both
@@ -32,8 +32,8 @@
         """
 
     @abc.abstractmethod
-    def set_capacities(self, capacity_by_instance: Mapping[data.InstanceId, float]) -> None:
-        """Sets the capacities of instances; those of others are 1."""
+    def set_topology(self, topology: placement.Topology) -> None:
+        """Sets where instances and servers are."""
 
     @abc.abstractmethod
     def limit_share(self, instance_count: int) -> limits.LimitShare:
@@ -60,12 +60,12 @@
     def __init__(self, instance: data.InstanceId):
         self._owners_by_pool: dict[data.PoolId, PoolOwners] = {}
         self._instances: tuple[data.InstanceId, ...] = ()
-        self._capacity_by_instance: Mapping[data.InstanceId, float] = {}
+        self._topology = placement.NO_TOPOLOGY
 
-    def set_capacities(self, capacity_by_instance: Mapping[data.InstanceId, float]) -> None:
+    def set_topology(self, topology: placement.Topology) -> None:
         """Sets the capacities by which shards are divided."""
-        if capacity_by_instance != self._capacity_by_instance:
-            self._capacity_by_instance = dict(capacity_by_instance)
+        if topology != self._topology:
+            self._topology = topology
             self._owners_by_pool.clear()
 
     def owners(
@@ -76,7 +76,7 @@
             self._update_instances(tuple(instances))
         pool_owners = self._owners_by_pool.get(pool)
         if pool_owners is None:
-            capacities = self._capacity_by_instance
+            capacities = self._topology.capacity_by_instance
             ordered = _sort_by_weight(pool, self._instances, capacities)
             pool_owners = PoolOwners(tuple(ordered[: self.pool_owners_max]), capacities)
             self._owners_by_pool[pool] = pool_owners
@@ -102,7 +102,7 @@
         """Returns whether any added instance would be one of the pool's owners."""
         if len(pool_owners.members) < self.pool_owners_max:
             return bool(added)
-        capacities = self._capacity_by_instance
+        capacities = self._topology.capacity_by_instance
         lowest_weight = _weight(pool, pool_owners.members[-1], capacities)
         return any(_weight(pool, instance, capacities) > lowest_weight for instance in added)
 
@@ -145,7 +145,7 @@
     def __init__(self, instance: data.InstanceId):
         self._instance = instance
 
-    def set_capacities(self, capacity_by_instance: Mapping[data.InstanceId, float]) -> None:
+    def set_topology(self, topology: placement.Topology) -> None:
         """Does nothing, since each instance calls every server."""
 
     def owners(
@@ -165,16 +165,73 @@
     """Divides the shards among the instances of a cell; each cell calls every server.
 
     The caller passes the instances of its cell as ``instances``. With cells of one instance, each
-    entry calls the servers itself. A cell may use all slots of a server, because servers queue
-    calls and the other cells are rarely busy there at the same time, but it uses only its part of
-    the connections.
+    entry calls the servers itself. A shard has its owner in the zone of one of its servers, the
+    entry's own zone if possible. The first stand-by is in the zone of another server. A cell may
+    use all slots of a server, because servers queue calls and the other cells are rarely busy there
+    at the same time, but it uses only its part of the connections.
     """
 
+    def __init__(self, instance: data.InstanceId):
+        super().__init__(instance)
+        self._instance = instance
+        self._owners_by_shard: dict[
+            tuple[data.PoolId, data.ServiceId], tuple[data.InstanceId, ...]
+        ] = {}
+
+    def set_topology(self, topology: placement.Topology) -> None:
+        """Sets where instances and servers are, and what the instances can do."""
+        if topology != self._topology:
+            self._topology = topology
+            self._owners_by_shard.clear()
+
+    def owners(
+        self, pool: data.PoolId, service: data.ServiceId, instances: Sequence[data.InstanceId]
+    ) -> tuple[data.InstanceId, ...]:
+        """Returns the owner of a shard, followed by its stand-bys."""
+        if instances is not self._instances:
+            self._instances = tuple(instances)
+            self._owners_by_shard.clear()
+        owners = self._owners_by_shard.get((pool, service))
+        if owners is None:
+            owners = self._choose_owners(pool, service)
+            self._owners_by_shard[pool, service] = owners
+        return owners
+
     def limit_share(self, instance_count: int) -> limits.LimitShare:
         """Returns all slots, and an equal part of the usable connections for each cell."""
         part = 1.0 / max(1, instance_count)
         return limits.LimitShare(1.0, part * limits.USABLE_CONNECTIONS_SHARE)
 
+    def _choose_owners(
+        self, pool: data.PoolId, service: data.ServiceId
+    ) -> tuple[data.InstanceId, ...]:
+        """Returns the best instance of the preferred zone, then one of another zone, then others.
+
+        Without the zones of servers, all instances are alike.
+        """
+        topology = self._topology
+        zones = topology.zones_by_service.get(service, ())
+        own_zone = topology.zone_by_instance.get(self._instance, data.ZoneId(""))
+        rank_by_zone = {
+            zone: rank for rank, zone in enumerate(placement.order_zones(service, zones, own_zone))
+        }
+        by_weight = _sort_by_weight(
+            f"{pool}/{service}", self._instances, topology.capacity_by_instance
+        )
+        rank_by_instance = {
+            instance: rank_by_zone.get(topology.zone_by_instance.get(instance, ""), len(zones))
+            for instance in by_weight
+        }
+        # The order by weight is kept within a zone.
+        ordered = sorted(by_weight, key=rank_by_instance.__getitem__)
+        first_rank = rank_by_instance[ordered[0]]
+        others = [
+            instance for instance in ordered if first_rank < rank_by_instance[instance] < len(zones)
+        ]
+        preferred = [ordered[0], *others[:1]]
+        rest = [instance for instance in ordered if instance not in preferred]
+        return tuple((preferred + rest)[:OWNERS_MAX])
+
 
 def _sort_by_weight(
     name: str,
