Divide the core by concern: queries, shards, fleet, overload, protocol, kernels

core held 46 modules side by side. Two layouts were weighed: one folder for each kernel with everything it uses, which puts the records of both into one of them; and folders by concern in which imports go one way. The latter: core (records, clock, hashes), protocol (messages, events, commands), overload, fleet, queries (the entry's side), shards (the owner's side), kernels (assembly and traces).

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -161,9 +161,9 @@
         f"| bytes between instances | {stream_bytes / 1e6:.0f} MB/s | merging at owners |",
         f"| sub-requests at one backend server | {QUERIES_PER_SECOND * FAN_OUT / SERVERS:,.0f}/s"
         " | |",
-        f"| entry decisions | {entry_cores:.2f} cores | `core.entry` |",
-        f"| frames, both ends | {codec_cores:.2f} cores | `core.messages` |",
-        f"| owner decisions | {owner_cores:.2f} cores | `core.owner` |",
+        f"| entry decisions | {entry_cores:.2f} cores | `queries.entry` |",
+        f"| frames, both ends | {codec_cores:.2f} cores | `protocol.messages` |",
+        f"| owner decisions | {owner_cores:.2f} cores | `shards.owner` |",
         f"| calls to backend servers | {call_cores:.2f} cores | `node.curl` |",
         f"| all | {total_cores:.1f} cores | |",
         f"| over {CORES_PER_INSTANCE} cores of a small instance |"
@@ -218,7 +218,7 @@
     mechanism_by_role = {
         "heartbeats": f"`node.peers`, {NEIGHBOURS} neighbours, every {HEARTBEAT_SECONDS:.0f} s",
         "table values": "`node.replication`, announced and fetched once, deflated",
-        "views after a change": "`core.membership`",
+        "views after a change": "`fleet.membership`",
         "instance list": "`node.config_service.InstancePoller`, every instance, every second",
         "owner map": "`policy.ownership`, only the pools concerned",
     }
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -21,9 +21,10 @@
 import msgspec
 
 from bench import workloads
-from monsoonhoist.core import data, messages
+from monsoonhoist.core import data
 from monsoonhoist.node import curl
 from monsoonhoist.policy import ownership
+from monsoonhoist.protocol import messages
 from monsoonhoist.tables import native, store
 from standins import site
 
--- a/bench/workloads.py
+++ b/bench/workloads.py
@@ -5,8 +5,11 @@
 
 import msgspec
 
-from monsoonhoist.core import clock, data, events, fanout, kernel, membership, messages
+from monsoonhoist.core import clock, data
+from monsoonhoist.fleet import membership
+from monsoonhoist.kernels import kernel
 from monsoonhoist.node import curl, search
+from monsoonhoist.protocol import events, fanout, messages
 
 KEY_SPACE = 1_000_000
 RESULTS_PER_SHARD = 10
--- a/features/layers.feature
+++ b/features/layers.feature
@@ -26,8 +26,8 @@
   Scenario: The platform's folder is a small part of the program
     Then "platform" contains less than 10% of the lines of the program
 
-  Scenario: The core and the policies do no I/O and import no sockets
-    Then no module in "core, policy" imports one of
+  Scenario: Decisions do no I/O and import no sockets
+    Then no module in "core, policy, protocol, overload, fleet, queries, shards, kernels" imports one of
       | module                 |
       | asyncio                |
       | socket                 |
@@ -37,5 +37,32 @@
       | monsoonhoist.platform  |
       | monsoonhoist.settings  |
 
+  Scenario: Imports go one way
+    Then each folder or module imports only those before it in this list
+      | name        |
+      | core        |
+      | addresses   |
+      | errors      |
+      | decoding    |
+      | policy      |
+      | protocol    |
+      | overload    |
+      | fleet       |
+      | queries     |
+      | shards      |
+      | kernels     |
+      | tables      |
+      | metrics     |
+      | export      |
+      | logs        |
+      | explanation |
+      | settings    |
+      | node        |
+      | platform    |
+      | client      |
+      | serve       |
+      | cli         |
+      | __main__    |
+
   Scenario: No module has more than 400 lines
     Then each module has at most 400 lines
--- a/features/steps/call_scheduling.py
+++ b/features/steps/call_scheduling.py
@@ -7,7 +7,9 @@
 from behave import given, then, when
 
 from bench import workloads
-from monsoonhoist.core import clock, data, events, kernel, messages
+from monsoonhoist.core import clock, data
+from monsoonhoist.kernels import kernel
+from monsoonhoist.protocol import events, messages
 
 SERVICE = data.ServiceId("shard-0000")
 SLOTS = 2
--- a/features/steps/cell_simulation.py
+++ b/features/steps/cell_simulation.py
@@ -12,17 +12,11 @@
 import itertools
 import random
 
-from monsoonhoist.core import (
-    budget,
-    clock,
-    data,
-    events,
-    exchange,
-    kernel,
-    kernel_config,
-    message_events,
-    messages,
-)
+from monsoonhoist.core import clock, data, exchange
+from monsoonhoist.kernels import kernel
+from monsoonhoist.overload import budget
+from monsoonhoist.protocol import events, message_events, messages
+from monsoonhoist.shards import kernel_config
 
 POOL = data.PoolId("set/1")
 ROUTE = data.RouteId("r")
--- a/features/steps/cells.py
+++ b/features/steps/cells.py
@@ -5,7 +5,8 @@
 import msgspec
 from behave import given, then, when
 
-from monsoonhoist.core import cells, data, membership, placement
+from monsoonhoist.core import data, placement
+from monsoonhoist.fleet import cells, membership
 from monsoonhoist.policy import ownership
 
 
--- a/features/steps/early_connections.py
+++ b/features/steps/early_connections.py
@@ -4,8 +4,10 @@
 
 from behave import given, then
 
-from monsoonhoist.core import data, events, warming
+from monsoonhoist.core import data
+from monsoonhoist.fleet import warming
 from monsoonhoist.policy import ownership
+from monsoonhoist.protocol import events
 
 POOL = data.PoolId("set/1")
 
--- a/features/steps/failures.py
+++ b/features/steps/failures.py
@@ -8,7 +8,8 @@
 from behave import given, then, when
 
 from features import callers
-from monsoonhoist.core import data, messages
+from monsoonhoist.core import data
+from monsoonhoist.protocol import messages
 from standins import site
 
 SOCKET_TIMEOUT_SECONDS = 10.0
--- a/features/steps/layers.py
+++ b/features/steps/layers.py
@@ -1,5 +1,6 @@
 """Steps that check the source of the program."""
 
+import ast
 import re
 
 from behave import then
@@ -53,6 +54,33 @@
     assert not imports, imports
 
 
+def find_imports(text):
+    """Returns the folders and modules of the program that a source imports, by their first name."""
+    imported = set()
+    for node in ast.walk(ast.parse(text)):
+        if isinstance(node, ast.Import):
+            imported.update(alias.name for alias in node.names)
+        elif isinstance(node, ast.ImportFrom) and node.module:
+            imported.update(f"{node.module}.{alias.name}" for alias in node.names)
+    prefix = f"{PACKAGE_PATH.name}."
+    return {name.split(".")[1] for name in imported if name.startswith(prefix)}
+
+
+@then("each folder or module imports only those before it in this list")
+def check_order(context):
+    """Compares the imports of each module with the order of the table."""
+    names = [row["name"] for row in context.table]
+    wrong = []
+    for path, text in read_sources().items():
+        name = path.parts[0].removesuffix(".py")
+        if name == "__init__":
+            continue
+        assert name in names, f"{path} is not in the list"
+        allowed = {*names[: names.index(name)], name}
+        wrong += [(str(path), imported) for imported in find_imports(text) - allowed]
+    assert not wrong, wrong
+
+
 @then("each module has at most {most:d} lines")
 def check_lengths(context, most):
     """Checks the number of lines of each module."""
--- a/features/steps/malformed_input.py
+++ b/features/steps/malformed_input.py
@@ -14,17 +14,12 @@
 from tornado import httputil, testing
 
 from monsoonhoist import decoding, errors, metrics, settings
-from monsoonhoist.core import (
-    clock,
-    data,
-    diagnostics,
-    exchange,
-    messages,
-    tickets,
-    traces,
-)
+from monsoonhoist.core import clock, data, diagnostics, exchange
+from monsoonhoist.kernels import traces
 from monsoonhoist.node import curl, peers, phases, replication, stream_protocol, web
 from monsoonhoist.platform import backend_protocol, callers, store_format
+from monsoonhoist.protocol import messages
+from monsoonhoist.queries import tickets
 from monsoonhoist.tables import native, pools, routes, store
 
 EXAMPLES_MAX = 150
--- a/features/steps/neighbours.py
+++ b/features/steps/neighbours.py
@@ -4,8 +4,10 @@
 
 from behave import given, then, when
 
-from monsoonhoist.core import data, membership, messages
+from monsoonhoist.core import data
+from monsoonhoist.fleet import membership
 from monsoonhoist.node import member_gossip
+from monsoonhoist.protocol import messages
 
 
 def make_member(name):
--- a/features/steps/removed_keys.py
+++ b/features/steps/removed_keys.py
@@ -6,9 +6,10 @@
 
 from features.steps import malformed_input
 from monsoonhoist import metrics
-from monsoonhoist.core import clock, data, messages
+from monsoonhoist.core import clock, data
 from monsoonhoist.node import replication
 from monsoonhoist.platform import store_format
+from monsoonhoist.protocol import messages
 
 NAMES = (data.InstanceId("old"), data.InstanceId("new"))
 REMOVED_AT = 20
--- a/features/steps/replay.py
+++ b/features/steps/replay.py
@@ -6,7 +6,8 @@
 import msgspec
 from behave import then, when
 
-from monsoonhoist.core import data, traces
+from monsoonhoist.core import data
+from monsoonhoist.kernels import traces
 from standins import site
 
 TRACES_PATH = site.ROOT / "features" / "traces"
--- a/features/steps/reply_messages.py
+++ b/features/steps/reply_messages.py
@@ -3,7 +3,9 @@
 from behave import given, then, when
 
 from features.steps import cell_simulation
-from monsoonhoist.core import clock, data, events, exchange, fanout, kernel, messages
+from monsoonhoist.core import clock, data, exchange
+from monsoonhoist.kernels import kernel
+from monsoonhoist.protocol import events, fanout, messages
 
 LOCAL_INSTANCE = data.InstanceId("i-0")
 REMOTE_INSTANCE = data.InstanceId("i-1")
--- a/features/steps/request_log.py
+++ b/features/steps/request_log.py
@@ -5,8 +5,9 @@
 from behave import given, then, when
 
 from features.steps import silent_owners
-from monsoonhoist.core import events, messages, traces
+from monsoonhoist.kernels import traces
 from monsoonhoist.node import request_log
+from monsoonhoist.protocol import events, messages
 
 
 class RecordingHandler(logging.Handler):
--- a/features/steps/retry_delay.py
+++ b/features/steps/retry_delay.py
@@ -2,7 +2,8 @@
 
 from behave import then, when
 
-from monsoonhoist.core import data, retry_after
+from monsoonhoist.core import data
+from monsoonhoist.overload import retry_after
 
 
 @when('{count:d} requests are refused because of "{reason}"')
--- a/features/steps/server_choice.py
+++ b/features/steps/server_choice.py
@@ -9,18 +9,12 @@
 import msgspec
 from behave import given, then, when
 
-from monsoonhoist.core import (
-    budget,
-    clock,
-    data,
-    events,
-    exchange,
-    kernel,
-    kernel_config,
-    message_events,
-    messages,
-    plan,
-)
+from monsoonhoist.core import clock, data, exchange
+from monsoonhoist.kernels import kernel
+from monsoonhoist.overload import budget
+from monsoonhoist.protocol import events, message_events, messages
+from monsoonhoist.queries import plan
+from monsoonhoist.shards import kernel_config
 
 LOCAL_INSTANCE = data.InstanceId("instance-1")
 ZONE = data.ZoneId("z")
--- a/features/steps/server_reports.py
+++ b/features/steps/server_reports.py
@@ -5,19 +5,13 @@
 
 from features.steps import server_choice
 from monsoonhoist import settings
-from monsoonhoist.core import (
-    budget,
-    data,
-    events,
-    exchange,
-    kernel_config,
-    limits,
-    messages,
-    shard_table,
-)
+from monsoonhoist.core import data, exchange, limits
 from monsoonhoist.node import curl
+from monsoonhoist.overload import budget
 from monsoonhoist.platform import backend_protocol
 from monsoonhoist.policy import balance, hedge, order, ownership
+from monsoonhoist.protocol import events, messages
+from monsoonhoist.shards import kernel_config, shard_table
 
 LEAVING = exchange.ServerReport(is_leaving=True)
 CELL = tuple(data.InstanceId(f"instance-{number}") for number in (1, 2, 3))
--- a/features/steps/silent_owners.py
+++ b/features/steps/silent_owners.py
@@ -5,17 +5,11 @@
 
 from behave import given, then, when
 
-from monsoonhoist.core import (
-    budget,
-    clock,
-    data,
-    events,
-    exchange,
-    fanout,
-    kernel,
-    kernel_config,
-    messages,
-)
+from monsoonhoist.core import clock, data, exchange
+from monsoonhoist.kernels import kernel
+from monsoonhoist.overload import budget
+from monsoonhoist.protocol import events, fanout, messages
+from monsoonhoist.shards import kernel_config
 
 CELL = tuple(data.InstanceId(f"i-{number}") for number in (1, 2, 3))
 POOL = data.PoolId("set/1")
--- a/features/steps/table_updates.py
+++ b/features/steps/table_updates.py
@@ -5,8 +5,9 @@
 
 from behave import given, then, when
 
-from monsoonhoist.core import data, messages
+from monsoonhoist.core import data
 from monsoonhoist.platform import store_format, wire_names
+from monsoonhoist.protocol import messages
 from monsoonhoist.tables import store
 
 # The second server of the original shard, and the port that ``make_tables`` gives it with three
--- a/features/steps/tables.py
+++ b/features/steps/tables.py
@@ -7,7 +7,8 @@
 
 from behave import given, then, when
 
-from monsoonhoist.core import data, messages
+from monsoonhoist.core import data
+from monsoonhoist.protocol import messages
 from monsoonhoist.tables import store
 from soak import native
 from standins import site
--- a/features/steps/watcher_selection.py
+++ b/features/steps/watcher_selection.py
@@ -2,7 +2,9 @@
 
 from behave import then, when
 
-from monsoonhoist.core import data, messages, watcher_selection
+from monsoonhoist.core import data
+from monsoonhoist.fleet import watcher_selection
+from monsoonhoist.protocol import messages
 
 INSTANCE_COUNT = 10
 
--- a/monsoonhoist/cli.py
+++ b/monsoonhoist/cli.py
@@ -12,7 +12,8 @@
 
 import monsoonhoist
 from monsoonhoist import client, errors, explanation, settings
-from monsoonhoist.core import data, diagnostics, traces
+from monsoonhoist.core import data, diagnostics
+from monsoonhoist.kernels import traces
 from monsoonhoist.node import process
 from monsoonhoist.tables import review
 
--- a/monsoonhoist/core/cells.py
+++ b/monsoonhoist/fleet/cells.py
@@ -5,7 +5,8 @@
 
 import msgspec
 
-from monsoonhoist.core import data, limits, membership, placement
+from monsoonhoist.core import data, limits, placement
+from monsoonhoist.fleet import membership
 
 # Processor time of a call to a backend server and its reply, on a core of typical speed.
 CALL_CPU_SECONDS = 0.0004
--- a/monsoonhoist/core/warming.py
+++ b/monsoonhoist/fleet/warming.py
@@ -4,8 +4,9 @@
 for the first time at once, the query of one would wait for the connections of the others.
 """
 
-from monsoonhoist.core import data, events
+from monsoonhoist.core import data
 from monsoonhoist.policy import ownership
+from monsoonhoist.protocol import events
 
 # Connections are opened ahead only for pools with at least this many shards.
 SHARDS_MIN = 2
--- a/monsoonhoist/core/watcher_selection.py
+++ b/monsoonhoist/fleet/watcher_selection.py
@@ -9,7 +9,8 @@
 
 import math
 
-from monsoonhoist.core import data, messages
+from monsoonhoist.core import data
+from monsoonhoist.protocol import messages
 
 MS_PER_SECOND = 1000
 
--- a/monsoonhoist/core/kernel.py
+++ b/monsoonhoist/kernels/kernel.py
@@ -2,8 +2,10 @@
 
 import dataclasses
 
-from monsoonhoist.core import clock, data, entry, kernel_config, owner
+from monsoonhoist.core import clock, data
 from monsoonhoist.policy import ownership, registry
+from monsoonhoist.queries import entry
+from monsoonhoist.shards import kernel_config, owner
 
 
 @dataclasses.dataclass(frozen=True)
--- a/monsoonhoist/core/traces.py
+++ b/monsoonhoist/kernels/traces.py
@@ -12,7 +12,9 @@
 import msgspec
 
 from monsoonhoist import decoding, errors
-from monsoonhoist.core import clock, data, diagnostics, events, kernel
+from monsoonhoist.core import clock, data, diagnostics
+from monsoonhoist.kernels import kernel
+from monsoonhoist.protocol import events
 
 
 class Role(enum.Enum):
--- a/monsoonhoist/node/backends.py
+++ b/monsoonhoist/node/backends.py
@@ -7,8 +7,9 @@
 import msgspec
 
 from monsoonhoist import metrics
-from monsoonhoist.core import clock, data, events, exchange
+from monsoonhoist.core import clock, data, exchange
 from monsoonhoist.node import curl, task
+from monsoonhoist.protocol import events
 
 _log = logging.getLogger(__name__)
 
--- a/monsoonhoist/node/config_service.py
+++ b/monsoonhoist/node/config_service.py
@@ -12,8 +12,10 @@
 import msgspec
 
 from monsoonhoist import decoding, errors, metrics
-from monsoonhoist.core import data, membership, messages
+from monsoonhoist.core import data
+from monsoonhoist.fleet import membership
 from monsoonhoist.node import curl, dialect, replication
+from monsoonhoist.protocol import messages
 from monsoonhoist.tables import store
 
 CONNECT_TIMEOUT = datetime.timedelta(seconds=1)
--- a/monsoonhoist/node/dialect.py
+++ b/monsoonhoist/node/dialect.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 
 from monsoonhoist import errors, metrics, settings
-from monsoonhoist.core import membership
+from monsoonhoist.fleet import membership
 from monsoonhoist.node import backends, curl, replication
 from monsoonhoist.tables import store
 
--- a/monsoonhoist/node/gauges.py
+++ b/monsoonhoist/node/gauges.py
@@ -1,8 +1,9 @@
 """Gauges of an instance: its tables, its work in flight, and its contact with other processes."""
 
 from monsoonhoist import metrics
-from monsoonhoist.core import clock, messages
+from monsoonhoist.core import clock
 from monsoonhoist.node import node
+from monsoonhoist.protocol import messages
 
 MS_PER_SECOND = 1000
 
--- a/monsoonhoist/node/inbound_server.py
+++ b/monsoonhoist/node/inbound_server.py
@@ -7,8 +7,9 @@
 from tornado import netutil
 
 from monsoonhoist import errors
-from monsoonhoist.core import data, messages
+from monsoonhoist.core import data
 from monsoonhoist.node import stream_protocol, streams
+from monsoonhoist.protocol import messages
 
 # Not ``__name__``: operators select log lines of all streams by this name.
 _log = logging.getLogger("monsoonhoist.node.peers")
--- a/monsoonhoist/node/kernels.py
+++ b/monsoonhoist/node/kernels.py
@@ -5,8 +5,10 @@
 from typing import Protocol
 
 from monsoonhoist import metrics
-from monsoonhoist.core import clock, events, traces
+from monsoonhoist.core import clock
+from monsoonhoist.kernels import traces
 from monsoonhoist.node import task
+from monsoonhoist.protocol import events
 
 
 class EventKernel(Protocol):
--- a/monsoonhoist/node/member_gossip.py
+++ b/monsoonhoist/node/member_gossip.py
@@ -3,7 +3,9 @@
 import asyncio
 from collections.abc import Callable
 
-from monsoonhoist.core import data, membership, messages
+from monsoonhoist.core import data
+from monsoonhoist.fleet import membership
+from monsoonhoist.protocol import messages
 
 # How long a record is delayed to send it with others.
 GATHER_SECONDS = 0.02
--- a/monsoonhoist/node/node.py
+++ b/monsoonhoist/node/node.py
@@ -7,19 +7,9 @@
 import msgspec
 
 from monsoonhoist import metrics, settings
-from monsoonhoist.core import (
-    answer_builder,
-    clock,
-    data,
-    events,
-    kernel,
-    membership,
-    message_events,
-    messages,
-    replies,
-    tickets,
-    traces,
-)
+from monsoonhoist.core import clock, data
+from monsoonhoist.fleet import membership
+from monsoonhoist.kernels import kernel, traces
 from monsoonhoist.node import (
     backends,
     curl,
@@ -40,6 +30,9 @@
     warmup,
     watcher_role,
 )
+from monsoonhoist.protocol import events, message_events, messages
+from monsoonhoist.queries import answer_builder, tickets
+from monsoonhoist.shards import replies
 
 DRAIN_CHECK_SECONDS = 0.05
 
--- a/monsoonhoist/node/outbound_stream.py
+++ b/monsoonhoist/node/outbound_stream.py
@@ -5,8 +5,9 @@
 from collections.abc import Callable
 
 from monsoonhoist import errors, metrics
-from monsoonhoist.core import clock, data, messages
+from monsoonhoist.core import clock, data
 from monsoonhoist.node import stream_protocol, streams
+from monsoonhoist.protocol import messages
 
 RECONNECT_MIN_SECONDS = 0.1
 RECONNECT_MAX_SECONDS = 2.0
--- a/monsoonhoist/node/peers.py
+++ b/monsoonhoist/node/peers.py
@@ -8,8 +8,9 @@
 from collections.abc import Container
 
 from monsoonhoist import metrics, settings
-from monsoonhoist.core import clock, data, messages
+from monsoonhoist.core import clock, data
 from monsoonhoist.node import inbound_server, outbound_stream, stream_protocol
+from monsoonhoist.protocol import messages
 
 # Multiple of the heartbeat interval and of the silence on streams that carry queries between
 # zones. They are many, and an entry notices an owner that does not respond by itself.
--- a/monsoonhoist/node/pending_queries.py
+++ b/monsoonhoist/node/pending_queries.py
@@ -6,7 +6,9 @@
 from collections.abc import Callable
 
 from monsoonhoist import metrics
-from monsoonhoist.core import clock, data, events, exchange, routing
+from monsoonhoist.core import clock, data, exchange
+from monsoonhoist.protocol import events
+from monsoonhoist.queries import routing
 
 _log = logging.getLogger("monsoonhoist.request")
 
--- a/monsoonhoist/node/replication.py
+++ b/monsoonhoist/node/replication.py
@@ -20,7 +20,8 @@
 import msgspec
 
 from monsoonhoist import errors, metrics
-from monsoonhoist.core import clock, data, messages
+from monsoonhoist.core import clock, data
+from monsoonhoist.protocol import messages
 from monsoonhoist.tables import store
 
 # Minimum interval between two requests for the same key, between two replies to the digest of
--- a/monsoonhoist/node/request_log.py
+++ b/monsoonhoist/node/request_log.py
@@ -13,8 +13,10 @@
 
 import msgspec
 
-from monsoonhoist.core import clock, data, events, messages, traces
+from monsoonhoist.core import clock, data
+from monsoonhoist.kernels import traces
 from monsoonhoist.node import call_counts
+from monsoonhoist.protocol import events, messages
 
 # Maximum number of requests whose steps are kept; beyond it, the oldest request is dropped.
 REQUESTS_MAX = 4096
--- a/monsoonhoist/node/search.py
+++ b/monsoonhoist/node/search.py
@@ -6,8 +6,9 @@
 import msgspec
 
 from monsoonhoist import decoding, errors
-from monsoonhoist.core import data, events, exchange
+from monsoonhoist.core import data, exchange
 from monsoonhoist.node import backends, curl
+from monsoonhoist.protocol import events
 
 CANCEL_TIMEOUT = datetime.timedelta(seconds=1)
 MS_PER_SECOND = 1000
--- a/monsoonhoist/node/stream_protocol.py
+++ b/monsoonhoist/node/stream_protocol.py
@@ -5,7 +5,8 @@
 import msgspec
 
 from monsoonhoist import errors
-from monsoonhoist.core import data, messages
+from monsoonhoist.core import data
+from monsoonhoist.protocol import messages
 
 
 class PeerOptions(msgspec.Struct, frozen=True):
--- a/monsoonhoist/node/streams.py
+++ b/monsoonhoist/node/streams.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable
 
 from monsoonhoist import errors
-from monsoonhoist.core import messages
+from monsoonhoist.protocol import messages
 
 _LENGTH = struct.Struct(">I")
 
--- a/monsoonhoist/node/ticket_runner.py
+++ b/monsoonhoist/node/ticket_runner.py
@@ -5,7 +5,9 @@
 from collections.abc import Callable
 
 from monsoonhoist import errors
-from monsoonhoist.core import answer_builder, data, events, exchange, messages, tickets
+from monsoonhoist.core import data, exchange
+from monsoonhoist.protocol import events, messages
+from monsoonhoist.queries import answer_builder, tickets
 
 MS_PER_SECOND = 1000
 # Added to the timeout of a forwarded request, so that an answer sent at the deadline arrives.
--- a/monsoonhoist/node/trace.py
+++ b/monsoonhoist/node/trace.py
@@ -2,7 +2,9 @@
 
 import pathlib
 
-from monsoonhoist.core import clock, data, events, kernel, traces
+from monsoonhoist.core import clock, data
+from monsoonhoist.kernels import kernel, traces
+from monsoonhoist.protocol import events
 
 
 class TraceWriter:
--- a/monsoonhoist/node/views.py
+++ b/monsoonhoist/node/views.py
@@ -7,16 +7,10 @@
 import msgspec
 
 from monsoonhoist import settings
-from monsoonhoist.core import (
-    cells,
-    clock,
-    data,
-    events,
-    membership,
-    placement,
-    sliding_maximum,
-)
+from monsoonhoist.core import clock, data, placement, sliding_maximum
+from monsoonhoist.fleet import cells, membership
 from monsoonhoist.node import peers, replication
+from monsoonhoist.protocol import events
 
 # How long unreachable instances still count when limits are divided among the instances: they may
 # be working behind a network partition.
--- a/monsoonhoist/node/warmup.py
+++ b/monsoonhoist/node/warmup.py
@@ -6,8 +6,11 @@
 import logging
 from collections.abc import Callable
 
-from monsoonhoist.core import data, events, exchange, kernel, warming
+from monsoonhoist.core import data, exchange
+from monsoonhoist.fleet import warming
+from monsoonhoist.kernels import kernel
 from monsoonhoist.node import backends, curl, task
+from monsoonhoist.protocol import events
 
 # Interval between two connections. The instances of all cells start together; the interval
 # leaves the servers' slots free for callers' requests in between.
--- a/monsoonhoist/node/watcher_role.py
+++ b/monsoonhoist/node/watcher_role.py
@@ -3,7 +3,8 @@
 from collections.abc import Callable
 
 from monsoonhoist import settings
-from monsoonhoist.core import clock, data, membership, watcher_selection
+from monsoonhoist.core import clock, data
+from monsoonhoist.fleet import membership, watcher_selection
 from monsoonhoist.node import readiness
 
 
--- a/monsoonhoist/node/web.py
+++ b/monsoonhoist/node/web.py
@@ -6,8 +6,10 @@
 from tornado import httpserver, web
 
 from monsoonhoist import decoding, errors, metrics
-from monsoonhoist.core import answer_builder, data, retry_after
+from monsoonhoist.core import data
 from monsoonhoist.node import node, phases, status
+from monsoonhoist.overload import retry_after
+from monsoonhoist.queries import answer_builder
 
 MS_PER_SECOND = 1000
 # Larger than any accepted body, so that the handler, not Tornado, refuses a body with a reason.
--- /dev/null
+++ b/monsoonhoist/overload/__init__.py
@@ -0,0 +1,1 @@
+"""What limits extra work, and when refused callers should return."""
--- a/monsoonhoist/platform/backend_protocol.py
+++ b/monsoonhoist/platform/backend_protocol.py
@@ -4,9 +4,10 @@
 import re
 from collections.abc import Mapping
 
-from monsoonhoist.core import data, events, exchange
+from monsoonhoist.core import data, exchange
 from monsoonhoist.node import backends, curl
 from monsoonhoist.platform import wire_names
+from monsoonhoist.protocol import events
 
 MS_PER_SECOND = 1000
 EMPTY_KEY_RANGE = data.KeyRange(0, 0)
--- a/monsoonhoist/platform/callers.py
+++ b/monsoonhoist/platform/callers.py
@@ -8,10 +8,12 @@
 from tornado import httpserver, httputil, iostream
 
 from monsoonhoist import metrics
-from monsoonhoist.core import data, events, exchange, retry_after
+from monsoonhoist.core import data, exchange
 from monsoonhoist.node import node, phases
 from monsoonhoist.node import status as node_status
+from monsoonhoist.overload import retry_after
 from monsoonhoist.platform import wire_names
+from monsoonhoist.protocol import events
 
 HEADER_BYTES_MAX = 65_536
 BODY_BYTES_MAX = 16_777_216
--- a/monsoonhoist/platform/dialect.py
+++ b/monsoonhoist/platform/dialect.py
@@ -5,7 +5,8 @@
 from tornado import httpserver
 
 from monsoonhoist import metrics
-from monsoonhoist.core import data, membership
+from monsoonhoist.core import data
+from monsoonhoist.fleet import membership
 from monsoonhoist.node import backends, curl, dialect, node, replication
 from monsoonhoist.platform import backend_protocol, callers, reader, store_format
 from monsoonhoist.tables import store
--- a/monsoonhoist/platform/reader.py
+++ b/monsoonhoist/platform/reader.py
@@ -12,9 +12,10 @@
 import msgspec
 
 from monsoonhoist import decoding, errors, metrics
-from monsoonhoist.core import data, messages
+from monsoonhoist.core import data
 from monsoonhoist.node import curl, replication
 from monsoonhoist.platform import wire_names
+from monsoonhoist.protocol import messages
 from monsoonhoist.tables import store
 
 CONNECT_TIMEOUT = datetime.timedelta(seconds=1)
--- /dev/null
+++ b/monsoonhoist/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between instances, and the events and commands of the kernels."""
--- a/monsoonhoist/core/events.py
+++ b/monsoonhoist/protocol/events.py
@@ -6,7 +6,8 @@
 
 import msgspec
 
-from monsoonhoist.core import data, exchange, fanout, messages, placement
+from monsoonhoist.core import data, exchange, placement
+from monsoonhoist.protocol import fanout, messages
 
 
 class ViewChanged(msgspec.Struct, frozen=True, tag="view-changed"):
--- a/monsoonhoist/core/message_events.py
+++ b/monsoonhoist/protocol/message_events.py
@@ -1,6 +1,7 @@
 """Conversion of messages from instances, this one included, to events of the kernels."""
 
-from monsoonhoist.core import data, events, messages
+from monsoonhoist.core import data
+from monsoonhoist.protocol import events, messages
 
 
 def to_entry_event(sender: data.InstanceId, message: messages.Message) -> events.EntryEvent | None:
--- a/monsoonhoist/core/messages.py
+++ b/monsoonhoist/protocol/messages.py
@@ -12,7 +12,8 @@
 import msgspec
 
 from monsoonhoist import errors
-from monsoonhoist.core import data, fanout
+from monsoonhoist.core import data
+from monsoonhoist.protocol import fanout
 
 
 class Hello(msgspec.Struct, frozen=True, array_like=True, tag="hello"):
--- /dev/null
+++ b/monsoonhoist/queries/__init__.py
@@ -0,0 +1,1 @@
+"""The entry's side of a query: plan, fan-out, answer."""
--- a/monsoonhoist/core/allowances.py
+++ b/monsoonhoist/queries/allowances.py
@@ -10,7 +10,10 @@
 
 import msgspec
 
-from monsoonhoist.core import budget, clock, data, events, messages, query
+from monsoonhoist.core import clock, data
+from monsoonhoist.overload import budget
+from monsoonhoist.protocol import events, messages
+from monsoonhoist.queries import query
 
 
 class Allowances:
--- a/monsoonhoist/core/answer_builder.py
+++ b/monsoonhoist/queries/answer_builder.py
@@ -2,7 +2,8 @@
 
 import collections
 
-from monsoonhoist.core import data, exchange, query
+from monsoonhoist.core import data, exchange
+from monsoonhoist.queries import query
 
 
 def make_answer(state: query.QueryState) -> data.Answer:
--- a/monsoonhoist/core/entry.py
+++ b/monsoonhoist/queries/entry.py
@@ -3,22 +3,20 @@
 import heapq
 import math
 
-from monsoonhoist.core import (
+from monsoonhoist.core import clock, data
+from monsoonhoist.overload import budget
+from monsoonhoist.policy import admission, ownership
+from monsoonhoist.protocol import events, messages
+from monsoonhoist.queries import (
     allowances,
     answer_builder,
-    budget,
-    clock,
-    data,
-    events,
     failover,
-    messages,
     owner_selector,
     plan,
     pool_selector,
     pool_states,
     query,
 )
-from monsoonhoist.policy import admission, ownership
 
 # Most reruns of one query at another snapshot.
 RERUNS_MAX = 2
--- a/monsoonhoist/core/failover.py
+++ b/monsoonhoist/queries/failover.py
@@ -1,6 +1,8 @@
 """Failover of a query's sub-requests from silent owners to their stand-bys."""
 
-from monsoonhoist.core import allowances, data, events, messages, owner_selector, query
+from monsoonhoist.core import data
+from monsoonhoist.protocol import events, messages
+from monsoonhoist.queries import allowances, owner_selector, query
 
 
 class OwnerFailover:
--- a/monsoonhoist/core/plan.py
+++ b/monsoonhoist/queries/plan.py
@@ -1,6 +1,8 @@
 """Plan of a query: its shards, snapshot, deadline and timeouts."""
 
-from monsoonhoist.core import data, events, exchange, fanout, hashing, query, snapshots
+from monsoonhoist.core import data, exchange, hashing
+from monsoonhoist.protocol import events, fanout
+from monsoonhoist.queries import query, snapshots
 
 # Timeout for owners that send no message, as a share of the query's deadline or of the route's
 # latency goal, whichever is shorter.
--- a/monsoonhoist/core/pool_states.py
+++ b/monsoonhoist/queries/pool_states.py
@@ -2,8 +2,9 @@
 
 from collections.abc import Container
 
-from monsoonhoist.core import data, query, snapshots
+from monsoonhoist.core import data
 from monsoonhoist.policy import admission
+from monsoonhoist.queries import query, snapshots
 
 
 class PoolStates:
--- a/monsoonhoist/core/query.py
+++ b/monsoonhoist/queries/query.py
@@ -4,8 +4,10 @@
 
 import msgspec
 
-from monsoonhoist.core import coverage, data, exchange, fanout, messages
+from monsoonhoist.core import data, exchange
 from monsoonhoist.policy import merge
+from monsoonhoist.protocol import fanout, messages
+from monsoonhoist.queries import coverage
 
 MS_PER_SECOND = 1000
 # Tolerance for shares that have no exact floating-point representation.
--- a/monsoonhoist/core/tickets.py
+++ b/monsoonhoist/queries/tickets.py
@@ -12,7 +12,8 @@
 
 import msgspec
 
-from monsoonhoist.core import answer_builder, clock, data
+from monsoonhoist.core import clock, data
+from monsoonhoist.queries import answer_builder
 
 # Age after which a ticket is deleted, unless its request is running.
 RETENTION_SECONDS = 600.0
--- a/monsoonhoist/settings.py
+++ b/monsoonhoist/settings.py
@@ -12,8 +12,12 @@
 import msgspec
 
 from monsoonhoist import addresses, errors
-from monsoonhoist.core import budget, data, diagnostics, kernel, kernel_config, watcher_selection
+from monsoonhoist.core import data, diagnostics
+from monsoonhoist.fleet import watcher_selection
+from monsoonhoist.kernels import kernel
+from monsoonhoist.overload import budget
 from monsoonhoist.policy import registry
+from monsoonhoist.shards import kernel_config
 from monsoonhoist.tables import ini
 
 # Bounds of periods and timeouts that must not be 0.
--- /dev/null
+++ b/monsoonhoist/shards/__init__.py
@@ -0,0 +1,1 @@
+"""The owner's side of a query: queues, calls to backend servers, their state."""
--- a/monsoonhoist/core/call_requests.py
+++ b/monsoonhoist/shards/call_requests.py
@@ -1,6 +1,8 @@
 """Batching of an owner's requests to entries for permission to make more calls."""
 
-from monsoonhoist.core import data, events, messages, subrequest
+from monsoonhoist.core import data
+from monsoonhoist.protocol import events, messages
+from monsoonhoist.shards import subrequest
 
 
 class CallRequestCollector:
--- a/monsoonhoist/core/hedging.py
+++ b/monsoonhoist/shards/hedging.py
@@ -2,8 +2,9 @@
 
 from collections.abc import Callable, Container
 
-from monsoonhoist.core import data, subrequest
+from monsoonhoist.core import data
 from monsoonhoist.policy import hedge
+from monsoonhoist.shards import subrequest
 
 # Most hedges of one sub-request. Its retries count as well; calls that ran nothing do not.
 HEDGES_MAX = 2
--- a/monsoonhoist/core/kernel_config.py
+++ b/monsoonhoist/shards/kernel_config.py
@@ -3,8 +3,9 @@
 import dataclasses
 from collections.abc import Callable
 
-from monsoonhoist.core import budget, subrequest
+from monsoonhoist.overload import budget
 from monsoonhoist.policy import balance, hedge, order, ownership
+from monsoonhoist.shards import subrequest
 
 
 @dataclasses.dataclass(frozen=True)
--- a/monsoonhoist/core/open_work.py
+++ b/monsoonhoist/shards/open_work.py
@@ -2,7 +2,9 @@
 
 import functools
 
-from monsoonhoist.core import clock, data, events, hedging, subrequest, timers
+from monsoonhoist.core import clock, data
+from monsoonhoist.protocol import events
+from monsoonhoist.shards import hedging, subrequest, timers
 
 
 class OpenWork:
--- a/monsoonhoist/core/owner.py
+++ b/monsoonhoist/shards/owner.py
@@ -4,15 +4,12 @@
 import itertools
 from collections.abc import Iterable
 
-from monsoonhoist.core import (
+from monsoonhoist.core import clock, data
+from monsoonhoist.protocol import events, fanout, messages
+from monsoonhoist.shards import (
     call_requests,
-    clock,
-    data,
-    events,
-    fanout,
     hedging,
     kernel_config,
-    messages,
     open_work,
     replies,
     server,
--- a/monsoonhoist/core/replies.py
+++ b/monsoonhoist/shards/replies.py
@@ -3,8 +3,10 @@
 import dataclasses
 from collections.abc import Callable
 
-from monsoonhoist.core import data, events, fanout, messages, subrequest
+from monsoonhoist.core import data
 from monsoonhoist.policy import merge
+from monsoonhoist.protocol import events, fanout, messages
+from monsoonhoist.shards import subrequest
 
 MS_PER_SECOND = 1000
 # How long a part is delayed to send it with others of the same query. The servers of a query's
--- a/monsoonhoist/core/server_reports.py
+++ b/monsoonhoist/shards/server_reports.py
@@ -1,6 +1,8 @@
 """Applies what backend servers say about themselves to an owner's shards, and tells the cell."""
 
-from monsoonhoist.core import clock, data, events, exchange, messages, shard, shard_table
+from monsoonhoist.core import clock, data, exchange
+from monsoonhoist.protocol import events, messages
+from monsoonhoist.shards import shard, shard_table
 
 
 class ServerReports:
--- a/monsoonhoist/core/shard.py
+++ b/monsoonhoist/shards/shard.py
@@ -4,16 +4,10 @@
 
 import msgspec
 
-from monsoonhoist.core import (
-    data,
-    events,
-    fanout,
-    limits,
-    server,
-    server_notices,
-    subrequest,
-)
+from monsoonhoist.core import data, limits
 from monsoonhoist.policy import balance, order
+from monsoonhoist.protocol import events, fanout
+from monsoonhoist.shards import server, server_notices, subrequest
 
 # A timeout starts a backoff of the server only if the call ran for at least this multiple of the
 # smoothed latency of the shard's fastest server.
--- a/monsoonhoist/core/shard_table.py
+++ b/monsoonhoist/shards/shard_table.py
@@ -3,7 +3,8 @@
 import math
 from collections.abc import Iterable
 
-from monsoonhoist.core import data, kernel_config, limits, server_notices, shard, subrequest
+from monsoonhoist.core import data, limits
+from monsoonhoist.shards import kernel_config, server_notices, shard, subrequest
 
 ShardKey = tuple[data.PoolId, data.ServiceId]
 
--- a/monsoonhoist/core/subrequest.py
+++ b/monsoonhoist/shards/subrequest.py
@@ -2,7 +2,9 @@
 
 import dataclasses
 
-from monsoonhoist.core import data, events, exchange, fanout, messages, server
+from monsoonhoist.core import data, exchange
+from monsoonhoist.protocol import events, fanout, messages
+from monsoonhoist.shards import server
 
 MS_PER_SECOND = 1000
 
--- a/monsoonhoist/core/timers.py
+++ b/monsoonhoist/shards/timers.py
@@ -4,7 +4,7 @@
 import itertools
 from collections.abc import Callable, Iterator
 
-from monsoonhoist.core import events
+from monsoonhoist.protocol import events
 
 Action = Callable[[list[events.Command]], None]
 
--- a/monsoonhoist/tables/store.py
+++ b/monsoonhoist/tables/store.py
@@ -13,7 +13,8 @@
 
 import msgspec
 
-from monsoonhoist.core import data, diagnostics, hashing, messages
+from monsoonhoist.core import data, diagnostics, hashing
+from monsoonhoist.protocol import messages
 
 VALUE_BYTES_MAX = 1_000_000
 # Number of buckets into which the keys are hashed when two instances compare their revisions.
