Forget what was learned of a server that is listed again

It decays with 3 s towards the median but not below it, and with calls one after another the other server, a little faster than the median, gets all of them.

A server that the table did not list for a while counts as added, like one whose state is gone. The scenario is no longer passed over.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -123,7 +123,6 @@
     Then all statuses are 200
     And the server "records-a" has received none of them
 
-  @known_red
   Scenario: A server receives no requests while its item is removed from the store, and some after it is back
     When the state of "records-a" in the store becomes "removed"
     And 1000 ms have passed
--- a/features/server_choice.feature
+++ b/features/server_choice.feature
@@ -88,3 +88,12 @@
     And server "a" refuses all calls and server "b" works normally
     And another sub-request arrives
     Then at most 0% of sub-requests end without results
+
+  Scenario: A server that is listed again soon is tried although it was slow before
+    Given a shard of two servers with a grace period of 3000 ms when they leave
+    And server "b" takes 8 times as long
+    When 200 sub-requests arrive, one every 20 ms
+    And the table lists only server "a" and 20 sub-requests arrive, one every 20 ms
+    And server "b" works normally
+    And both servers are in the table and 12 sub-requests arrive, one every 50 ms
+    Then server "b" receives at least 5% of first calls
--- a/features/steps/server_choice.py
+++ b/features/steps/server_choice.py
@@ -291,6 +291,29 @@
     context.simulation.run(count, interval_ms / 1000)
 
 
+@when(
+    'the table lists only server "a" and {count:d} sub-requests arrive,'
+    " one every {interval_ms:d} ms"
+)
+def remove_server(context, count, interval_ms):
+    """Passes tables without "b" to the kernels and sends more queries."""
+    context.simulation.absent_servers = {"b"}
+    context.simulation.publish(leaving=False)
+    context.simulation.run(count, interval_ms / 1000)
+
+
+@given('server "b" takes {factor:d} times as long')
+def slow_server(context, factor):
+    """Makes a server of the shard slow."""
+    context.simulation.behaviour_by_server["b"] = Behaviour(latency_factor=factor)
+
+
+@when('server "b" works normally')
+def repair_server(context):
+    """Sets the usual behaviour of a server."""
+    context.simulation.behaviour_by_server["b"] = Behaviour()
+
+
 @then("extra calls are at most {most:d}% of first calls")
 def check_extra_calls(context, most):
     """Checks that there are extra calls, and their share."""
--- a/monsoonhoist/shards/server.py
+++ b/monsoonhoist/shards/server.py
@@ -61,6 +61,7 @@
         self._draining_until = 0.0
         self._wait_until = 0.0
         self._leaving_since: float | None = None
+        self._is_unlisted = False
         self._slowness = ADDED_SERVER_SLOWNESS if is_added else 1.0
         self._slowness_updated_at = -math.inf
         self._failure_share = 0.0
@@ -83,13 +84,28 @@
         self._limit = min(self._limit, limit_max)
 
     def mark_leaving(self, now: float) -> None:
-        """Records that the server is leaving, or that the table no longer lists it."""
+        """Records that the server is leaving."""
         if self._leaving_since is None:
             self._leaving_since = now
 
+    def mark_unlisted(self, now: float) -> None:
+        """Records that the table no longer lists the server."""
+        self.mark_leaving(now)
+        self._is_unlisted = True
+
     def mark_in_service(self) -> None:
-        """Records that the table lists the server and does not mark it as leaving."""
+        """Records that the table lists the server and does not mark it as leaving.
+
+        A server that is listed again counts as added: what was learned before may be over.
+        """
         self._leaving_since = None
+        if self._is_unlisted:
+            self._is_unlisted = False
+            self._slowness = ADDED_SERVER_SLOWNESS
+            self._slowness_updated_at = -math.inf
+            self._failure_share = 0.0
+            self._backoff_until = 0.0
+            self._consecutive_failures = 0
 
     def is_available(self, now: float) -> bool:
         """Returns whether new calls may be sent to the server."""
--- a/monsoonhoist/shards/shard.py
+++ b/monsoonhoist/shards/shard.py
@@ -90,7 +90,7 @@
             state_by_id[record.server_id] = state
         for server_id, state in self.server_by_id.items():
             if server_id not in state_by_id:
-                state.mark_leaving(now)
+                state.mark_unlisted(now)
                 if state.is_last_resort(now, self._leaving_grace_seconds):
                     state_by_id[server_id] = state
         self.server_by_id = state_by_id
