Publish a view only if decisions follow from it

Each change of any instance led to a view at each of 195 instances: owners of all shards chosen anew (up to 216 shards with 9 to 16 weights each), budgets, warm-up and shards walked through. By reading; while half of the instances are stopped and started in turn that is the largest part of their work.

With cells, a view that differs only in instances of other cells is kept for the status and not published; owners are kept while the cell stays equal. A deployment whose pools have one shard each had one cell since (zones of servers are taken from wider pools); its cells are by size again. Test: features/neighbours.feature, red before.

--- a/features/neighbours.feature
+++ b/features/neighbours.feature
@@ -24,3 +24,10 @@
     Given an instance with streams to "a" and "b"
     When 30 records of other instances arrive from "a" one after another
     Then it has sent 1 message with 30 records to "b" and none to "a"
+
+  Scenario: A change of an instance in another cell costs no view
+    Given an instance of a cell of 2 among 40 instances in one zone
+    When an instance of another cell is lost and 100 ms pass
+    Then no view has been published, and the latest one lacks the instance
+    When the other instance of its cell is lost and 100 ms pass
+    Then a view has been published in which the cell has other instances
--- a/monsoonhoist/fleet/cells.py
+++ b/monsoonhoist/fleet/cells.py
@@ -69,7 +69,7 @@
         for zone in placement.order_zones(service, zones, own_zone)[:1]
     }
     live_by_zone = members.live_by_zone()
-    if size <= 1 or not set(serving).issubset(live_by_zone):
+    if size <= 1 or not serving or not set(serving).issubset(live_by_zone):
         return CellView(members.cell(size), max(1, round(fleet_size / size)))
     # The zones that share the calls of a query: all serving ones, unless each zone has servers of
     # its own.
--- a/monsoonhoist/node/views.py
+++ b/monsoonhoist/node/views.py
@@ -109,10 +109,13 @@
             degree = self._spread_settings.neighbours
             neighbours = self._members.neighbours(degree, cell.members)
             self._peer_streams.set_neighbours(neighbours, self._members.distant(cell.members))
+        previous = self.view
         self.view = events.ViewChanged(
             tables, live, cell.members, cell.count, fleet_size, self._make_topology(cell)
         )
         self._published_at = self._clock.monotonic()
+        if previous is not None and _decides_alike(previous, self.view):
+            return
         for notify in self._subscribers:
             notify(self.view)
 
@@ -143,3 +146,18 @@
         if self.view is None or self.view.tables is not tables:
             self._zones_by_service = placement.find_zones(tables)
         return cells.make_view(self._members, size, fleet_size, self._zones_by_service)
+
+
+def _decides_alike(first: events.ViewChanged, second: events.ViewChanged) -> bool:
+    """Returns whether two views lead to the same decisions.
+
+    With cells, the other instances do not matter as long as the limits are divided alike.
+    """
+    return (
+        bool(first.cell)
+        and first.tables is second.tables
+        and first.budget_share == second.budget_share
+        and first.cell == second.cell
+        and first.cells == second.cells
+        and first.topology == second.topology
+    )
--- a/monsoonhoist/policy/ownership.py
+++ b/monsoonhoist/policy/ownership.py
@@ -189,8 +189,9 @@
     ) -> tuple[data.InstanceId, ...]:
         """Returns the owner of a shard, followed by its stand-bys."""
         if instances is not self._instances:
+            if tuple(instances) != self._instances:
+                self._owners_by_shard.clear()
             self._instances = tuple(instances)
-            self._owners_by_shard.clear()
         owners = self._owners_by_shard.get((pool, service))
         if owners is None:
             owners = self._choose_owners(pool, service)
