Reply on the stream that the entry opened, and gossip over few streams

A stream carries messages both ways if its opener says so in the greeting (instances of the build before do not, and get streams as before). Records and revisions spread over the gossip neighbours and the cell's streams within the zone only; other streams have heartbeats without digests, four times as rare.

--- a/monsoonhoist/node/inbound_server.py
+++ b/monsoonhoist/node/inbound_server.py
@@ -6,7 +6,7 @@
 
 from tornado import netutil
 
-from monsoonhoist import errors
+from monsoonhoist import errors, metrics
 from monsoonhoist.core import data
 from monsoonhoist.node import stream_protocol, streams
 from monsoonhoist.protocol import messages
@@ -37,6 +37,7 @@
         self._listener = listener
         self._acknowledge = acknowledge
         self._connections: set[InboundConnection] = set()
+        self._connection_by_instance: dict[data.InstanceId, InboundConnection] = {}
         self._server_task: asyncio.Task[asyncio.Server] | None = None
 
     def listen(self, host: str, port: int) -> None:
@@ -58,10 +59,24 @@
         for connection in list(self._connections):
             connection.close()
 
+    def find(self, instance: data.InstanceId) -> "InboundConnection | None":
+        """Returns a stream that an instance has opened and on which it accepts messages."""
+        return self._connection_by_instance.get(instance)
+
+    def _register(self, connection: "InboundConnection") -> None:
+        """Records a stream after its greeting."""
+        self._connection_by_instance[connection.sender] = connection
+
+    def _forget(self, connection: "InboundConnection") -> None:
+        """Removes a stream at its end."""
+        self._connections.discard(connection)
+        if self._connection_by_instance.get(connection.sender) is connection:
+            del self._connection_by_instance[connection.sender]
+
     def _accept(self) -> streams.MessageStream:
         """Returns the protocol of a new connection."""
         connection = InboundConnection(
-            self._options, self._listener, self._acknowledge, self._connections.discard
+            self._options, self._listener, self._acknowledge, self._register, self._forget
         )
         self._connections.add(connection)
         return connection.stream
@@ -74,10 +89,12 @@
         options: Settings of the streams.
         listener: Receives the messages.
         acknowledge: Returns whether a heartbeat is acknowledged on another stream.
+        register: Called after the greeting of an instance that accepts messages.
         forget: Called at the end of the stream.
 
     Attributes:
         stream: The stream.
+        sender: The instance that opened the stream; None before its greeting.
     """
 
     def __init__(
@@ -85,13 +102,15 @@
         options: stream_protocol.PeerOptions,
         listener: stream_protocol.PeerListener,
         acknowledge: Acknowledge,
+        register: Callable[["InboundConnection"], None],
         forget: Callable[["InboundConnection"], None],
     ):
         self._options = options
         self._listener = listener
         self._acknowledge = acknowledge
+        self._register = register
         self._forget = forget
-        self._sender: data.InstanceId | None = None
+        self.sender: data.InstanceId | None = None
         self.stream = streams.MessageStream(
             options.frame_bytes, options.buffer_bytes, self._handle_message, self._handle_loss
         )
@@ -99,6 +118,16 @@
             options.silence.total_seconds(), self.close
         )
 
+    def send(self, message: messages.Message, counters: metrics.Metrics) -> bool:
+        """Sends a message back on the stream; returns whether it was queued."""
+        try:
+            sent = self.stream.send(message)
+        except errors.StreamError as error:
+            self._handle_loss(error)
+            return False
+        counters.count_stream_bytes(sent, type(message).__name__)
+        return True
+
     def close(self) -> None:
         """Closes the stream."""
         self._greeting_timer.cancel()
@@ -107,18 +136,20 @@
 
     def _handle_message(self, message: messages.Message) -> None:
         """Handles the greeting, and passes on all further messages."""
-        if self._sender is None:
+        if self.sender is None:
             stream_protocol.check_hello(message, self._options.deployment)
             self._greeting_timer.cancel()
-            self._sender = message.member.instance
-            greeting = messages.Hello(self._options.deployment, self._listener.local_member())
+            self.sender = message.member.instance
+            greeting = messages.Hello(self._options.deployment, self._listener.local_member(), True)
             self.stream.send(greeting)
-            self._listener.handle_message(self._sender, messages.Members((message.member,)))
+            if message.accepts_messages:
+                self._register(self)
+            self._listener.handle_message(self.sender, messages.Members((message.member,)))
             return
         is_heartbeat = isinstance(message, messages.Heartbeat)
-        if is_heartbeat and not self._acknowledge(self._sender, message):
+        if is_heartbeat and not self._acknowledge(self.sender, message):
             self.stream.send(messages.HeartbeatReply(message.sequence))
-        self._listener.handle_message(self._sender, message)
+        self._listener.handle_message(self.sender, message)
 
     def _handle_loss(self, error: Exception) -> None:
         extra = {"peer": self.stream.peer_host, "error": str(error)}
--- a/monsoonhoist/node/node.py
+++ b/monsoonhoist/node/node.py
@@ -108,12 +108,12 @@
             time_source,
             self.counters,
             self.send,
-            self._streams.connected_instances,
+            self._streams.gossiping_instances,
             lambda: self._view_publisher.refresh(),
         )
         self._listing = self.dialect.make_listing(self._driver, self.counters, self._handle_listed)
         self._member_gossip = member_gossip.MemberGossip(
-            self.members, self.send, self._streams.connected_instances
+            self.members, self.send, self._streams.gossiping_instances
         )
         self._watcher = replication.ConfigServiceWatcher(
             config.timing.service_retry_ms,
@@ -282,7 +282,8 @@
             case messages.Heartbeat():
                 if message.report is not None:
                     self._watcher_selection.record_report(message.report, self._clock.monotonic())
-                self.replicator.handle_digest(sender, message.tables_digest)
+                if message.tables_digest:
+                    self.replicator.handle_digest(sender, message.tables_digest)
             case _:
                 self.replicator.handle_message(sender, message)
 
@@ -291,8 +292,9 @@
         self.members.record_stream(member.instance, is_up)
         if is_up:
             self._handle_members(member.instance, messages.Members((member,)))
-            self.send(member.instance, messages.Members(self.members.other_members()))
-            self.send(member.instance, self.replicator.bucket_digests())
+            if member.instance in self._streams.gossiping_instances():
+                self.send(member.instance, messages.Members(self.members.other_members()))
+                self.send(member.instance, self.replicator.bucket_digests())
         else:
             self._entry.submit(events.PeerLost(member.instance))
             self.ticket_runner.handle_peer_lost(member.instance)
--- a/monsoonhoist/node/outbound_stream.py
+++ b/monsoonhoist/node/outbound_stream.py
@@ -14,6 +14,9 @@
 # Streams to instances that are not neighbours are closed after being unused for this long.
 IDLE_TIMEOUT_SECONDS = 5.0
 QUEUED_MESSAGES_MAX = 256
+# Multiple of the heartbeat interval and of the silence on streams that carry queries only. They are
+# many, also between zones, and an entry notices an owner that does not respond by itself.
+QUERY_STREAM_HEARTBEAT_FACTOR = 4
 
 # Not ``__name__``: operators select log lines of all streams by this name.
 _log = logging.getLogger("monsoonhoist.node.peers")
@@ -26,7 +29,8 @@
         member: The other instance.
         is_persistent: Whether the stream stays open while unused.
         is_up: Whether the stream is established.
-        heartbeat_factor: Multiple of the usual heartbeat interval and silence.
+        is_gossiping: Whether the stream is one of those over which tables and membership records
+            spread. Other streams carry queries, and heartbeats less often.
     """
 
     def __init__(
@@ -42,7 +46,7 @@
         self.member = member
         self.is_persistent = is_persistent
         self.is_up = False
-        self.heartbeat_factor = 1
+        self.is_gossiping = False
         self._close_idle = close_idle
         self._queued: list[messages.Message] = []
         # A stream opened to send a message queues messages until its first connection attempt ends.
@@ -138,7 +142,7 @@
         async with asyncio.timeout(self._options.silence.total_seconds()):
             stream = self._stream
             await loop.create_connection(lambda: stream, self.member.host, self.member.peer_port)
-            greeting = messages.Hello(self._options.deployment, self._listener.local_member())
+            greeting = messages.Hello(self._options.deployment, self._listener.local_member(), True)
             stream.send(greeting)
             hello = await self._greeting
         self._last_received_at = self._clock.monotonic()
@@ -150,13 +154,13 @@
         self._flush_queue()
 
     def _handle_message(self, message: messages.Message) -> None:
-        """Handles the greeting and the acknowledgements of heartbeats."""
+        """Handles the greeting and acknowledgements, and passes on all other messages."""
         self._last_received_at = self._clock.monotonic()
         if not self._greeting.done():
             stream_protocol.check_hello(message, self._options.deployment)
             self._greeting.set_result(message)
         elif not isinstance(message, messages.HeartbeatReply):
-            raise errors.ProtocolError(f"{type(message).__name__} instead of a heartbeat reply")
+            self._listener.handle_message(self.member.instance, message)
 
     def _handle_end(self, error: Exception) -> None:
         """Handles the end of the connection, before or after the greeting."""
@@ -168,17 +172,22 @@
         self._close_if_idle()
         self._connect_after(RECONNECT_MIN_SECONDS)
 
+    @property
+    def _heartbeat_factor(self) -> int:
+        """Multiple of the usual heartbeat interval and silence."""
+        return 1 if self.is_gossiping else QUERY_STREAM_HEARTBEAT_FACTOR
+
     def _schedule_heartbeat(self) -> None:
         self._heartbeat_scheduled_at = self._clock.monotonic()
-        period = self._options.heartbeat.total_seconds() * self.heartbeat_factor
+        period = self._options.heartbeat.total_seconds() * self._heartbeat_factor
         self._heartbeat_timer = asyncio.get_running_loop().call_later(period, self._send_heartbeat)
 
     def _send_heartbeat(self) -> None:
         """Sends a heartbeat, or ends the stream if earlier ones were not acknowledged in time."""
         now = self._clock.monotonic()
         # A missing acknowledgement after a pause of this process is not the peer's failure.
-        period = self._options.heartbeat.total_seconds() * self.heartbeat_factor
-        silence = self._options.silence.total_seconds() * self.heartbeat_factor
+        period = self._options.heartbeat.total_seconds() * self._heartbeat_factor
+        silence = self._options.silence.total_seconds() * self._heartbeat_factor
         if now - self._heartbeat_scheduled_at > 2 * period:
             self._last_received_at = now
         if now - self._last_received_at > silence:
@@ -190,8 +199,8 @@
         self._sequence += 1
         heartbeat = messages.Heartbeat(
             self._sequence,
-            self._listener.tables_digest(),
-            self._listener.latest_read_report(),
+            self._listener.tables_digest() if self.is_gossiping else b"",
+            self._listener.latest_read_report() if self.is_gossiping else None,
             self._heard_sequence,
         )
         self._heard_sequence = 0
@@ -211,37 +220,6 @@
             if not self.send(message):
                 self._listener.handle_unsent(self.member.instance, message)
 
-    async def _read_replies(self) -> None:
-        """Reads acknowledgements of heartbeats."""
-        while True:
-            message = await self._stream.receive()
-            self._last_received_at = self._clock.monotonic()
-            if not isinstance(message, messages.HeartbeatReply):
-                raise errors.ProtocolError(f"{type(message).__name__} instead of a heartbeat reply")
-
-    async def _send_heartbeats(self) -> None:
-        """Sends heartbeats; raises ``TimeoutError`` if they are no longer acknowledged."""
-        period = self._options.heartbeat.total_seconds()
-        sequence = 0
-        while True:
-            before = self._clock.monotonic()
-            await asyncio.sleep(period)
-            now = self._clock.monotonic()
-            # A missing acknowledgement after a pause of this process is not the peer's failure.
-            if now - before > 2 * period:
-                self._last_received_at = now
-            if now - self._last_received_at > self._options.silence.total_seconds():
-                raise TimeoutError("no acknowledgement of a heartbeat in time")
-            if self._is_idle():
-                asyncio.get_running_loop().call_soon(self._close_idle, self.member.instance)
-                return
-            sequence += 1
-            heartbeat = messages.Heartbeat(
-                sequence, self._listener.tables_digest(), self._listener.latest_read_report()
-            )
-            # The label of heartbeats in the metric; other messages have the name of their class.
-            self._counters.count_stream_bytes(self._stream.send(heartbeat), "Beat")
-
     def _is_idle(self) -> bool:
         """Returns whether the stream is unused and may be closed."""
         unused = self._clock.monotonic() - self._last_used_at
--- a/monsoonhoist/node/peers.py
+++ b/monsoonhoist/node/peers.py
@@ -12,10 +12,6 @@
 from monsoonhoist.node import inbound_server, outbound_stream, stream_protocol
 from monsoonhoist.protocol import messages
 
-# Multiple of the heartbeat interval and of the silence on streams that carry queries between
-# zones. They are many, and an entry notices an owner that does not respond by itself.
-DISTANT_HEARTBEAT_FACTOR = 4
-
 
 class PeerStreams:
     """Opens, accepts and closes all streams of an instance.
@@ -65,8 +61,17 @@
             if member.instance not in self._stream_by_id:
                 self._open(member, is_persistent=True)
         for instance, stream in self._stream_by_id.items():
-            is_distant = instance in distant
-            stream.heartbeat_factor = DISTANT_HEARTBEAT_FACTOR if is_distant else 1
+            stream.is_gossiping = instance in neighbours and instance not in distant
+
+    def gossiping_instances(self) -> tuple[data.InstanceId, ...]:
+        """Returns the instances to which tables and membership records are passed on, sorted."""
+        return tuple(
+            sorted(
+                name
+                for name, stream in self._stream_by_id.items()
+                if stream.is_up and stream.is_gossiping
+            )
+        )
 
     def connected_instances(self) -> tuple[data.InstanceId, ...]:
         """Returns the instances whose streams are up, sorted."""
@@ -78,12 +83,17 @@
         return stream is not None and stream.acknowledge(heartbeat)
 
     def send(self, instance: data.InstanceId, message: messages.Message) -> bool:
-        """Sends a message to an instance.
+        """Sends a message to an instance, on a stream that either side has opened.
 
         Returns:
             Whether the message was queued; if False, no byte of it will be sent.
         """
         stream = self._stream_by_id.get(instance)
+        if stream is not None and stream.is_up:
+            return stream.send(message)
+        connection = self._server.find(instance)
+        if connection is not None and connection.send(message, self._counters):
+            return True
         if stream is not None:
             return stream.send(message)
         member = self._listener.find_member(instance)
--- a/monsoonhoist/protocol/messages.py
+++ b/monsoonhoist/protocol/messages.py
@@ -22,10 +22,13 @@
     Attributes:
         deployment: Name of the deployment; streams from another deployment are refused.
         member: The sender's record about itself.
+        accepts_messages: Whether the sender, which opened the stream, accepts messages on it; an
+            instance of an earlier build accepts only replies to heartbeats.
     """
 
     deployment: str
     member: data.Member
+    accepts_messages: bool = False
 
 
 class ConfigReadReport(msgspec.Struct, frozen=True, array_like=True):
