--- a/features/neighbours.feature
+++ b/features/neighbours.feature
@@ -31,3 +31,18 @@
     Then no view has been published, and the latest one lacks the instance
     When the other instance of its cell is lost and 100 ms pass
     Then a view has been published in which the cell has other instances
+
+  Scenario Outline: A message goes out on the stream that the other instance opened, if it may
+    Given an instance "b" to which "a" has opened a stream, "a" being of <build>
+    When "b" sends a message to "a"
+    Then "b" has opened <count> streams of its own
+    And "a" has received the message on <stream>
+
+    Examples:
+      | build              | count | stream                |
+      | this build         | 0     | the stream it opened  |
+      | an earlier build   | 1     | a stream of "b"       |
+
+  Scenario: Streams that carry queries only spread no tables
+    Given an instance with 3 neighbours, one of them distant
+    Then tables and membership records are passed on to 2 of them
--- a/features/steps/neighbours.py
+++ b/features/steps/neighbours.py
@@ -4,11 +4,12 @@
 import types
 
 from behave import given, then, when
+from tornado import netutil
 
-from monsoonhoist import settings
+from monsoonhoist import metrics, settings
 from monsoonhoist.core import clock, data
 from monsoonhoist.fleet import membership
-from monsoonhoist.node import member_gossip, views
+from monsoonhoist.node import member_gossip, peers, stream_protocol, streams, views
 from monsoonhoist.protocol import messages
 
 
@@ -113,3 +114,138 @@
     """Checks the cell of the published view."""
     assert context.published
     assert context.lost not in context.published[-1].cell, context.published[-1].cell
+
+
+class PeerStandIn(stream_protocol.PeerListener):
+    """Listener of an instance's streams that records messages.
+
+    Args:
+        name: Name of the instance.
+        port: Port of its streams.
+        other: Record of the other instance; None if it is not known yet.
+    """
+
+    def __init__(self, name, port, other=None):
+        self.record = data.Member(name, 1, 0, data.MemberState.LIVE, "127.0.0.1", port, "z")
+        self.other = other
+        self.received = []
+        self.streams = peers.PeerStreams(
+            stream_protocol.PeerOptions(
+                "d",
+                1_000_000,
+                1_000_000,
+                settings.TimingSection().heartbeat_ms,
+                settings.TimingSection().silence_ms,
+            ),
+            clock.SystemClock(),
+            metrics.Metrics(data.InstanceId(name)),
+            self,
+        )
+
+    def handle_message(self, sender, message):
+        """Records a message that is not about membership."""
+        if isinstance(message, messages.Members):
+            self.other = message.members[0]
+        else:
+            self.received.append(message)
+
+    def find_member(self, instance):
+        """Returns the record of the other instance."""
+        return self.other
+
+    def local_member(self):
+        """Returns the record of this instance."""
+        return self.record
+
+    def tables_digest(self):
+        """Returns an empty digest."""
+        return b""
+
+    def latest_read_report(self):
+        """Returns None."""
+
+
+@given('an instance "b" to which "a" has opened a stream, "a" being of {build}')
+def set_build(context, build):
+    """Sets the build of the instance that opens the stream."""
+    context.accepts_messages = build == "this build"
+
+
+@when('"b" sends a message to "a"')
+def send_back(context):
+    """Opens the stream from "a", with the greeting of its build, and sends a message from "b"."""
+
+    async def run():
+        sockets = [netutil.bind_sockets(0, "127.0.0.1")[0] for _ in "ab"]
+        ports = [socket.getsockname()[1] for socket in sockets]
+        for socket in sockets:
+            socket.close()
+        second = PeerStandIn("b", ports[1])
+        second.streams.listen("127.0.0.1", ports[1])
+        first = PeerStandIn("a", ports[0], second.record)
+        first.streams.listen("127.0.0.1", ports[0])
+        inbox = []
+        stream = streams.MessageStream(1_000_000, 1_000_000, inbox.append, lambda error: None)
+        await asyncio.get_running_loop().create_connection(lambda: stream, "127.0.0.1", ports[1])
+        stream.send(messages.Hello("d", first.record, context.accepts_messages))
+        await wait_for(lambda: inbox)
+        sent = messages.BatchTaken(data.QueryId("q"))
+        assert second.streams.send(first.record.instance, sent)
+        await wait_for(lambda: sent in inbox or sent in first.received)
+        context.own_streams = len(second.streams.connected_instances())
+        context.is_on_opened_stream = sent in inbox
+        stream.close()
+        await first.streams.close()
+        await second.streams.close()
+
+    asyncio.run(run())
+
+
+async def wait_for(is_done):
+    """Waits for a condition, for at most 5 s."""
+    async with asyncio.timeout(5.0):
+        while not is_done():
+            await asyncio.sleep(0.01)
+
+
+@then('"b" has opened {count:d} streams of its own')
+def check_own_streams(context, count):
+    """Checks the number of streams that "b" has opened."""
+    assert context.own_streams == count, context.own_streams
+
+
+@then('"a" has received the message on {stream}')
+def check_stream(context, stream):
+    """Checks the stream on which the message arrived."""
+    assert context.is_on_opened_stream == (stream == "the stream it opened")
+
+
+@given("an instance with {count:d} neighbours, one of them distant")
+def make_neighbours(context, count):
+    """Opens streams to peers that answer the greeting, and marks one of them as distant."""
+
+    async def run():
+        stand_ins = []
+        for number in range(count + 1):
+            (socket,) = netutil.bind_sockets(0, "127.0.0.1")
+            port = socket.getsockname()[1]
+            socket.close()
+            stand_ins.append(PeerStandIn(f"i{number}", port))
+            stand_ins[-1].streams.listen("127.0.0.1", port)
+        local, *others = stand_ins
+        members = tuple(other.record for other in others)
+        record_by_id = {member.instance: member for member in members}
+        local.find_member = record_by_id.get
+        local.streams.set_neighbours(members, {members[-1].instance})
+        await wait_for(lambda: len(local.streams.connected_instances()) == count)
+        context.gossiping = local.streams.gossiping_instances()
+        for stand_in in stand_ins:
+            await stand_in.streams.close()
+
+    asyncio.run(run())
+
+
+@then("tables and membership records are passed on to {count:d} of them")
+def check_gossiping(context, count):
+    """Checks the number of instances over which tables spread."""
+    assert len(context.gossiping) == count, context.gossiping
