Own shards within the entry's zone again, and keep the places of cells

Taken back but for the streams that carry messages both ways.

An instance that has gone keeps its place until more than a quarter of the places are empty. A server is not called ahead again within 30 s. Test: "leaves the other cells as they are", red before.

--- a/features/cells.feature
+++ b/features/cells.feature
@@ -36,18 +36,14 @@
     Then of 3000 shards that instance owns 30% to 37%
     And shards move only to or from an instance whose capacity changes
 
-  Scenario: Shards are owned in the zones of their servers, and messages cross zones once
-    Given 50 instances of 0.5 cores in 5 zones, and 87 shards with a server in each of 2 zones
-    Then an entry in a zone of servers has all owners in its own zone
-    And an entry in another zone has its owners in both zones of servers
-    And the first stand-by of each shard is in the zone of its other server
-    And no shard has more owners than the view of an instance counts
-    And at most 14 instances work for a query
-
-  Scenario: A cell goes on without a zone that has lost all instances
-    Given 50 instances of 0.5 cores in 5 zones, and 87 shards with a server in each of 2 zones
-    When all instances of the first zone are gone
-    Then each shard has an owner that is live
+  Scenario: An instance that goes leaves the other cells as they are
+    Given 40 instances in 1 zone, of which 4 have 2.0 cores and the others 0.5
+    When 3 instances are lost one after another
+    Then the others are in the same cells of size 8 as before, without those
+    When the 3 instances are back
+    Then all are in the same cells of size 8 as before
+    When 20 instances are lost one after another
+    Then the others are in cells of size 8 of 6 to 10 instances
 
   Scenario: All instances of a zone see the same cells
     Given 30 instances in 3 zones
--- a/features/neighbours.feature
+++ b/features/neighbours.feature
@@ -43,6 +43,6 @@
       | this build         | 0     | the stream it opened  |
       | an earlier build   | 1     | a stream of "b"       |
 
-  Scenario: Streams that carry queries only spread no tables
-    Given an instance with 3 neighbours, one of them distant
+  Scenario: Streams that are open only while in use spread no tables
+    Given an instance with 3 neighbours, one of which it ceases to have
     Then tables and membership records are passed on to 2 of them
--- a/features/steps/neighbours.py
+++ b/features/steps/neighbours.py
@@ -67,7 +67,7 @@
         config,
         context.members,
         types.SimpleNamespace(store=types.SimpleNamespace(tables=data.Tables({}, {}))),
-        types.SimpleNamespace(set_neighbours=lambda members, distant: None),
+        types.SimpleNamespace(set_neighbours=lambda members: None),
         (context.published.append,),
         clock.SystemClock(),
     )
@@ -220,9 +220,9 @@
     assert context.is_on_opened_stream == (stream == "the stream it opened")
 
 
-@given("an instance with {count:d} neighbours, one of them distant")
+@given("an instance with {count:d} neighbours, one of which it ceases to have")
 def make_neighbours(context, count):
-    """Opens streams to peers that answer the greeting, and marks one of them as distant."""
+    """Opens streams to peers that answer the greeting, then drops one of the neighbours."""
 
     async def run():
         stand_ins = []
@@ -236,8 +236,9 @@
         members = tuple(other.record for other in others)
         record_by_id = {member.instance: member for member in members}
         local.find_member = record_by_id.get
-        local.streams.set_neighbours(members, {members[-1].instance})
+        local.streams.set_neighbours(members)
         await wait_for(lambda: len(local.streams.connected_instances()) == count)
+        local.streams.set_neighbours(members[:-1])
         context.gossiping = local.streams.gossiping_instances()
         for stand_in in stand_ins:
             await stand_in.streams.close()
--- a/monsoonhoist/fleet/cells.py
+++ b/monsoonhoist/fleet/cells.py
@@ -1,11 +1,11 @@
 """Cells, the groups of instances that share the calls to backend servers, and their size."""
 
 import math
-from collections.abc import Mapping, Sequence
+from collections.abc import Sequence
 
 import msgspec
 
-from monsoonhoist.core import data, limits, placement
+from monsoonhoist.core import data, limits
 from monsoonhoist.fleet import membership
 
 # Processor time of a call to a backend server and its reply, on a core of typical speed.
@@ -23,7 +23,7 @@
 
     Attributes:
         members: Instances of the cell, sorted.
-        count: Number of instances that own a shard, in all cells together.
+        count: Number of cells in all availability zones together.
     """
 
     members: tuple[data.InstanceId, ...]
@@ -41,49 +41,15 @@
     return sum(member.capacity for member in members) / len(members)
 
 
-def make_view(
-    members: membership.Membership,
-    size: int,
-    fleet_size: int,
-    zones_by_service: Mapping[data.ServiceId, Sequence[data.ZoneId]],
-) -> CellView:
+def make_view(members: membership.Membership, size: int, fleet_size: int) -> CellView:
     """Returns the cell of an instance.
 
-    The instances of each zone are divided into the same number of cells. A cell consists of its
-    instances in the instance's own zone and in the zones whose instances own shards for it: a shard
-    without a server in the own zone has its owner in the zone of a server. One message then crosses
-    zones in place of each of the owner's calls.
-
     Args:
         members: The instance's view of all instances.
-        size: Intended number of instances that share the calls of a query.
+        size: Intended number of instances in a cell.
         fleet_size: Number of instances that share the servers' limits.
-        zones_by_service: Availability zones of the servers of each shard.
     """
-    own_zone = members.local_member.zone
-    serving = sorted({zone for zones in zones_by_service.values() for zone in zones})
-    remote = {
-        zone
-        for service, zones in zones_by_service.items()
-        if own_zone not in zones
-        for zone in placement.order_zones(service, zones, own_zone)[:1]
-    }
-    live_by_zone = members.live_by_zone()
-    if size <= 1 or not serving or not set(serving).issubset(live_by_zone):
-        return CellView(members.cell(size), max(1, round(fleet_size / size)))
-    # The zones that share the calls of a query: all serving ones, unless each zone has servers of
-    # its own.
-    zones_per_query = 1 if set(live_by_zone).issubset(serving) else len(serving)
-    zone_sizes = [len(live_by_zone[zone]) for zone in serving]
-    mean_zone_size = sum(zone_sizes) / len(zone_sizes) if zone_sizes else 0.0
-    cell_count = max(1, round(mean_zone_size * zones_per_query / size))
-    groups = [members.group(zone, cell_count) for zone in sorted({own_zone, *remote})]
-    owner_count = cell_count * max(1, len(serving))
-    known_share = max(1.0, fleet_size / max(1, len(members.live())))
-    return CellView(
-        tuple(sorted(instance for group in groups for instance in group)),
-        max(1, round(owner_count * known_share)),
-    )
+    return CellView(members.cell(size), max(1, round(fleet_size / size)))
 
 
 def size_for(instance_count: int, tables: data.Tables, mean_capacity: float = 1.0) -> int:
--- a/monsoonhoist/fleet/membership.py
+++ b/monsoonhoist/fleet/membership.py
@@ -15,6 +15,9 @@
 
 # Share of an instance's neighbours that are in other availability zones.
 OTHER_ZONES_SHARE = 0.3
+# Places of a zone's cells that may stay empty after instances have gone, as a share of the live
+# instances, before the places are dealt anew.
+GONE_PLACES_SHARE = 0.25
 
 
 class ListedInstance(msgspec.Struct, frozen=True):
@@ -50,6 +53,10 @@
         self._listed_by_id: dict[data.InstanceId, ListedInstance] = {}
         self._down_instances: set[data.InstanceId] = set()
         self._snapshot: _Snapshot | None = None
+        # The live instances when places in cells were last considered, and those that have a place
+        # although they have gone.
+        self._placed_by_id: dict[data.InstanceId, data.Member] = {}
+        self._gone_by_id: dict[data.InstanceId, data.Member] = {}
 
     def _mark_changed(self) -> None:
         """Counts a change of the view; what is derived from the view is computed again."""
@@ -75,7 +82,34 @@
         ]
         if self.local_member.state is data.MemberState.LIVE or not live:
             live.append(self.local_member)
-        return _Snapshot(others, tuple(sorted(live, key=lambda member: member.instance)))
+        live.sort(key=lambda member: member.instance)
+        return _Snapshot(others, tuple(live), self._place(live))
+
+    def _place(self, live: list[data.Member]) -> dict[data.ZoneId, list[data.Member]]:
+        """Returns the instances of each zone that have a place in its cells, in their order.
+
+        These are the live ones, and those that have gone since the places were last dealt. They are
+        dealt anew when the latter are more than a share of the former.
+        """
+        live_by_id = {member.instance: member for member in live}
+        for member in self._placed_by_id.values():
+            if member.instance not in live_by_id:
+                self._gone_by_id[member.instance] = member
+        placed_by_zone: dict[data.ZoneId, list[data.Member]] = {}
+        for member in live:
+            self._gone_by_id.pop(member.instance, None)
+            placed_by_zone.setdefault(member.zone, []).append(member)
+        for zone, members in placed_by_zone.items():
+            gone = [member for member in self._gone_by_id.values() if member.zone == zone]
+            if len(gone) <= GONE_PLACES_SHARE * len(members):
+                members.extend(gone)
+            else:
+                for member in gone:
+                    del self._gone_by_id[member.instance]
+            # Instances of a large capacity come first, so that each cell gets its part of them.
+            members.sort(key=lambda member: (-member.capacity, member.instance))
+        self._placed_by_id = live_by_id
+        return placed_by_zone
 
     def set_listed(self, rows: Iterable[ListedInstance]) -> None:
         """Replaces the platform's instance list by a newly read one.
@@ -169,33 +203,23 @@
     def cell(self, size: int) -> tuple[data.InstanceId, ...]:
         """Returns the live instances of this instance's cell, sorted.
 
-        The instances of an availability zone are assigned to its cells round-robin in the order
-        of their capacity and names, so that all instances with the same view compute the same
+        The instances of an availability zone are dealt to its cells round-robin in the order of
+        their capacity and names, so that all instances with the same view compute the same cells.
+        An instance that has gone keeps its place for a while, so that the others stay in their
         cells. An instance that is not in its own view of the live ones is alone in its cell.
 
         Args:
             size: Intended number of instances of a cell.
         """
-        zone_members = self._live_in_zone()
-        return self.group(self.local_member.zone, max(1, round(len(zone_members) / size)))
-
-    def group(self, zone: data.ZoneId, group_count: int) -> tuple[data.InstanceId, ...]:
-        """Returns the live instances of a zone that are in the group of this instance, sorted.
-
-        The instances of each zone are divided into the same number of groups. This instance is
-        alone if it is not in its own view of the live ones.
-
-        Args:
-            zone: Availability zone.
-            group_count: Number of groups of each zone.
-        """
         local_name = self.local_member.instance
-        ordered = [member.instance for member in _order_for_groups(self._live_in_zone())]
-        if local_name not in ordered:
+        placed = self._current().placed_by_zone.get(self.local_member.zone, ())
+        names = [member.instance for member in placed]
+        if local_name not in self.live() or local_name not in names:
             return (local_name,)
-        index = ordered.index(local_name) % group_count
-        members = _order_for_groups(self.live_by_zone().get(zone, []))
-        return tuple(sorted(member.instance for member in members[index::group_count]))
+        cell_count = max(1, round(len(names) / size))
+        live = set(self.live())
+        cell = names[names.index(local_name) % cell_count :: cell_count]
+        return tuple(sorted(instance for instance in cell if instance in live))
 
     def live_by_zone(self) -> dict[data.ZoneId, list[data.Member]]:
         """Returns the live instances of each availability zone, sorted by name."""
@@ -258,14 +282,6 @@
             cell_members + zone_neighbours + self._gossip_neighbours(other_zones, other_zones_count)
         )
 
-    def distant(self, instances: Iterable[data.InstanceId]) -> frozenset[data.InstanceId]:
-        """Returns those of the given live instances that are in another availability zone."""
-        zone_by_id = {member.instance: member.zone for member in self.live_members()}
-        own_zone = self.local_member.zone
-        return frozenset(
-            instance for instance in instances if zone_by_id.get(instance, own_zone) != own_zone
-        )
-
     def _gossip_neighbours(self, others: list[data.Member], degree: int) -> tuple[data.Member, ...]:
         """Returns at most ``degree`` of the given instances as neighbours for gossip."""
         if len(others) <= degree:
@@ -289,11 +305,18 @@
     Args:
         others: Records of all other known instances, sorted by name.
         live: Records of the live instances, sorted by name.
+        placed_by_zone: Instances of each zone in the order in which they are dealt to cells.
     """
 
-    def __init__(self, others: tuple[data.Member, ...], live: tuple[data.Member, ...]):
+    def __init__(
+        self,
+        others: tuple[data.Member, ...],
+        live: tuple[data.Member, ...],
+        placed_by_zone: dict[data.ZoneId, list[data.Member]],
+    ):
         self.others = others
         self.live = live
+        self.placed_by_zone = placed_by_zone
         self.live_instances = tuple(member.instance for member in live)
 
     @functools.cached_property
@@ -314,14 +337,6 @@
         return self._position_by_instance.get(instance, len(self.live))
 
 
-def _order_for_groups(members: Iterable[data.Member]) -> list[data.Member]:
-    """Returns instances in the order in which they are dealt to groups.
-
-    Instances of a large capacity come first, so that each group gets its part of them.
-    """
-    return sorted(members, key=lambda member: (-member.capacity, member.instance))
-
-
 def _as_member(row: ListedInstance) -> data.Member:
     """Returns a listed instance as a record that is older than any that the instance sends."""
     return data.Member(
--- a/monsoonhoist/node/peers.py
+++ b/monsoonhoist/node/peers.py
@@ -5,8 +5,6 @@
 stream; without acknowledgements it is closed, so that a broken network path is detected.
 """
 
-from collections.abc import Container
-
 from monsoonhoist import metrics, settings
 from monsoonhoist.core import clock, data
 from monsoonhoist.node import inbound_server, outbound_stream, stream_protocol
@@ -41,15 +39,8 @@
         """Accepts streams on an address."""
         self._server.listen(host, port)
 
-    def set_neighbours(
-        self, members: tuple[data.Member, ...], distant: Container[data.InstanceId] = ()
-    ) -> None:
-        """Maintains streams to these neighbours; others stay open only while in use.
-
-        Args:
-            members: The neighbours.
-            distant: Those of them whose streams carry queries only, and between zones.
-        """
+    def set_neighbours(self, members: tuple[data.Member, ...]) -> None:
+        """Maintains streams to these neighbours; others stay open only while in use."""
         neighbours = {member.instance for member in members}
         for instance in list(self._stream_by_id):
             stream = self._stream_by_id[instance]
@@ -61,7 +52,7 @@
             if member.instance not in self._stream_by_id:
                 self._open(member, is_persistent=True)
         for instance, stream in self._stream_by_id.items():
-            stream.is_gossiping = instance in neighbours and instance not in distant
+            stream.is_gossiping = instance in neighbours
 
     def gossiping_instances(self) -> tuple[data.InstanceId, ...]:
         """Returns the instances to which tables and membership records are passed on, sorted."""
--- a/monsoonhoist/node/views.py
+++ b/monsoonhoist/node/views.py
@@ -64,7 +64,6 @@
         self._replicator = replicator
         self._peer_streams = peer_streams
         self._subscribers = subscribers
-        self._zones_by_service: dict[data.ServiceId, tuple[data.ZoneId, ...]] = {}
         self._clock = time_source
         self._published_at = -math.inf
         self._pending_refresh: asyncio.TimerHandle | None = None
@@ -108,7 +107,7 @@
             self._neighbour_inputs = inputs
             degree = self._spread_settings.neighbours
             neighbours = self._members.neighbours(degree, cell.members)
-            self._peer_streams.set_neighbours(neighbours, self._members.distant(cell.members))
+            self._peer_streams.set_neighbours(neighbours)
         previous = self.view
         self.view = events.ViewChanged(
             tables, live, cell.members, cell.count, fleet_size, self._make_topology(cell)
@@ -120,7 +119,7 @@
             notify(self.view)
 
     def _make_topology(self, cell: cells.CellView) -> placement.Topology:
-        """Returns where the instances of the cell and the servers are."""
+        """Returns where the instances of the cell are, and what they can do."""
         cell_members = set(cell.members)
         members = [
             member for member in self._members.live_members() if member.instance in cell_members
@@ -128,7 +127,6 @@
         return placement.Topology(
             {member.instance: member.capacity for member in members},
             {member.instance: member.zone for member in members},
-            self._zones_by_service,
         )
 
     def _is_current(self, tables: data.Tables, fleet_size: int) -> bool:
@@ -143,9 +141,7 @@
             return cells.NO_CELL
         capacity = cells.mean_capacity(self._members.live_members())
         size = self._spread_settings.cell_size or cells.size_for(live_count, tables, capacity)
-        if self.view is None or self.view.tables is not tables:
-            self._zones_by_service = placement.find_zones(tables)
-        return cells.make_view(self._members, size, fleet_size, self._zones_by_service)
+        return cells.make_view(self._members, size, fleet_size)
 
 
 def _decides_alike(first: events.ViewChanged, second: events.ViewChanged) -> bool:
--- a/monsoonhoist/node/warmup.py
+++ b/monsoonhoist/node/warmup.py
@@ -15,6 +15,8 @@
 # Interval between two connections. The instances of all cells start together; the interval
 # leaves the servers' slots free for callers' requests in between.
 CONNECT_SPACING_SECONDS = 0.02
+# A server that is selected again within this time still has the connection.
+CHECK_INTERVAL_SECONDS = 30.0
 
 _log = logging.getLogger(__name__)
 
@@ -22,8 +24,7 @@
 class ConnectionWarmUp(task.Task[events.ViewChanged]):
     """Opens a connection to each server that ``warming`` selects, by calling its health check.
 
-    A server is called once while it stays selected. Its connection stays open for the calls that
-    follow.
+    Its connection stays open for the calls that follow.
 
     Args:
         instance: This instance.
@@ -47,7 +48,7 @@
         self._protocol = protocol
         self._driver = driver
         self._report = report
-        self._selected_addresses: set[str] = set()
+        self._checked_at_by_address: dict[str, float] = {}
         self._pending_servers: collections.deque[data.Server] = collections.deque()
         self._task: asyncio.Task[None] | None = None
 
@@ -60,10 +61,16 @@
     def handle(self, message: events.ViewChanged) -> None:
         """Queues the servers that this instance is to call and has not connected to."""
         servers = warming.servers_to_connect(message, self._instance, self._kernel.ownership)
-        self._pending_servers.extend(
-            server for server in servers if server.address not in self._selected_addresses
-        )
-        self._selected_addresses = {server.address for server in servers}
+        now = asyncio.get_running_loop().time()
+        self._checked_at_by_address = {
+            address: checked_at
+            for address, checked_at in self._checked_at_by_address.items()
+            if now - checked_at < CHECK_INTERVAL_SECONDS
+        }
+        for server in servers:
+            if server.address not in self._checked_at_by_address:
+                self._checked_at_by_address[server.address] = now
+                self._pending_servers.append(server)
         if self._pending_servers and (self._task is None or self._task.done()):
             self._task = asyncio.create_task(self._run(), name="warm-up")
 
--- a/monsoonhoist/policy/ownership.py
+++ b/monsoonhoist/policy/ownership.py
@@ -165,74 +165,16 @@
     """Divides the shards among the instances of a cell; each cell calls every server.
 
     The caller passes the instances of its cell as ``instances``. With cells of one instance, each
-    entry calls the servers itself. A shard has its owner in the zone of one of its servers, the
-    entry's own zone if possible. The first stand-by is in the zone of another server. A cell may
-    use all slots of a server, because servers queue calls and the other cells are rarely busy there
-    at the same time, but it uses only its part of the connections.
+    entry calls the servers itself. A cell may use all slots of a server, because servers queue
+    calls and the other cells are rarely busy there at the same time, but it uses only its part of
+    the connections.
     """
 
-    def __init__(self, instance: data.InstanceId):
-        super().__init__(instance)
-        self._instance = instance
-        self._owners_by_shard: dict[
-            tuple[data.PoolId, data.ServiceId], tuple[data.InstanceId, ...]
-        ] = {}
-
-    def set_topology(self, topology: placement.Topology) -> None:
-        """Sets where instances and servers are, and what the instances can do."""
-        if topology != self._topology:
-            self._topology = topology
-            self._owners_by_shard.clear()
-
-    def owners(
-        self, pool: data.PoolId, service: data.ServiceId, instances: Sequence[data.InstanceId]
-    ) -> tuple[data.InstanceId, ...]:
-        """Returns the owner of a shard, followed by its stand-bys."""
-        if instances is not self._instances:
-            if tuple(instances) != self._instances:
-                self._owners_by_shard.clear()
-            self._instances = tuple(instances)
-        owners = self._owners_by_shard.get((pool, service))
-        if owners is None:
-            owners = self._choose_owners(pool, service)
-            self._owners_by_shard[pool, service] = owners
-        return owners
-
     def limit_share(self, instance_count: int) -> limits.LimitShare:
         """Returns all slots, and an equal part of the usable connections for each cell."""
         part = 1.0 / max(1, instance_count)
         return limits.LimitShare(1.0, part * limits.USABLE_CONNECTIONS_SHARE)
 
-    def _choose_owners(
-        self, pool: data.PoolId, service: data.ServiceId
-    ) -> tuple[data.InstanceId, ...]:
-        """Returns the best instance of the preferred zone, then one of another zone, then others.
-
-        Without the zones of servers, all instances are alike.
-        """
-        topology = self._topology
-        zones = topology.zones_by_service.get(service, ())
-        own_zone = topology.zone_by_instance.get(self._instance, data.ZoneId(""))
-        rank_by_zone = {
-            zone: rank for rank, zone in enumerate(placement.order_zones(service, zones, own_zone))
-        }
-        by_weight = _sort_by_weight(
-            f"{pool}/{service}", self._instances, topology.capacity_by_instance
-        )
-        rank_by_instance = {
-            instance: rank_by_zone.get(topology.zone_by_instance.get(instance, ""), len(zones))
-            for instance in by_weight
-        }
-        # The order by weight is kept within a zone.
-        ordered = sorted(by_weight, key=rank_by_instance.__getitem__)
-        first_rank = rank_by_instance[ordered[0]]
-        others = [
-            instance for instance in ordered if first_rank < rank_by_instance[instance] < len(zones)
-        ]
-        preferred = [ordered[0], *others[:1]]
-        rest = [instance for instance in ordered if instance not in preferred]
-        return tuple((preferred + rest)[:OWNERS_MAX])
-
 
 def _sort_by_weight(
     name: str,
