Load the exporter of the metrics in a thread

The log shows why: the first reading of the metrics loads the exporter's libraries, the event loop stood still for 0.6 s, which counts as a pause (500 ms), and the instance refused requests as not_ready until it had read the tables again. Operators who read metrics stop an instance in the same way.

The libraries are loaded in a thread. Test: features/metrics.feature, below half of the gap that counts as a pause.

--- a/features/metrics.feature
+++ b/features/metrics.feature
@@ -20,3 +20,7 @@
   Scenario: Every refusal and retry reason has a series
     When the metrics of instance 1 are read
     Then there is a series for each reason of a refusal and of a retry
+
+  Scenario: The first reading of the metrics does not stop the instance
+    When a new instance reads its metrics for the first time
+    Then its event loop has not stood still for half of the gap that counts as a pause
--- a/features/steps/metrics.py
+++ b/features/steps/metrics.py
@@ -1,9 +1,12 @@
 """Steps that read and check the metrics of an instance."""
 
 import re
+import subprocess
+import sys
 
 from behave import then, when
 
+from monsoonhoist import settings
 from monsoonhoist.core import data
 from standins import fleet, site
 
@@ -80,3 +83,37 @@
             if series == f"monsoonhoist_{name}_total"
         }
         assert series_reasons == {reason.value for reason in reasons}, series_reasons
+
+
+# Exports the metrics of a new process and prints the longest time for which its loop stood still.
+FIRST_EXPORT = """
+import asyncio, time
+from monsoonhoist import metrics
+
+async def run():
+    task = asyncio.create_task(metrics.Metrics("i").export())
+    longest = 0.0
+    while not task.done():
+        before = time.monotonic()
+        await asyncio.sleep(0.001)
+        longest = max(longest, time.monotonic() - before)
+    await task
+    print(longest)
+
+asyncio.run(run())
+"""
+
+
+@when("a new instance reads its metrics for the first time")
+def export_first(context):
+    """Exports the metrics in a new process."""
+    command = [sys.executable, "-c", FIRST_EXPORT]
+    completed = subprocess.run(command, cwd=site.ROOT, capture_output=True, text=True, check=True)
+    context.longest_seconds = float(completed.stdout)
+
+
+@then("its event loop has not stood still for half of the gap that counts as a pause")
+def check_stall(context):
+    """Checks the longest time between two turns of the loop."""
+    gap_seconds = settings.TimingSection().pause_ms.total_seconds()
+    assert context.longest_seconds < gap_seconds / 2, context.longest_seconds
--- a/monsoonhoist/metrics.py
+++ b/monsoonhoist/metrics.py
@@ -6,6 +6,7 @@
 occurred is exported as zero.
 """
 
+import asyncio
 import bisect
 import collections
 import importlib
@@ -169,10 +170,15 @@
         self._call_seconds = self._make_histogram("call_seconds", "Time of a backend call")
         self._start_at_zero()
 
-    def export(self) -> bytes:
-        """Returns all metrics as Prometheus text; the exporter is created on first use."""
+    async def export(self) -> bytes:
+        """Returns all metrics as Prometheus text; the exporter is created on first use.
+
+        Its libraries are loaded in a thread, since loading them takes longer than the event loop
+        may stand still.
+        """
         if self._exporter is None:
-            self._exporter = importlib.import_module("monsoonhoist.export").Exporter(self)
+            module = await asyncio.to_thread(importlib.import_module, "monsoonhoist.export")
+            self._exporter = self._exporter or module.Exporter(self)
         return self._exporter.text()
 
     def _make_counter(self, name: str, description: str, unit: str = "") -> Counter:
--- a/monsoonhoist/node/web.py
+++ b/monsoonhoist/node/web.py
@@ -216,10 +216,10 @@
 class MetricsHandler(BaseHandler):
     """``GET /metrics``: metrics as Prometheus text."""
 
-    def get(self) -> None:
+    async def get(self) -> None:
         """Replies with all metrics."""
         self.set_header("Content-Type", metrics.CONTENT_TYPE)
-        self.finish(self._node.counters.export())
+        self.finish(await self._node.counters.export())
 
 
 class StatusHandler(BaseHandler):
--- a/monsoonhoist/platform/callers.py
+++ b/monsoonhoist/platform/callers.py
@@ -163,6 +163,7 @@
         self._node = local_node
         self._connection = connection
         self._path = ""
+        self._export_task: asyncio.Task[None] | None = None
 
     def headers_received(
         self, start_line: httputil.RequestStartLine, headers: httputil.HTTPHeaders
@@ -171,28 +172,34 @@
         self._path = start_line.path
 
     def finish(self) -> None:
-        """Writes the response."""
-        status, content_type, body = STATUS_NOT_FOUND, "text/plain", b""
-        if self._path == wire_names.READY_PATH:
+        """Writes the response, that with the metrics once they are exported."""
+        if self._path == "/metrics":
+            self._export_task = asyncio.create_task(self._send_metrics())
+        elif self._path == wire_names.READY_PATH:
             is_ready = self._node.phase is phases.Phase.READY
             status = STATUS_OK if is_ready else STATUS_UNAVAILABLE
-            body = self._node.phase.value.encode()
+            self._send(status, "text/plain", self._node.phase.value.encode())
         elif self._path == "/v1/status":
-            status, content_type = STATUS_OK, "application/json"
             body = msgspec.json.encode(node_status.make_status(self._node))
-        elif self._path == "/metrics":
-            status, content_type, body = (
-                STATUS_OK,
-                metrics.CONTENT_TYPE,
-                self._node.counters.export(),
-            )
+            self._send(STATUS_OK, "application/json", body)
+        else:
+            self._send(STATUS_NOT_FOUND, "text/plain", b"")
+
+    async def _send_metrics(self) -> None:
+        self._send(STATUS_OK, metrics.CONTENT_TYPE, await self._node.counters.export())
+
+    def _send(self, status: int, content_type: str, body: bytes) -> None:
+        """Writes a response; one whose connection is closed is dropped with a debug log line."""
         headers = httputil.HTTPHeaders(
             {"Content-Type": content_type, "Content-Length": str(len(body))}
         )
         reason = httputil.responses[status]
         start_line = httputil.ResponseStartLine("HTTP/1.1", status, reason)
-        self._connection.write_headers(start_line, headers, body)
-        self._connection.finish()
+        try:
+            self._connection.write_headers(start_line, headers, body)
+            self._connection.finish()
+        except (iostream.StreamClosedError, httputil.HTTPOutputError) as error:
+            _log.debug("response not sent", extra={"error": str(error)})
 
 
 class ControlConnectionDelegate(CallerConnectionDelegate):
