--- a/review/deployment.py
+++ b/review/deployment.py
@@ -163,7 +163,10 @@
     except (Exception, KeyboardInterrupt):
         record.write(traceback.format_exc())
     finally:
-        deployment.stop()
+        try:
+            deployment.stop()
+        except Exception:
+            record.write(traceback.format_exc())
     result = {EXIT_HELD: "held", EXIT_BROKEN: "broken", EXIT_NOT_RUN: "not run"}[status]
     record.write(f"result: the rule was {result}")
     print(result)
