Judge each header line of a server's answer when it arrives

Cause: fields of a server's head were passed on unread; the writer of the answer refuses an invalid one by an exception, which ended the callback that delivers the answer. Nothing was written and nothing closed the connection. Ruled out: a hanging call (it ends, and the query counts as answered).

Change: the HTTP client judges each line; another one than a header field ends the call as a malformed reply and closes its connection, so that the other server is called or the caller gets 502. Proofs that would be more than one entry of a list are malformed too. What fails while an answer is made or written is logged and closes the connection. Trailer fields are discarded instead of counting as a cut head.

--- a/bench/mutants.py
+++ b/bench/mutants.py
@@ -127,8 +127,8 @@
     Mutant(
         "replies to another request are forwarded",
         "node/curl.py",
-        "self.is_foreign = header.value != expected.value",
-        "self.is_foreign = False",
+        "return Defect.FOREIGN if is_expected_name and value != expected.value else None",
+        "return None",
         "platform",
     ),
     Mutant(
--- a/features/platform.feature
+++ b/features/platform.feature
@@ -60,6 +60,50 @@
       | cut_head     |
       | endless_head |
       | endless_body |
+      | interim_status |
+
+  # Guards against answers with one spoiled byte in the head, which were never sent to the caller.
+  Scenario Outline: An answer with a spoiled header field is not forwarded, and the other server is called
+    Given the server "records-a" has started again, with the fault "<fault>"
+    When the caller sends 12 requests "GET" "/record/x"
+    Then the server "records-a" has received some of them
+    And all statuses are 200
+    And all answers are complete and from the server "records-b"
+
+    Examples:
+      | fault            |
+      | control_in_value |
+      | space_in_name    |
+      | no_colon         |
+
+  # Guards against callers who wait for ever because every answer to them has a spoiled byte.
+  Scenario Outline: A request whose only answers have a spoiled header field is answered with a failure
+    Given the server "records-a" has the fault "<fault>"
+    And the server "records-b" has the fault "<fault>"
+    When the caller sends 4 requests "POST" "/order/x"
+    Then all statuses are 502
+    And each request has run once
+    When the caller sends 4 requests "GET" "/record/x"
+    Then all statuses are 502
+
+    Examples:
+      | fault            |
+      | control_in_value |
+      | space_in_name    |
+
+  # Guards against one spoiled proof of a part that keeps the whole answer from being sent.
+  Scenario Outline: A part with a spoiled proof is taken from the shard's other server
+    Given the server "alpha-a" has started again, with the fault "<fault>"
+    When the caller sends 8 requests "GET" "/find/a"
+    Then the server "alpha-a" has received some of them
+    And all statuses are 200
+    And no answer lists a proof of the server "alpha-a"
+
+    Examples:
+      | fault            |
+      | control_in_value |
+      | control_in_proof |
+      | comma_in_proof   |
 
   Scenario: A second copy of a reply on a connection that is reused is not taken for another reply
     Given the server "records-a" has started again, with the fault "second_copy"
@@ -68,6 +112,15 @@
     And all statuses are 200
     And each answer contains the server's proof for its request
 
+  # Guards against trailer fields that are taken for a head that was cut off.
+  Scenario: A reply in chunks with a trailer field is forwarded
+    Given the server "records-a" has started again, with the fault "trailer"
+    When the caller sends 12 requests "GET" "/record/x"
+    Then the server "records-a" has received some of them
+    And all statuses are 200
+    And each answer contains the server's proof for its request
+    And each request has run once
+
   Scenario: A server that says that it is leaving receives nothing, whatever the store says
     Given the server "records-a" has started again, with the fault ""
     And the server "records-a" says that it is leaving
--- a/features/steps/platform_checks.py
+++ b/features/steps/platform_checks.py
@@ -143,6 +143,14 @@
         assert proof.split(".")[1] == request_id, (request_id, proof)
 
 
+@then('no answer lists a proof of the server "{name}"')
+def check_proof_not_listed(context, name):
+    """Checks that each gathered answer has parts, none of them from a server."""
+    for reply in context.replies:
+        proofs = platform_actions.proofs_of(reply)
+        assert proofs and not any(proof.startswith(name) for proof in proofs), proofs
+
+
 @then("each request has run once")
 def check_ran_once(context):
     """Checks in the servers' records that each request ran exactly once."""
--- a/monsoonhoist/node/curl.py
+++ b/monsoonhoist/node/curl.py
@@ -7,8 +7,10 @@
 import asyncio
 import collections
 import datetime
+import enum
 import io
 import logging
+import re
 from collections.abc import Callable
 
 import msgspec
@@ -25,10 +27,25 @@
 IDLE_CONNECTIONS_MAX = 4096
 # Encoding of request lines and header fields, which keeps all bytes.
 HEADER_ENCODING = "latin-1"
+# Name of a header field, and the bytes that its value must not have (RFC 9110, section 5).
+_FIELD_NAME_PATTERN = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
+_CONTROL_BYTE_PATTERN = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
 
 _log = logging.getLogger(__name__)
 
 
+class Defect(enum.Enum):
+    """Why a response was not accepted, although the connection worked.
+
+    Attributes:
+        FOREIGN: It belongs to another request, according to ``HttpCall.expected_header``.
+        MALFORMED: Its head has a line that is no header field.
+    """
+
+    FOREIGN = "foreign"
+    MALFORMED = "malformed"
+
+
 class HttpCall(msgspec.Struct, frozen=True):
     """An HTTP request with its timeouts.
 
@@ -64,8 +81,7 @@
         timed_out: Whether the call ended at its timeout.
         error: Error message of curl; empty if there is a response.
         headers: Header fields of the response.
-        is_foreign: Whether the call ended because the response belongs to another request,
-            according to ``expected_header``.
+        defect: Why the response was not accepted; None if it was, or if there is none.
     """
 
     status: int
@@ -74,7 +90,7 @@
     timed_out: bool
     error: str
     headers: tuple[exchange.Header, ...] = ()
-    is_foreign: bool = False
+    defect: Defect | None = None
 
 
 class Transfer:
@@ -90,26 +106,40 @@
         self.on_done = on_done
         self.body = io.BytesIO()
         self.headers: list[exchange.Header] = []
-        self.is_foreign = False
+        self.defect: Defect | None = None
         self.is_head_complete = False
         self._expected_header = expected_header
 
     def handle_header(self, line: bytes) -> int | None:
         """Records a header line; returns -1 to make curl end the call and close its connection."""
-        self.is_head_complete = not line.strip()
         # A status line begins a response; the headers of an interim one are discarded.
         if line.startswith(b"HTTP/"):
             self.headers.clear()
+            self.is_head_complete = False
+            return None
+        # What follows the head are trailer fields, which may be discarded (RFC 9110, 6.5.1).
+        if self.is_head_complete:
             return None
-        name, separator, value = line.decode(HEADER_ENCODING).partition(":")
-        if not separator:
+        field = line.rstrip(b"\r\n")
+        if not field:
+            self.is_head_complete = True
             return None
-        header = exchange.Header(name.strip(), value.strip())
-        self.headers.append(header)
+        self.defect = self._record_field(field)
+        return None if self.defect is None else -1
+
+    def _record_field(self, field: bytes) -> Defect | None:
+        """Records a header field; returns what is wrong with it."""
+        name_bytes, colon, value_bytes = field.partition(b":")
+        if not colon or not _FIELD_NAME_PATTERN.fullmatch(name_bytes):
+            return Defect.MALFORMED
+        if _CONTROL_BYTE_PATTERN.search(value_bytes):
+            return Defect.MALFORMED
+        name = name_bytes.decode(HEADER_ENCODING)
+        value = value_bytes.strip(b" \t").decode(HEADER_ENCODING)
+        self.headers.append(exchange.Header(name, value))
         expected = self._expected_header
-        if expected is not None and header.name.lower() == expected.name.lower():
-            self.is_foreign = header.value != expected.value
-        return -1 if self.is_foreign else None
+        is_expected_name = expected is not None and name.lower() == expected.name.lower()
+        return Defect.FOREIGN if is_expected_name and value != expected.value else None
 
     def write_body(self, chunk: bytes) -> int:
         """Records a chunk of the body; returns fewer bytes than given to make curl end the call."""
@@ -249,7 +279,7 @@
             timed_out=code == pycurl.E_OPERATION_TIMEDOUT,
             error=message if code or is_complete else "the head of the response is incomplete",
             headers=tuple(transfer.headers),
-            is_foreign=transfer.is_foreign,
+            defect=transfer.defect,
         )
         self._release(handle)
         try:
--- a/monsoonhoist/platform/backend_protocol.py
+++ b/monsoonhoist/platform/backend_protocol.py
@@ -18,6 +18,8 @@
 LOAD_FIELDS_MIN = 3
 LOAD_FIELDS_MAX = 4
 _COUNT_PATTERN = re.compile(r"[0-9]{1,9}")
+# Proofs are listed with commas between them, so that a comma in one would make it two.
+_PROOF_PATTERN = re.compile(r"[!-+\--~]+")
 # Headers that curl adds by default. They are suppressed unless the caller sent them.
 CURL_DEFAULT_HEADERS = ("Accept", "User-Agent", "Content-Type", "Expect")
 CONTENT_ENCODING = "content-encoding"
@@ -28,7 +30,8 @@
 class ServerProtocol(backends.Protocol):
     """Forwards the caller's request with the remaining time and the server's id.
 
-    A call ends as malformed if its response carries the id of another request.
+    A call ends as malformed if its response carries the id of another request or is no response
+    that could be forwarded.
 
     Args:
         connect_timeout: Maximum time to establish a connection.
@@ -87,9 +90,9 @@
     ) -> events.CallReplied | events.CallFailed:
         """Converts the end of a call to an event.
 
-        A response without a proof, or with an encoded body, counts as malformed. An error status
-        is a failure if the response would be merged or the server itself failed; otherwise the
-        response is forwarded to the caller.
+        A response without a valid proof, or with an encoded body, counts as malformed. An error
+        status is a failure if the response would be merged or the server itself failed; otherwise
+        the response is forwarded to the caller.
         """
         value_by_name = _values_by_name(reply.headers)
         report = _make_report(reply.status, value_by_name)
@@ -97,8 +100,8 @@
             return _make_transport_failure(command.call_id, reply, report)
         if wire_names.NOT_RUN_HEADER.lower() in value_by_name or reply.status == STATUS_MISDIRECTED:
             return _make_refusal(command.call_id, reply, report)
-        proof = value_by_name.get(wire_names.PROOF_HEADER.lower())
-        if proof is None or CONTENT_ENCODING in value_by_name:
+        proof = value_by_name.get(wire_names.PROOF_HEADER.lower(), "")
+        if not _PROOF_PATTERN.fullmatch(proof) or CONTENT_ENCODING in value_by_name:
             reason = data.Refusal.MALFORMED_REPLY
             return events.CallFailed(command.call_id, reason, True, report=report)
         is_forwarded = command.query.passes_response
@@ -125,9 +128,9 @@
 ) -> events.CallFailed:
     """Returns the failure of a call without a complete response.
 
-    The headers that did arrive are believed, unless they belong to another request.
+    The headers that did arrive are believed, unless the response was not accepted.
     """
-    if reply.is_foreign:
+    if reply.defect is not None:
         return events.CallFailed(call_id, data.Refusal.MALFORMED_REPLY, True)
     if not reply.sent:
         reason = data.Refusal.TIMEOUT if reply.timed_out else data.Refusal.CONNECT_FAILED
--- a/monsoonhoist/platform/callers.py
+++ b/monsoonhoist/platform/callers.py
@@ -105,7 +105,7 @@
     def _refuse(self, answer: data.Answer) -> None:
         self._node.pending_queries.record_refusal(answer)
         query_id = self._node.pending_queries.next_id()
-        self._send(make_response(events.Respond(query_id, answer)))
+        self._send(events.Respond(query_id, answer))
 
     def _handle_answer(
         self, route: data.Route, answer_future: asyncio.Future[events.Respond]
@@ -114,10 +114,22 @@
             return
         command = answer_future.result()
         self._node.pending_queries.count_answer(route.rank, command.answer)
-        self._send(make_response(command))
+        self._send(command)
 
-    def _send(self, response: exchange.Response) -> None:
-        """Writes a response; one whose connection is closed is dropped with a debug log line."""
+    def _send(self, command: events.Respond) -> None:
+        """Writes an answer; one whose connection is closed is dropped with a debug log line.
+
+        A caller to whom an answer cannot be written must not wait for it: the connection closes.
+        """
+        try:
+            self._write(make_response(command))
+        except (iostream.StreamClosedError, httputil.HTTPOutputError) as error:
+            _log.debug("answer not sent", extra={"error": str(error)})
+        except Exception:
+            _log.exception("answer not written", extra={"request_id": command.answer.request_id})
+            self._connection.close()
+
+    def _write(self, response: exchange.Response) -> None:
         headers = httputil.HTTPHeaders()
         for header in response.headers:
             headers.add(header.name, header.value)
@@ -127,11 +139,8 @@
         start_line = httputil.ResponseStartLine(
             "HTTP/1.1", response.status, httputil.responses.get(response.status, "Unknown")
         )
-        try:
-            self._connection.write_headers(start_line, headers, response.body)
-            self._connection.finish()
-        except (iostream.StreamClosedError, httputil.HTTPOutputError) as error:
-            _log.debug("answer not sent", extra={"error": str(error)})
+        self._connection.write_headers(start_line, headers, response.body)
+        self._connection.finish()
 
 
 class CallerConnectionDelegate(httputil.HTTPServerConnectionDelegate):
--- a/standins/shards.py
+++ b/standins/shards.py
@@ -27,6 +27,9 @@
             the id of another request, ``no_proof`` without a proof, ``encoded`` with a content
             encoding, ``truncated`` with half of the body, ``cut_head`` with part of the head,
             ``second_copy`` with the same reply twice, the second time on the idle connection,
+            ``control_in_value``, ``space_in_name``, ``no_colon``, ``control_in_proof`` and
+            ``comma_in_proof`` with one wrong byte in a header field, ``interim_status`` with the
+            status of an interim response, ``trailer`` in chunks with a field after the last one,
             ``endless_head`` and ``endless_body`` with bytes until the connection is closed, and
             ``not_http`` with bytes that are not HTTP.
         remaining_faults: Number of further requests that the fault affects; -1 for no limit.
@@ -173,23 +176,26 @@
         if fault == "not_http":
             return b"\x00\x01\x02 no answer\r\n\r\n"
         body = self.shard_records(request.request_id)
-        status = "500 Internal Server Error" if fault == "error" else "200 OK"
+        status = _STATUS_BY_FAULT.get(fault, "200 OK")
         request_id = "another" if fault == "foreign_id" else request.request_id
         lines = [f"HTTP/1.1 {status}", f"X-Request-Id: {request_id}"]
         if fault != "no_proof":
-            lines.append(
-                f"X-Server-Stamp: {self.name}.{request.request_id}.{len(self.received_requests)}"
-            )
+            separator = _PROOF_SEPARATOR_BY_FAULT.get(fault, ".")
+            number = len(self.received_requests)
+            lines.append(f"X-Server-Stamp: {self.name}.{request.request_id}{separator}{number}")
         if fault == "encoded":
             lines.append("Content-Encoding: gzip")
         if self.behaviour.is_leaving:
             lines.append("Server-Leaving: 1")
-        lines += ["X-Backend-Load: 0,0,2,100", "X-Extra: kept"]
+        lines += ["X-Backend-Load: 0,0,2,100", _EXTRA_HEADER_BY_FAULT.get(fault, "X-Extra: kept")]
         head = "\r\n".join(lines).encode() + b"\r\n"
         if fault in ("cut_head", "endless_head"):
             return head
         if fault == "endless_body":
             return head + b"\r\n"
+        if fault == "trailer":
+            chunk = f"{len(body):x}\r\n".encode() + body + b"\r\n"
+            return head + b"Transfer-Encoding: chunked\r\n\r\n" + chunk + b"0\r\nX-End: 1\r\n\r\n"
         if fault == "truncated":
             return head + f"Content-Length: {len(body)}\r\n\r\n".encode() + body[: len(body) // 2]
         return head + f"Content-Length: {len(body)}\r\n\r\n".encode() + body
@@ -199,6 +205,13 @@
     "endless_head": b"X-Filler: " + b"x" * 4096 + b"\r\n",
     "endless_body": b"x" * 65_536,
 }
+_STATUS_BY_FAULT = {"error": "500 Internal Server Error", "interim_status": "101 Switching"}
+_PROOF_SEPARATOR_BY_FAULT = {"comma_in_proof": ",", "control_in_proof": "\x01"}
+_EXTRA_HEADER_BY_FAULT = {
+    "control_in_value": "X-Extra: ke\x01t",
+    "space_in_name": "X- xtra: kept",
+    "no_colon": "X-Extra kept",
+}
 _REFUSAL_BY_FAULT = {
     "shed": b"HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n",
     "wrong_server": b"HTTP/1.1 421 Wrong\r\nX-Instance: i-x\r\nContent-Length: 0\r\n\r\n",
