Write answers to HEAD without their body

Cause: the writer of answers did not know the method, and the HTTP library closes the connection when a response to HEAD has a body. One function writes all responses of the dialect now and knows it. The length that a server states in its response to HEAD is forwarded; it was replaced by 0.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -18,6 +18,21 @@
     And the answer has the header "X-Extra" with the value "kept"
     And the answer contains the server's proof for this request
 
+  # Guards against own answers to HEAD that close the connection instead of being sent.
+  Scenario: HEAD requests are answered, also by the instance itself
+    When the caller sends "HEAD" "/record/x"
+    Then the status is 200
+    And the answer has the header "Content-Length" with the value "192"
+    When the caller sends "HEAD" "/nothing/"
+    Then the status is 404
+    When the caller sends "HEAD" "/find/a"
+    Then the status is 200
+    And the answer reports 4 parts and 0 missing parts
+    Given the servers work for 3000 ms
+    When the caller sends "HEAD" "/record/x"
+    Then the status is 504
+    And the readiness check of instance 1 by "HEAD" has the status 200
+
   Scenario: Operators see that all instances have the same tables in force
     When the operator requests the status of all instances
     Then the command's exit code is 0
--- a/features/steps/platform_checks.py
+++ b/features/steps/platform_checks.py
@@ -1,5 +1,6 @@
 """Steps that check answers, servers and instances on the users' platform."""
 
+import http.client
 import json
 import time
 
@@ -151,6 +152,17 @@
         assert proofs and not any(proof.startswith(name) for proof in proofs), proofs
 
 
+@then('the readiness check of instance {number:d} by "{method}" has the status {status:d}')
+def check_readiness(context, number, method, status):
+    """Sends a readiness check as the load balancer does, by any method."""
+    connection = http.client.HTTPConnection(f"127.0.1.{number}", fleet.READY_PORT)
+    try:
+        connection.request(method, "/api/ready")
+        assert connection.getresponse().status == status
+    finally:
+        connection.close()
+
+
 @then("each request has run once")
 def check_ran_once(context):
     """Checks in the servers' records that each request ran exactly once."""
--- a/monsoonhoist/platform/backend_protocol.py
+++ b/monsoonhoist/platform/backend_protocol.py
@@ -23,8 +23,10 @@
 # Headers that curl adds by default. They are suppressed unless the caller sent them.
 CURL_DEFAULT_HEADERS = ("Accept", "User-Agent", "Content-Type", "Expect")
 CONTENT_ENCODING = "content-encoding"
+CONTENT_LENGTH = "content-length"
+METHOD_HEAD = "HEAD"
 # Header fields of a response that are not forwarded to the caller, in lower case.
-UNFORWARDED_HEADERS = wire_names.CONNECTION_HEADERS | {"content-length", "expect"}
+UNFORWARDED_HEADERS = wire_names.CONNECTION_HEADERS | {CONTENT_LENGTH, "expect"}
 
 
 class ServerProtocol(backends.Protocol):
@@ -108,7 +110,11 @@
         if reply.status // 100 != 2 and (not is_forwarded or reply.status >= STATUS_SERVER_ERROR):
             reason = data.Refusal.BACKEND_ERROR
             return events.CallFailed(
-                command.call_id, reason, True, response=_make_response(reply), report=report
+                command.call_id,
+                reason,
+                True,
+                response=_make_response(command, reply),
+                report=report,
             )
         return events.CallReplied(
             call_id=command.call_id,
@@ -118,7 +124,7 @@
             results=() if is_forwarded else _split_records(reply.body),
             draining=False,
             proof=proof,
-            response=_make_response(reply) if is_forwarded else None,
+            response=_make_response(command, reply) if is_forwarded else None,
             report=report,
         )
 
@@ -170,9 +176,15 @@
     )
 
 
-def _make_response(reply: curl.HttpReply) -> exchange.Response:
-    """Returns a response to forward, without the header fields of the connection."""
-    return exchange.Response(reply.status, _forwarded_headers(reply.headers), reply.body)
+def _make_response(command: events.StartCall, reply: curl.HttpReply) -> exchange.Response:
+    """Returns a response to forward, without the header fields of the connection.
+
+    The length in a response to HEAD is not that of the body, so that it is forwarded.
+    """
+    is_head = command.query.content.method == METHOD_HEAD
+    unforwarded = UNFORWARDED_HEADERS - {CONTENT_LENGTH} if is_head else UNFORWARDED_HEADERS
+    headers = tuple(header for header in reply.headers if header.name.lower() not in unforwarded)
+    return exchange.Response(reply.status, headers, reply.body)
 
 
 def _parse_load(text: str) -> exchange.Load | None:
@@ -211,7 +223,3 @@
 def _format_header(header: exchange.Header) -> str:
     """Returns a header line for curl, which needs a semicolon in place of an empty value."""
     return f"{header.name}: {header.value}" if header.value else f"{header.name};"
-
-
-def _forwarded_headers(headers: tuple[exchange.Header, ...]) -> tuple[exchange.Header, ...]:
-    return tuple(header for header in headers if header.name.lower() not in UNFORWARDED_HEADERS)
--- a/monsoonhoist/platform/callers.py
+++ b/monsoonhoist/platform/callers.py
@@ -18,6 +18,7 @@
 HEADER_BYTES_MAX = 65_536
 BODY_BYTES_MAX = 16_777_216
 MS_PER_SECOND = 1000
+METHOD_HEAD = "HEAD"
 STATUS_OK = 200
 STATUS_BAD_REQUEST = 400
 STATUS_NOT_FOUND = 404
@@ -133,14 +134,10 @@
         headers = httputil.HTTPHeaders()
         for header in response.headers:
             headers.add(header.name, header.value)
-        headers["Content-Length"] = str(len(response.body))
         if self._node.phase is not phases.Phase.READY:
             headers["Connection"] = "close"
-        start_line = httputil.ResponseStartLine(
-            "HTTP/1.1", response.status, httputil.responses.get(response.status, "Unknown")
-        )
-        self._connection.write_headers(start_line, headers, response.body)
-        self._connection.finish()
+        is_head = self._start_line.method == METHOD_HEAD
+        write_response(self._connection, response.status, headers, response.body, is_head)
 
 
 class CallerConnectionDelegate(httputil.HTTPServerConnectionDelegate):
@@ -171,13 +168,15 @@
     def __init__(self, local_node: node.Node, connection: httputil.HTTPConnection):
         self._node = local_node
         self._connection = connection
+        self._method = ""
         self._path = ""
         self._export_task: asyncio.Task[None] | None = None
 
     def headers_received(
         self, start_line: httputil.RequestStartLine, headers: httputil.HTTPHeaders
     ) -> None:
-        """Stores the path."""
+        """Stores the method and the path."""
+        self._method = start_line.method
         self._path = start_line.path
 
     def finish(self) -> None:
@@ -199,14 +198,10 @@
 
     def _send(self, status: int, content_type: str, body: bytes) -> None:
         """Writes a response; one whose connection is closed is dropped with a debug log line."""
-        headers = httputil.HTTPHeaders(
-            {"Content-Type": content_type, "Content-Length": str(len(body))}
-        )
-        reason = httputil.responses[status]
-        start_line = httputil.ResponseStartLine("HTTP/1.1", status, reason)
+        headers = httputil.HTTPHeaders({"Content-Type": content_type})
+        is_head = self._method == METHOD_HEAD
         try:
-            self._connection.write_headers(start_line, headers, body)
-            self._connection.finish()
+            write_response(self._connection, status, headers, body, is_head)
         except (iostream.StreamClosedError, httputil.HTTPOutputError) as error:
             _log.debug("response not sent", extra={"error": str(error)})
 
@@ -221,6 +216,36 @@
         return ControlRequestHandler(self._node, request_conn)
 
 
+def write_response(
+    connection: httputil.HTTPConnection,
+    status: int,
+    headers: httputil.HTTPHeaders,
+    body: bytes,
+    is_head: bool,
+) -> None:
+    """Writes a response to a connection, without its body if the request's method is HEAD.
+
+    Args:
+        connection: The connection of the request.
+        status: HTTP status.
+        headers: Header fields, to which ``Content-Length`` is added. That of a backend server's
+            response to HEAD, whose body is empty, remains.
+        body: The body.
+        is_head: Whether the request's method is HEAD.
+
+    Raises:
+        StreamClosedError: If the connection is closed.
+        HTTPOutputError: If the body does not have the length that the header fields state.
+    """
+    if body or not is_head:
+        headers["Content-Length"] = str(len(body))
+    start_line = httputil.ResponseStartLine(
+        "HTTP/1.1", status, httputil.responses.get(status, "Unknown")
+    )
+    connection.write_headers(start_line, headers, b"" if is_head else body)
+    connection.finish()
+
+
 def make_response(command: events.Respond) -> exchange.Response:
     """Returns the HTTP response for an answer.
 
--- a/standins/shards.py
+++ b/standins/shards.py
@@ -198,7 +198,8 @@
             return head + b"Transfer-Encoding: chunked\r\n\r\n" + chunk + b"0\r\nX-End: 1\r\n\r\n"
         if fault == "truncated":
             return head + f"Content-Length: {len(body)}\r\n\r\n".encode() + body[: len(body) // 2]
-        return head + f"Content-Length: {len(body)}\r\n\r\n".encode() + body
+        sent_body = b"" if request.method == "HEAD" else body
+        return head + f"Content-Length: {len(body)}\r\n\r\n".encode() + sent_body
 
 
 _ENDLESS_BYTES_BY_FAULT = {
