Let a table value that is long or cannot be read affect only itself

Cause: only the receiver of a message had a limit of a value's length, below the store's, and it discarded the whole message and ended the stream for one value beyond it. The next comparison of digests asked for the same values together. Ruled out: late election of readers (they had read both).

Change: a value that defines nothing is kept and passed on as an empty text; the longest values of the store fit; an unreadable value is logged, counted and left out, and asked for again after 30 s or when a later one is announced; values, revisions and keys travel in messages of about 1 MB.

--- a/features/steps/malformed_input.py
+++ b/features/steps/malformed_input.py
@@ -302,7 +302,8 @@
     """Decodes a message, and unpacks it if it contains table values."""
     message = messages.decode(body)
     if isinstance(message, messages.PackedTables):
-        messages.unpack_tables(message, 1000)
+        for packed in message.tables:
+            messages.unpack_table(packed, 1000)
 
 
 def read_report(name, status):
--- a/features/steps/removed_keys.py
+++ b/features/steps/removed_keys.py
@@ -16,20 +16,26 @@
 
 
 class Pair:
-    """Two instances' replicators, whose messages are delivered in order.
+    """Two instances' replicators, whose messages are encoded and delivered in order.
+
+    Args:
+        time_source: The clock of both instances.
 
     Attributes:
         replicator_by_name: The replicators.
         is_connected: Whether messages are delivered.
+        frame_lengths: Length of each message delivered, in bytes.
     """
 
-    def __init__(self):
+    def __init__(self, time_source=None):
         self.is_connected = False
+        self.frame_lengths = []
         self._pending = []
+        time_source = time_source or clock.SystemClock()
         self.replicator_by_name = {
             name: replication.TableReplicator(
                 store_format.PlatformFormat(0.2),
-                clock.SystemClock(),
+                time_source,
                 metrics.Metrics(name),
                 lambda receiver, message, name=name: self._send(name, receiver, message),
                 lambda name=name: self._others(name),
@@ -58,7 +64,9 @@
         """Delivers messages until there are none."""
         while self._pending:
             sender, receiver, message = self._pending.pop(0)
-            self.replicator_by_name[receiver].handle_message(sender, message)
+            body = messages.encode(message)
+            self.frame_lengths.append(len(body))
+            self.replicator_by_name[receiver].handle_message(sender, messages.decode(body))
 
     def read(self, name, values, listed_number):
         """Passes what an instance has read of the store to its replicator."""
--- a/monsoonhoist/node/gauges.py
+++ b/monsoonhoist/node/gauges.py
@@ -1,5 +1,7 @@
 """Gauges of an instance: its tables, its work in flight, and its contact with other processes."""
 
+from collections.abc import Iterable
+
 from monsoonhoist import metrics
 from monsoonhoist.core import clock
 from monsoonhoist.node import node
@@ -43,10 +45,12 @@
     )
 
 
-def newest_revision_by_prefix(revisions: messages.Revisions) -> dict[metrics.Labels, float]:
+def newest_revision_by_prefix(
+    revisions: Iterable[messages.Revision],
+) -> dict[metrics.Labels, float]:
     """Returns the newest revision of each key prefix, to limit the number of labels."""
     newest: dict[metrics.Labels, float] = {}
-    for revision in revisions.revisions:
+    for revision in revisions:
         labels = (("keys", revision.key.partition("/")[0]),)
         newest[labels] = max(newest.get(labels, 0), revision.number)
     return newest
--- a/monsoonhoist/node/replication.py
+++ b/monsoonhoist/node/replication.py
@@ -15,7 +15,8 @@
 import logging
 import math
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
+from typing import TypeVar
 
 import msgspec
 
@@ -27,8 +28,14 @@
 # Minimum interval between two requests for the same key, between two replies to the digest of
 # the same peer, and between two requests for the same bucket.
 VALUE_REQUEST_INTERVAL_SECONDS = 0.5
+# How long a value that could not be read is not requested again.
+UNREADABLE_VALUE_INTERVAL_SECONDS = 30.0
 DIGEST_REPLY_INTERVAL_SECONDS = 0.5
 BUCKET_REQUEST_INTERVAL_SECONDS = 0.5
+# Most revisions or keys in a message, and the length of compressed values at which a message is
+# full. Both keep messages well below the length of a frame.
+MESSAGE_KEYS_MAX = 4096
+MESSAGE_VALUES_BYTES = 1_048_576
 # Interval at which an instance that is not a watcher checks whether it has become one.
 ROLE_CHECK_INTERVAL_SECONDS = 0.25
 # Most keys listed in the log line about accepted values.
@@ -40,6 +47,9 @@
 _log = logging.getLogger("monsoonhoist.node.tables")
 
 
+EntryT = TypeVar("EntryT")
+
+
 class ConfigServiceError(errors.MonsoonError):
     """The configuration service did not return a usable reply."""
 
@@ -57,6 +67,18 @@
     listed_number: int = 0
 
 
+class ValueRequest(msgspec.Struct, frozen=True):
+    """The last request for a value.
+
+    Attributes:
+        number: Number of the requested revision.
+        repeat_at: When the same value may be requested again, in monotonic seconds.
+    """
+
+    number: int
+    repeat_at: float
+
+
 class TableReader(abc.ABC):
     """Reads table values from the configuration service."""
 
@@ -108,7 +130,7 @@
         self._connected_instances = connected_instances
         self._on_change = on_change
         self._digest = self.store.digest()
-        self._requested_at_by_key: dict[data.TableKey, float] = {}
+        self._request_by_key: dict[data.TableKey, ValueRequest] = {}
         self._replied_at_by_peer: dict[data.InstanceId, float] = {}
         self._requested_at_by_bucket: dict[int, float] = {}
 
@@ -130,11 +152,9 @@
         self.changed_at = self._clock.monotonic()
         self._digest = self.store.digest()
         self._on_change()
-        announcement = messages.Revisions(
-            tuple(self.store.revision_by_key[key] for key in accepted)
-        )
+        revisions = [self.store.revision_by_key[key] for key in accepted]
         for instance in self._connected_instances():
-            self._send(instance, announcement)
+            self._send_revisions(instance, revisions)
 
     def _offer_value(self, value: messages.TableValue, source: str) -> bool:
         """Offers a value to the store; returns whether it was accepted."""
@@ -148,7 +168,7 @@
             _log.error(message, extra={**extra, "findings": findings})
         if result.acceptance is not store.Acceptance.ACCEPTED:
             return False
-        self._requested_at_by_key.pop(value.key, None)
+        self._request_by_key.pop(value.key, None)
         return True
 
     def handle_message(self, sender: data.InstanceId, message: messages.Message) -> None:
@@ -159,32 +179,71 @@
             case messages.TableBuckets():
                 self.handle_buckets(sender, message)
             case messages.WantRevisions():
-                self._send(sender, self.store.revisions(message.buckets))
+                self._send_revisions(sender, self.store.revisions(message.buckets))
             case messages.WantTables():
                 self.handle_value_request(sender, message)
             case messages.PackedTables():
-                self.offer(messages.unpack_tables(message, store.VALUE_BYTES_MAX), "peer")
+                self.offer(self._unpack(message), "peer")
 
     def handle_revisions(self, sender: data.InstanceId, message: messages.Revisions) -> None:
         """Requests the values that are newer at the sender."""
         now = self._clock.monotonic()
-        wanted = tuple(
-            key
-            for key in self.store.outdated_keys(message)
-            if now - self._requested_at_by_key.get(key, -VALUE_REQUEST_INTERVAL_SECONDS)
-            >= VALUE_REQUEST_INTERVAL_SECONDS
-        )
-        for key in wanted:
-            self._requested_at_by_key[key] = now
-        if wanted:
-            self._send(sender, messages.WantTables(wanted))
+        wanted = [
+            revision
+            for revision in self.store.find_newer(message)
+            if self._may_request(revision, now)
+        ]
+        for revision in wanted:
+            repeat_at = now + VALUE_REQUEST_INTERVAL_SECONDS
+            self._request_by_key[revision.key] = ValueRequest(revision.number, repeat_at)
+        for batch in _split([revision.key for revision in wanted]):
+            self._send(sender, messages.WantTables(tuple(batch)))
+
+    def _may_request(self, revision: messages.Revision, now: float) -> bool:
+        """Returns whether a value has not been requested a short time ago."""
+        request = self._request_by_key.get(revision.key)
+        return request is None or revision.number > request.number or now >= request.repeat_at
 
     def handle_value_request(self, sender: data.InstanceId, message: messages.WantTables) -> None:
-        """Sends the requested values."""
-        values = [self.store.value(key) for key in message.keys]
-        packed = tuple(messages.pack_table(value) for value in values if value is not None)
-        if packed:
-            self._send(sender, messages.PackedTables(packed))
+        """Sends the requested values, in as many messages as their length requires."""
+        batch: list[messages.PackedTable] = []
+        batch_bytes = 0
+        for key in message.keys:
+            value = self.store.value(key)
+            if value is None:
+                continue
+            packed = messages.pack_table(value)
+            if batch and batch_bytes + len(packed.deflated) > MESSAGE_VALUES_BYTES:
+                self._send(sender, messages.PackedTables(tuple(batch)))
+                batch, batch_bytes = [], 0
+            batch.append(packed)
+            batch_bytes += len(packed.deflated) + len(key)
+        if batch:
+            self._send(sender, messages.PackedTables(tuple(batch)))
+
+    def _unpack(self, message: messages.PackedTables) -> list[messages.TableValue]:
+        """Returns the values of a message that can be read.
+
+        One that cannot be read is logged, and requested again later: it must not keep the others
+        of its message, or of the stream, from coming into force.
+        """
+        values = []
+        for packed in message.tables:
+            try:
+                values.append(messages.unpack_table(packed, store.VALUE_BYTES_MAX))
+            except errors.ProtocolError as error:
+                extra = {"key": packed.key, "number": packed.number, "error": str(error)}
+                _log.error("table value not read", extra=extra)
+                self._counters.count_table_value(store.Acceptance.REJECTED, "peer")
+                repeat_at = self._clock.monotonic() + UNREADABLE_VALUE_INTERVAL_SECONDS
+                self._request_by_key[packed.key] = ValueRequest(packed.number, repeat_at)
+        return values
+
+    def _send_revisions(
+        self, instance: data.InstanceId, revisions: Iterable[messages.Revision]
+    ) -> None:
+        for batch in _split(list(revisions)):
+            self._send(instance, messages.Revisions(tuple(batch)))
 
     def handle_digest(self, sender: data.InstanceId, digest: bytes) -> None:
         """Sends the bucket digests to a peer whose digest differs, rate-limited by peer."""
@@ -217,6 +276,12 @@
             self.handle_digest(sender, b"")
 
 
+def _split(entries: list[EntryT]) -> Iterator[list[EntryT]]:
+    """Yields the entries in lists of at most ``MESSAGE_KEYS_MAX``."""
+    for start in range(0, len(entries), MESSAGE_KEYS_MAX):
+        yield entries[start : start + MESSAGE_KEYS_MAX]
+
+
 class ConfigServiceWatcher:
     """Reads the configuration service while this instance is a watcher.
 
--- a/monsoonhoist/node/status.py
+++ b/monsoonhoist/node/status.py
@@ -77,7 +77,7 @@
         tables_digest=store.digest().hex(),
         keys=tuple(
             KeyStatus(revision.key, revision.number, revision.digest.hex())
-            for revision in store.revisions().revisions
+            for revision in store.revisions()
         ),
         members=tuple(
             MemberStatus(
--- a/monsoonhoist/platform/store_format.py
+++ b/monsoonhoist/platform/store_format.py
@@ -14,6 +14,8 @@
 RANK_BY_PRIORITY = data.RANK_ORDER
 # Name of the policy that merges the results of gathered requests.
 MERGE_POLICY = "greatest-records"
+# Longest item of a server, which has a dozen short fields. All instances keep the text.
+SERVER_VALUE_LENGTH_MAX = 65_536
 
 
 class PlatformFormat(store.TableFormat):
@@ -36,6 +38,9 @@
             return _parse_server(key, file, text)
         if key != wire_names.CONFIG_KEY:
             return store.ParsedValue(())
+        if len(text.encode()) > store.VALUE_BYTES_MAX:
+            message = f"the configuration is longer than {store.VALUE_BYTES_MAX} bytes"
+            return store.ParsedValue((diagnostics.Finding(diagnostics.Place(file), message),))
         try:
             config = decoding.decode_json(text, store_records.ConfigValue)
         except errors.MalformedInputError as error:
@@ -157,6 +162,10 @@
     if not text:
         return store.ParsedValue(())
     server_id = key.removeprefix(wire_names.SERVER_KEY_PREFIX)
+    if len(text) > SERVER_VALUE_LENGTH_MAX:
+        message = f"the item is longer than {SERVER_VALUE_LENGTH_MAX} characters"
+        finding = diagnostics.Finding(diagnostics.Place(file), message)
+        return store.ParsedValue((), None, (finding,))
     try:
         server_value = decoding.decode_json(text, store_records.ServerValue)
         problem = store_records.find_server_problem(server_id, server_value)
--- a/monsoonhoist/protocol/messages.py
+++ b/monsoonhoist/protocol/messages.py
@@ -354,15 +354,6 @@
         raise errors.ProtocolError(f"malformed value of {packed.key!r}: {error}") from error
 
 
-def unpack_tables(packed: PackedTables, bytes_max: int) -> list[TableValue]:
-    """Returns received table values with their texts decompressed.
-
-    Raises:
-        ProtocolError: If a text is malformed or longer than ``bytes_max`` bytes.
-    """
-    return [unpack_table(table, bytes_max) for table in packed.tables]
-
-
 def decode(body: bytes) -> Message:
     """Returns the message encoded in the body of a frame.
 
--- a/monsoonhoist/settings.py
+++ b/monsoonhoist/settings.py
@@ -144,7 +144,7 @@
     """
 
     body_bytes: Annotated[int, msgspec.Meta(ge=256, le=16_777_216)] = 65_536
-    frame_bytes: Annotated[int, msgspec.Meta(ge=65_536, le=67_108_864)] = 4_194_304
+    frame_bytes: Annotated[int, msgspec.Meta(ge=65_536, le=67_108_864)] = 8_388_608
     stream_buffer_bytes: Annotated[int, msgspec.Meta(ge=65_536)] = 33_554_432
     callers: Annotated[int, msgspec.Meta(ge=1)] = 10_000
     results: Annotated[int, msgspec.Meta(ge=1, le=100_000)] = 1_000
--- a/monsoonhoist/tables/store.py
+++ b/monsoonhoist/tables/store.py
@@ -3,6 +3,9 @@
 Whether a value is valid depends on the value alone. Of the valid values of a key, the one with the
 largest ``(number, digest)`` is current, in whatever order they arrive. All instances that have
 received the same values therefore hold the same tables, and no key returns to an older revision.
+
+A valid value that defines nothing, such as one that another program wrote, is kept and passed on
+as an empty text, so that its length and content affect no instance.
 """
 
 import abc
@@ -16,7 +19,8 @@
 from monsoonhoist.core import data, diagnostics, hashing
 from monsoonhoist.protocol import messages
 
-VALUE_BYTES_MAX = 1_000_000
+# Longest value that defines anything. Its message must fit into a frame between instances.
+VALUE_BYTES_MAX = 4_194_304
 # Number of buckets into which the keys are hashed when two instances compare their revisions.
 BUCKET_COUNT = 64
 BUCKET_DIGEST_BYTES = 8
@@ -157,6 +161,11 @@
         if parsed.findings:
             self._rejected_by_key[value.key] = revision
             return OfferResult(Acceptance.REJECTED, parsed.findings)
+        if parsed.content is None and value.text:
+            value = messages.TableValue(value.key, value.number, "")
+            revision = messages.Revision(value.key, value.number, digest_of(""))
+            if current is not None and _sort_key(revision) <= _sort_key(current):
+                return OfferResult(Acceptance.KNOWN)
         self._digest_by_bucket[bucket_of(value.key)] ^= _fingerprint(revision)
         if current is not None:
             self._digest_by_bucket[bucket_of(value.key)] ^= _fingerprint(current)
@@ -204,21 +213,21 @@
         newest = max((rev.number for rev in (current, rejected) if rev is not None), default=-1)
         return number <= newest
 
-    def outdated_keys(self, peer_revisions: messages.Revisions) -> tuple[data.TableKey, ...]:
-        """Returns the keys for which a peer has a newer value."""
+    def find_newer(self, peer_revisions: messages.Revisions) -> tuple[messages.Revision, ...]:
+        """Returns the revisions of a peer that are newer than the current ones."""
         return tuple(
-            revision.key
+            revision
             for revision in peer_revisions.revisions
             if self._is_newer(revision, self.revision_by_key.get(revision.key))
         )
 
-    def revisions(self, buckets: Collection[int] | None = None) -> messages.Revisions:
+    def revisions(self, buckets: Collection[int] | None = None) -> tuple[messages.Revision, ...]:
         """Returns the current revisions in the given buckets, or in all, ordered by key."""
         keys = sorted(self.revision_by_key)
         if buckets is not None:
             bucket_set = frozenset(buckets)
             keys = [key for key in keys if bucket_of(key) in bucket_set]
-        return messages.Revisions(tuple(self.revision_by_key[key] for key in keys))
+        return tuple(self.revision_by_key[key] for key in keys)
 
     def bucket_digests(self) -> bytes:
         """Returns the concatenated digests of all buckets.
