Do not send a message that the other side refuses for its length

What callers would see: a request or a server's response beyond frame_bytes between entry and owner ended the stream with all other work on it, and again at each repetition. None was reported.

Change: the sender knows the limit. A batch that is too long counts as not sent; a reply is replaced by one that says that its shards failed, though they may have run. The log has message not sent with kind and length.

Evidence: the two new scenarios of features/long_values.feature fail before, pass after.

--- a/features/long_values.feature
+++ b/features/long_values.feature
@@ -54,3 +54,14 @@
     When instance "new" reads the configuration 1 and the items of 33000 servers, and is connected
     Then both instances have the same digest
     And no message was longer than 2100000 bytes
+
+  # Guards against a stream that ends because of a message that the other side does not accept.
+  Scenario: A message that is too long is not sent, and the stream goes on
+    Given a stream between two instances whose frames have at most 100000 bytes
+    When a message of 200000 bytes and then a short one are sent on it
+    Then the first was refused, and the other side has received the second
+
+  # Guards against a part of a shard that is too long for a message, and an entry that waits for it.
+  Scenario: A reply that is too long for a message is replaced by one that says so
+    When a reply with a part and a response of 9000000 bytes cannot be sent
+    Then a reply is sent in its place whose part has failed, though it may have run
--- a/monsoonhoist/node/inbound_server.py
+++ b/monsoonhoist/node/inbound_server.py
@@ -122,6 +122,9 @@
         """Sends a message back on the stream; returns whether it was queued."""
         try:
             sent = self.stream.send(message)
+        except errors.FrameTooLargeError as error:
+            stream_protocol.log_unsent(self.sender, message, error)
+            return False
         except errors.StreamError as error:
             self._handle_loss(error)
             return False
--- a/monsoonhoist/node/node.py
+++ b/monsoonhoist/node/node.py
@@ -301,10 +301,14 @@
         self._view_publisher.refresh()
 
     def handle_unsent(self, instance: data.InstanceId, message: messages.Message) -> None:
-        """Notifies the entry kernel of a batch of which no byte was sent."""
+        """Notifies the entry of work, or of parts, of which no byte was sent."""
         if isinstance(message, messages.SubBatch):
             unsent = events.BatchUnsent(instance, message.query.query_id, message.attempt)
             self._entry.submit(unsent)
+        elif isinstance(message, messages.SubReply):
+            shorter = replies.make_undeliverable(message)
+            if shorter != message:
+                self.send(instance, shorter)
 
     def handle_idle_close(self, instance: data.InstanceId) -> None:
         """Clears the failure recorded for an instance whose unused stream was closed."""
--- a/monsoonhoist/node/outbound_stream.py
+++ b/monsoonhoist/node/outbound_stream.py
@@ -99,6 +99,9 @@
             return False
         try:
             sent = self._stream.send(message)
+        except errors.FrameTooLargeError as error:
+            stream_protocol.log_unsent(self.member.instance, message, error)
+            return False
         except errors.StreamError as error:
             self._handle_end(error)
             return False
--- a/monsoonhoist/node/stream_protocol.py
+++ b/monsoonhoist/node/stream_protocol.py
@@ -1,6 +1,7 @@
 """What both ends of a stream between instances share: settings, listener and greeting."""
 
 import datetime
+import logging
 
 import msgspec
 
@@ -8,6 +9,9 @@
 from monsoonhoist.core import data
 from monsoonhoist.protocol import messages
 
+# Not ``__name__``: operators select log lines of all streams by this name.
+_log = logging.getLogger("monsoonhoist.node.peers")
+
 
 class PeerOptions(msgspec.Struct, frozen=True):
     """Settings of the streams.
@@ -61,3 +65,11 @@
         raise errors.ProtocolError("the first message is not a greeting")
     if message.deployment != deployment:
         raise errors.ProtocolError(f"greeting from another deployment: {message.deployment!r}")
+
+
+def log_unsent(
+    receiver: data.InstanceId, message: messages.Message, error: errors.FrameTooLargeError
+) -> None:
+    """Logs that a message is too long to be sent."""
+    extra = {"peer": receiver, "kind": type(message).__name__, "error": str(error)}
+    _log.error("message not sent", extra=extra)
--- a/monsoonhoist/node/streams.py
+++ b/monsoonhoist/node/streams.py
@@ -24,7 +24,7 @@
     has many streams, most of which carry only heartbeats.
 
     Args:
-        frame_bytes_max: Maximum length of an accepted frame.
+        frame_bytes_max: Maximum length of a frame, in both directions.
         unsent_bytes_max: Most bytes that may wait to be sent.
         handle_message: Called with each message.
         handle_loss: Called once if the connection ends otherwise than by ``close``.
@@ -80,9 +80,15 @@
             The number of bytes queued.
 
         Raises:
+            FrameTooLargeError: If the message is longer than the other side accepts, given the same
+                settings. The stream remains open.
             StreamError: If the stream is closed, or too many bytes wait to be sent.
         """
         body = messages.encode(message)
+        if len(body) > self._frame_bytes_max:
+            raise errors.FrameTooLargeError(
+                f"a message of {len(body)} bytes exceeds the setting frame_bytes"
+            )
         if self._is_closed or self._transport is None or self._transport.is_closing():
             raise errors.StreamError("the stream is closed")
         if self._transport.get_write_buffer_size() + len(body) > self._unsent_bytes_max:
--- a/monsoonhoist/shards/replies.py
+++ b/monsoonhoist/shards/replies.py
@@ -3,6 +3,8 @@
 import dataclasses
 from collections.abc import Callable
 
+import msgspec
+
 from monsoonhoist.core import data
 from monsoonhoist.policy import merge
 from monsoonhoist.protocol import events, fanout, messages
@@ -117,3 +119,23 @@
         fanout.Failure(service, batch.attempt, reason, False) for service in batch.services
     )
     return messages.SubReply(batch.query.query_id, (), failures, {}, 0, 0)
+
+
+def make_undeliverable(reply: messages.SubReply) -> messages.SubReply:
+    """Returns the reply that is sent in place of one that is too long for a message."""
+    reason = data.Refusal.MALFORMED_REPLY
+    failures = tuple(
+        fanout.Failure(part.service, part.attempt, reason, True, calls=1) for part in reply.parts
+    )
+    return messages.SubReply(
+        reply.query_id,
+        (),
+        failures + tuple(_without_response(failure) for failure in reply.failures),
+        {},
+        reply.queue_delay_ms,
+        reply.calls,
+    )
+
+
+def _without_response(failure: fanout.Failure) -> fanout.Failure:
+    return msgspec.structs.replace(failure, response=None)
