Limit what unfinished responses hold in memory for the whole process

What callers would see: a query to 100 shards whose servers send bodies without end, from 4 callers, took an instance to 465 MB in 3 s; on a machine with 300 MB the process ends, with the requests of all others.

Cause: each response was limited (8 MiB), all together were not. Heads end at 128 KiB or 1,000 lines, interim heads and trailers included. Replies of the configuration service are not counted.

--- a/monsoonhoist/node/backends.py
+++ b/monsoonhoist/node/backends.py
@@ -137,6 +137,9 @@
 
     def _finish(self, command: events.StartCall, reply: curl.HttpReply) -> None:
         pending = self._pending_by_call.pop(command.call_id)
+        if reply.defect is not None:
+            extra = {"server": command.server.server_id, "defect": reply.defect.value}
+            _log.warning("response not accepted", extra=extra)
         try:
             event = self._protocol.read_reply(command, reply)
         except Exception:
--- a/monsoonhoist/node/config_service.py
+++ b/monsoonhoist/node/config_service.py
@@ -108,7 +108,7 @@
 
     async def _get(self, url: str, timeout: datetime.timedelta) -> bytes:
         future: asyncio.Future[curl.HttpReply] = asyncio.get_running_loop().create_future()
-        call = curl.HttpCall("GET", url, b"", timeout, CONNECT_TIMEOUT)
+        call = curl.HttpCall("GET", url, b"", timeout, CONNECT_TIMEOUT, is_counted=False)
         self._driver.start(call, lambda reply: future.done() or future.set_result(reply))
         reply = await future
         if reply.status != STATUS_OK:
--- a/monsoonhoist/node/curl.py
+++ b/monsoonhoist/node/curl.py
@@ -17,12 +17,24 @@
 import pycurl
 
 from monsoonhoist.core import exchange
+from monsoonhoist.overload import held_bytes
 
 MS_PER_SECOND = 1000
 # Most handles of finished calls that are kept for reuse.
 IDLE_HANDLES_MAX = 256
-# A call whose response body is longer than this is ended.
+# A call whose response has a longer body is ended.
 RESPONSE_BYTES_MAX = 8_388_608
+# A call whose response has a longer head, more lines in it, or both with interim heads and trailer
+# fields, is ended.
+HEAD_BYTES_MAX = 131_072
+HEAD_LINES_MAX = 1_000
+# Memory that a header field takes beyond its bytes.
+HEADER_OVERHEAD_BYTES = 200
+# Default of the most bytes that all responses in progress may hold together.
+RESPONSES_BYTES_MAX = 67_108_864
+# Bytes that a response must hold before it is counted with the others in progress, so that short
+# responses, which are most, are not.
+COUNTED_BYTES_MIN = 4_096
 # Most connections that curl keeps for reuse, to all servers together.
 IDLE_CONNECTIONS_MAX = 4096
 # Encoding of request lines and header fields, which keeps all bytes.
@@ -40,7 +52,8 @@
     Attributes:
         FOREIGN: It belongs to another request, according to ``HttpCall.expected_header``.
         MALFORMED: Its head has a line that is no header field.
-        TOO_LONG: Its body is longer than ``RESPONSE_BYTES_MAX``.
+        TOO_LONG: It is longer than one response may be, or the longest while all in progress
+            together are too long.
     """
 
     FOREIGN = "foreign"
@@ -61,6 +74,8 @@
         headers: Header lines; a line that ends with a colon removes a default header of curl.
         expected_header: Header that the response must not contradict: if the response has it with
             another value, the call ends and its connection is closed.
+        is_counted: Whether the response counts with the others in progress, the longest of which is
+            ended if all together are too long.
     """
 
     method: str
@@ -71,6 +86,7 @@
     own_connection: bool = False
     headers: tuple[str, ...] = ()
     expected_header: exchange.Header | None = None
+    is_counted: bool = True
 
 
 class HttpReply(msgspec.Struct, frozen=True):
@@ -96,13 +112,21 @@
 
 
 class Transfer:
-    """A call in progress, with the part of the response received so far."""
+    """A call in progress, with the part of the response received so far.
+
+    Args:
+        handle: The handle of curl that runs the call.
+        on_done: Called once with the result.
+        call: The call.
+        hold: Called with this transfer and the number of bytes that it holds in addition.
+    """
 
     def __init__(
         self,
         handle: pycurl.Curl,
         on_done: Callable[[HttpReply], None],
-        expected_header: exchange.Header | None,
+        call: HttpCall,
+        hold: Callable[["Transfer", int], None],
     ):
         self.handle = handle
         self.on_done = on_done
@@ -110,10 +134,29 @@
         self.headers: list[exchange.Header] = []
         self.defect: Defect | None = None
         self.is_head_complete = False
-        self._expected_header = expected_header
+        self._expected_header = call.expected_header
+        self._is_counted = call.is_counted
+        self._hold = hold
+        self._head_bytes = 0
+        self._head_lines = 0
+        self._uncounted_bytes = 0
 
     def handle_header(self, line: bytes) -> int | None:
         """Records a header line; returns -1 to make curl end the call and close its connection."""
+        if self.defect is None:
+            self.defect = self._find_excess(line) or self._handle_line(line)
+        return None if self.defect is None else -1
+
+    def _find_excess(self, line: bytes) -> Defect | None:
+        """Counts a line of any head or trailer; returns a defect if there are too many."""
+        self._head_lines += 1
+        self._head_bytes += len(line)
+        self._count(len(line) + HEADER_OVERHEAD_BYTES)
+        if self._head_lines > HEAD_LINES_MAX or self._head_bytes > HEAD_BYTES_MAX:
+            return Defect.TOO_LONG
+        return self.defect
+
+    def _handle_line(self, line: bytes) -> Defect | None:
         # A status line begins a response; the headers of an interim one are discarded.
         if line.startswith(b"HTTP/"):
             self.headers.clear()
@@ -126,8 +169,7 @@
         if not field:
             self.is_head_complete = True
             return None
-        self.defect = self._record_field(field)
-        return None if self.defect is None else -1
+        return self._record_field(field)
 
     def _record_field(self, field: bytes) -> Defect | None:
         """Records a header field; returns what is wrong with it."""
@@ -146,9 +188,25 @@
     def write_body(self, chunk: bytes) -> int:
         """Records a chunk of the body; returns fewer bytes than given to make curl end the call."""
         if self.body.tell() + len(chunk) > RESPONSE_BYTES_MAX:
-            self.defect = Defect.TOO_LONG
+            self.discard()
+        if self.defect is not None:
             return 0
-        return self.body.write(chunk)
+        self.body.write(chunk)
+        self._count(len(chunk))
+        return len(chunk) if self.defect is None else 0
+
+    def _count(self, byte_count: int) -> None:
+        """Counts bytes that this response holds; it is discarded if it is the one to be ended."""
+        self._uncounted_bytes += byte_count
+        if self._uncounted_bytes >= COUNTED_BYTES_MIN and self._is_counted:
+            count, self._uncounted_bytes = self._uncounted_bytes, 0
+            self._hold(self, count)
+
+    def discard(self) -> None:
+        """Drops what was received of a response that is too long."""
+        self.defect = Defect.TOO_LONG
+        self.body = io.BytesIO()
+        self.headers.clear()
 
 
 class CurlDriver:
@@ -156,9 +214,16 @@
 
     Args:
         idle_timeout: Idle time after which a connection is not reused.
+        responses_bytes_max: Most bytes that the responses in progress may hold together. If there
+            are more, the call with the longest is ended.
     """
 
-    def __init__(self, idle_timeout: datetime.timedelta):
+    def __init__(
+        self,
+        idle_timeout: datetime.timedelta,
+        responses_bytes_max: int = RESPONSES_BYTES_MAX,
+    ):
+        self._held: held_bytes.HeldBytes[Transfer] = held_bytes.HeldBytes(responses_bytes_max)
         self._idle_seconds = max(1, round(idle_timeout.total_seconds()))
         self._loop = asyncio.get_running_loop()
         self._multi = pycurl.CurlMulti()
@@ -173,7 +238,7 @@
     def start(self, call: HttpCall, on_done: Callable[[HttpReply], None]) -> Transfer:
         """Starts a call; ``on_done`` is called once with its result."""
         handle = self._idle_handles.pop() if self._idle_handles else pycurl.Curl()
-        transfer = Transfer(handle, on_done, call.expected_header)
+        transfer = Transfer(handle, on_done, call, self._hold)
         self._transfer_by_handle[handle] = transfer
         self._set_options(handle, call, transfer)
         self._multi.add_handle(handle)
@@ -184,8 +249,22 @@
         if self._transfer_by_handle.get(transfer.handle) is not transfer:
             return
         del self._transfer_by_handle[transfer.handle]
+        self._held.release(transfer)
         self._release(transfer.handle)
 
+    def _hold(self, transfer: Transfer, count: int) -> None:
+        """Counts bytes of a response; ends the longest if all together are too long."""
+        longest = self._held.add(transfer, count)
+        if longest is not None:
+            longest.discard()
+            self._held.release(longest)
+            # curl must not be called from its own callback.
+            self._loop.call_soon(self._end_discarded, longest)
+
+    def _end_discarded(self, transfer: Transfer) -> None:
+        if self._transfer_by_handle.get(transfer.handle) is transfer:
+            self._finish(transfer, pycurl.E_WRITE_ERROR, "the responses in progress are too long")
+
     def close(self) -> None:
         """Ends all calls without calling ``on_done`` and closes all connections."""
         if self._timer is not None:
@@ -273,14 +352,15 @@
     def _finish(self, transfer: Transfer, code: int, message: str) -> None:
         handle = transfer.handle
         del self._transfer_by_handle[handle]
+        self._held.release(transfer)
         # curl reports success if the server closes the connection within the head.
-        is_complete = not code and transfer.is_head_complete
+        is_complete = not code and transfer.is_head_complete and transfer.defect is None
         reply = HttpReply(
             status=handle.getinfo(pycurl.RESPONSE_CODE) if is_complete else 0,
-            body=transfer.body.getvalue(),
+            body=transfer.body.getvalue() if is_complete else b"",
             sent=handle.getinfo(pycurl.REQUEST_SIZE) > 0,
             timed_out=code == pycurl.E_OPERATION_TIMEDOUT,
-            error=message if code or is_complete else "the head of the response is incomplete",
+            error="" if is_complete else message or _describe_end(transfer),
             headers=tuple(transfer.headers),
             defect=transfer.defect,
         )
@@ -301,6 +381,13 @@
             handle.close()
 
 
+def _describe_end(transfer: Transfer) -> str:
+    """Returns why a call that curl reports as successful has no complete response."""
+    if transfer.defect is not None:
+        return f"the response is {transfer.defect.value}"
+    return "the head of the response is incomplete"
+
+
 def _to_milliseconds(duration: datetime.timedelta) -> int:
     """Returns whole milliseconds, at least 1, since curl interprets 0 as no limit."""
     return max(1, int(duration.total_seconds() * MS_PER_SECOND))
--- a/monsoonhoist/platform/reader.py
+++ b/monsoonhoist/platform/reader.py
@@ -197,7 +197,7 @@
         self._counters.count_service_read(kind)
         reply_future: asyncio.Future[curl.HttpReply] = asyncio.get_running_loop().create_future()
         url = f"{self._base_url}{path}?{urllib.parse.urlencode(query, safe='/')}"
-        call = curl.HttpCall("GET", url, b"", timeout, CONNECT_TIMEOUT)
+        call = curl.HttpCall("GET", url, b"", timeout, CONNECT_TIMEOUT, is_counted=False)
         transfer = self._driver.start(call, reply_future.set_result)
         try:
             reply = await reply_future
--- a/monsoonhoist/settings.py
+++ b/monsoonhoist/settings.py
@@ -138,6 +138,8 @@
         frame_bytes: Largest message from another instance.
         stream_buffer_bytes: Most bytes that may wait to be sent on a stream between instances; a
             stream with more is closed and opened again.
+        response_bytes: Most bytes that the unfinished responses of backend servers may hold, all
+            together; the call with the longest is ended if there are more.
         callers: Number of requests and calls in flight at which queries are refused; a request
             counts once in each task that holds it; native dialect only.
         results: Most results that a caller may request; native dialect only.
@@ -146,6 +148,7 @@
     body_bytes: Annotated[int, msgspec.Meta(ge=256, le=16_777_216)] = 65_536
     frame_bytes: Annotated[int, msgspec.Meta(ge=65_536, le=67_108_864)] = 8_388_608
     stream_buffer_bytes: Annotated[int, msgspec.Meta(ge=65_536)] = 33_554_432
+    response_bytes: Annotated[int, msgspec.Meta(ge=8_388_608)] = 67_108_864
     callers: Annotated[int, msgspec.Meta(ge=1)] = 10_000
     results: Annotated[int, msgspec.Meta(ge=1, le=100_000)] = 1_000
 
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -153,6 +153,12 @@
         }
         self.store.put(f"servers/{name}", json.dumps(registration).encode())
 
+    def add_server(self, server: shards.ShardServer, service: str) -> None:
+        """Registers a further backend server, which is running, for a service."""
+        self.server_by_name[server.name] = server
+        self._service_by_server[server.name] = service
+        self.set_state(server.name, "ready")
+
     def register_start(self, name: str) -> None:
         """Registers a later start of a server."""
         self._born_by_server[name] = self._born_by_server.get(name, 1) + 1
--- a/standins/shards.py
+++ b/standins/shards.py
@@ -30,7 +30,8 @@
             ``control_in_value``, ``space_in_name``, ``no_colon``, ``control_in_proof`` and
             ``comma_in_proof`` with one wrong byte in a header field, ``interim_status`` with the
             status of an interim response, ``trailer`` in chunks with a field after the last one,
-            ``endless_head`` and ``endless_body`` with bytes until the connection is closed, and
+            ``endless_head``, ``endless_line``, ``endless_interim``, ``endless_fields``,
+            ``endless_body`` and ``endless_trailer`` with bytes until the connection is closed, and
             ``not_http`` with bytes that are not HTTP.
         remaining_faults: Number of further requests that the fault affects; -1 for no limit.
         is_leaving: Whether the server says in each reply that it is leaving.
@@ -189,13 +190,17 @@
             lines.append("Server-Leaving: 1")
         lines += ["X-Backend-Load: 0,0,2,100", _EXTRA_HEADER_BY_FAULT.get(fault, "X-Extra: kept")]
         head = "\r\n".join(lines).encode() + b"\r\n"
-        if fault in ("cut_head", "endless_head"):
+        if fault in ("cut_head", "endless_head", "endless_line", "endless_fields"):
             return head
+        if fault == "endless_interim":
+            return b""
         if fault == "endless_body":
             return head + b"\r\n"
         if fault == "trailer":
             chunk = f"{len(body):x}\r\n".encode() + body + b"\r\n"
             return head + b"Transfer-Encoding: chunked\r\n\r\n" + chunk + b"0\r\nX-End: 1\r\n\r\n"
+        if fault == "endless_trailer":
+            return head + b"Transfer-Encoding: chunked\r\n\r\n0\r\n"
         if fault == "truncated":
             return head + f"Content-Length: {len(body)}\r\n\r\n".encode() + body[: len(body) // 2]
         sent_body = b"" if request.method == "HEAD" else body
@@ -204,7 +209,11 @@
 
 _ENDLESS_BYTES_BY_FAULT = {
     "endless_head": b"X-Filler: " + b"x" * 4096 + b"\r\n",
+    "endless_line": b"x" * 65_536,
+    "endless_interim": b"HTTP/1.1 103 Early Hints\r\nX-Filler: filler\r\n\r\n" * 100,
+    "endless_fields": b"a:b\r\n" * 1000,
     "endless_body": b"x" * 65_536,
+    "endless_trailer": b"X-Filler: " + b"x" * 4096 + b"\r\n",
 }
 _STATUS_BY_FAULT = {"error": "500 Internal Server Error", "interim_status": "101 Switching"}
 _PROOF_SEPARATOR_BY_FAULT = {"comma_in_proof": ",", "control_in_proof": "\x01"}
