Answer every request before a planned stop ends

What callers saw: with routes of 20 s and slow servers, 13 of 25 requests sent around SIGTERM ended without an answer, among them requests that may not run twice; a long answer was cut while its caller was reading it.

Cause: requests kept their route's time limit, longer than the stop, whose end closed the sockets. Written answers that were not received were not counted as work.

Change: the schedule of the stop is a module of its own; a request accepted after SIGTERM has no more time than the stop; one that may not run twice is refused if it could need more; the end of the stop answers what is left; connections close when their answers have been sent.

Evidence: 4 of 6 scenarios of features/planned_stop.feature and the new one of draining.feature fail before and pass after; the two that serve requests whose time fits held before.

--- a/features/draining.feature
+++ b/features/draining.feature
@@ -46,3 +46,15 @@
     Then instance 3 is no longer ready
     And the process "node-3" exits with code 0
     And all outcomes are "answered"
+
+  # Guards against requests that outlast the stop and end without an answer.
+  @site_short_stop
+  Scenario: A request that outlasts the stop of its instance is answered
+    Given a ticket for route "book-boat" from instance 3
+    And the boathouse servers take 5000 ms for each request
+    When in the background the request "boat 21, 07:30" is sent with the ticket to instance 3
+    And the backend servers have recorded a run of "boat 21, 07:30"
+    And the process "node-3" receives SIGTERM
+    Then the process "node-3" exits with code 0
+    And all outcomes are "unknown"
+    And the backend servers have recorded 1 run of "boat 21, 07:30"
--- a/features/environment.py
+++ b/features/environment.py
@@ -19,6 +19,10 @@
         settings="[spread]\nneighbours = 2\n[timing]\nbalancer_lag_ms = 300\n",
         is_full_mesh=False,
     ),
+    "site_short_stop": site.SiteOptions(
+        pools=("allocator", "boathouse"),
+        settings="[timing]\nbalancer_lag_ms = 300\ndrain_max_ms = 700\n",
+    ),
     "site_booking_relayed": site.SiteOptions(
         pools=("allocator", "boathouse"), relayed_server="boathouse-a"
     ),
--- a/monsoonhoist/node/dialect.py
+++ b/monsoonhoist/node/dialect.py
@@ -41,8 +41,12 @@
         """Starts listening."""
 
     @abc.abstractmethod
-    async def close(self) -> None:
-        """Stops listening and closes all connections."""
+    async def close(self, flush_seconds: float) -> None:
+        """Stops listening, and closes all connections once their answers are sent.
+
+        Args:
+            flush_seconds: Most time to wait for callers to receive their answers, in seconds.
+        """
 
 
 class Dialect(abc.ABC):
--- a/monsoonhoist/node/native.py
+++ b/monsoonhoist/node/native.py
@@ -1,13 +1,12 @@
 """The native dialect: JSON requests, INI tables, and backend calls that are cancelled by name."""
 
-from tornado import httpserver
-
 from monsoonhoist import metrics
 from monsoonhoist.node import (
     backends,
     config_service,
     curl,
     dialect,
+    http_servers,
     node,
     replication,
     search,
@@ -25,7 +24,7 @@
         port: Port to listen on.
     """
 
-    def __init__(self, server: httpserver.HTTPServer, host: str, port: int):
+    def __init__(self, server: http_servers.FlushingServer, host: str, port: int):
         self._server = server
         self._host = host
         self._port = port
@@ -34,10 +33,9 @@
         """Starts listening."""
         self._server.listen(self._port, address=self._host)
 
-    async def close(self) -> None:
-        """Stops listening and closes all connections."""
-        self._server.stop()
-        await self._server.close_all_connections()
+    async def close(self, flush_seconds: float) -> None:
+        """Stops listening, and closes all connections once their answers are sent."""
+        await self._server.flush_and_close(flush_seconds)
 
 
 @dialect.register("native")
--- a/monsoonhoist/node/node.py
+++ b/monsoonhoist/node/node.py
@@ -14,6 +14,7 @@
     backends,
     curl,
     dialect,
+    draining,
     kernels,
     member_gossip,
     pause,
@@ -34,8 +35,6 @@
 from monsoonhoist.queries import answer_builder, tickets
 from monsoonhoist.shards import replies
 
-DRAIN_CHECK_SECONDS = 0.05
-
 _log = logging.getLogger(__name__)
 
 
@@ -54,6 +53,7 @@
         name: Name of the instance.
         dialect: Creates the parts that depend on the platform.
         phase: Phase of the process's life cycle.
+        stop_schedule: Schedule of a planned stop.
         counters: Metrics of this instance.
         members: Known instances and their states.
         replicator: Holds the current tables and exchanges them with peers.
@@ -136,8 +136,13 @@
             self._streams.connected_instances,
         )
         self._pauses = pause.PauseDetector(time_source, config.timing.pause_ms, self._handle_pause)
+        self.stop_schedule = draining.Stop(config.timing, time_source)
         self.pending_queries = pending_queries.PendingQueries(
-            f"{self.name}.{incarnation}", time_source, self.counters, self._entry.submit
+            f"{self.name}.{incarnation}",
+            time_source,
+            self.counters,
+            self._entry.submit,
+            self.stop_schedule.remaining_ms,
         )
         self.ticket_runner = ticket_runner.TicketRunner(
             self.name,
@@ -192,26 +197,19 @@
             self._listing = self.dialect.make_listing(self._driver, self.counters, handle)
             self._listing.start()
 
-    async def leave(self) -> None:
-        """Drains the instance, then closes it.
-
-        The instance stops being ready. It refuses new requests after the load balancer's lag, then
-        completes requests in flight, also those of other instances, until ``drain_max_ms`` is over.
-        """
+    def begin_leaving(self) -> None:
+        """Stops being ready, tells the other instances, and begins the stop's schedule."""
         _log.info("leaving")
         self.phase = phases.Phase.LEAVING
+        self.stop_schedule.begin()
         record = self.members.mark_leaving()
         for instance in self._streams.connected_instances():
             self.send(instance, messages.Members((record,)))
         self._view_publisher.refresh()
-        await asyncio.sleep(self.config.timing.balancer_lag_ms.total_seconds())
-        self.phase = phases.Phase.CLOSED
-        drain_ends_at = self._clock.monotonic() + self.config.timing.drain_max_ms.total_seconds()
-        while self.active and self._clock.monotonic() < drain_ends_at:
-            await asyncio.sleep(DRAIN_CHECK_SECONDS)
-        if self.active:
-            _log.error("requests cut at the end of draining", extra={"active": self.active})
-        await self.close()
+
+    def answer_all(self) -> None:
+        """Answers the requests that are still unanswered with what they have."""
+        self._entry.submit(events.AnswersDue())
 
     async def close(self) -> None:
         """Closes all sockets and stops all tasks."""
@@ -248,7 +246,7 @@
         return self._streams.connected_instances()
 
     def refusal_reason(self) -> data.Refusal | None:
-        """Returns why requests are currently refused, or None if they are accepted."""
+        """Returns why all requests are currently refused, or None if they are not."""
         if self.phase is phases.Phase.CLOSED:
             return data.Refusal.LEAVING
         return None if self.pending_queries.has_routes else data.Refusal.NOT_READY
--- a/monsoonhoist/node/pending_queries.py
+++ b/monsoonhoist/node/pending_queries.py
@@ -10,6 +10,8 @@
 from monsoonhoist.protocol import events
 from monsoonhoist.queries import routing
 
+MS_PER_SECOND = 1000
+
 _log = logging.getLogger("monsoonhoist.request")
 
 
@@ -21,6 +23,8 @@
         time_source: The clock.
         counters: Metrics of this instance.
         post_event: Queues an event for the entry kernel.
+        stop_remaining_ms: Returns how long a request may still last because the instance stops, in
+            milliseconds; None if it does not.
     """
 
     def __init__(
@@ -29,11 +33,13 @@
         time_source: clock.Clock,
         counters: metrics.Metrics,
         post_event: Callable[[events.EntryEvent], None],
+        stop_remaining_ms: Callable[[], int | None] = lambda: None,
     ):
         self._id_prefix = id_prefix
         self._clock = time_source
         self._counters = counters
         self._post_event = post_event
+        self._stop_remaining_ms = stop_remaining_ms
         self._query_numbers = itertools.count(1)
         self._tables = data.Tables({}, {})
         self._route_index = routing.RouteIndex()
@@ -87,9 +93,17 @@
         if route is not None:
             started_at = self._clock.monotonic()
             future.add_done_callback(lambda _: self._record_latency(route, started_at))
+            remaining_ms = self._limit_remaining(route, remaining_ms)
         self._post_event(events.QueryArrived(query_id, route_id, request, remaining_ms))
         return future
 
+    def _limit_remaining(self, route: data.Route, remaining_ms: int) -> int:
+        """Returns the time left for a request, in milliseconds, which ends before the instance."""
+        stop_ms = self._stop_remaining_ms()
+        if stop_ms is None:
+            return remaining_ms
+        return min(remaining_ms or int(route.deadline.total_seconds() * MS_PER_SECOND), stop_ms)
+
     def abandon(self, future: asyncio.Future[events.Respond]) -> None:
         """Cancels a query whose caller has disconnected."""
         query_id = self._query_by_future.pop(future, None)
--- a/monsoonhoist/node/process.py
+++ b/monsoonhoist/node/process.py
@@ -8,7 +8,7 @@
 
 from monsoonhoist import errors, logs, settings
 from monsoonhoist.core import clock, data
-from monsoonhoist.node import gauges, logwriter, node
+from monsoonhoist.node import dialect, draining, gauges, logwriter, node, phases
 
 # Interval between checks of the settings file, which may change without a signal.
 SETTINGS_CHECK_SECONDS = 2.0
@@ -58,11 +58,29 @@
     _log.info("listening", extra={"host": str(config.instance.host)})
     await stop_requested.wait()
     settings_task.cancel()
-    await local_node.leave()
-    await server.close()
+    await _stop(local_node, server)
     writer.stop()
 
 
+async def _stop(local_node: node.Node, server: dialect.CallerServer) -> None:
+    """Drains an instance, then closes it and its servers for callers.
+
+    The instance is no longer ready. It refuses new requests after the load balancer's lag, then
+    completes requests in flight, also those of other instances, until ``drain_max_ms`` is over. Its
+    own that are unanswered then are answered with what they have.
+    """
+    schedule = local_node.stop_schedule
+    local_node.begin_leaving()
+    await schedule.wait_for_balancer()
+    local_node.phase = phases.Phase.CLOSED
+    await schedule.wait_for_work(lambda: local_node.active)
+    if local_node.active:
+        local_node.answer_all()
+        await asyncio.sleep(draining.CHECK_SECONDS)
+    await local_node.close()
+    await server.close(schedule.seconds_to_end())
+
+
 class SettingsWatcher:
     """Reloads the settings file when it changes.
 
--- a/monsoonhoist/node/web.py
+++ b/monsoonhoist/node/web.py
@@ -3,11 +3,11 @@
 import logging
 
 import msgspec
-from tornado import httpserver, web
+from tornado import web
 
 from monsoonhoist import decoding, errors, metrics
 from monsoonhoist.core import data
-from monsoonhoist.node import node, phases, status
+from monsoonhoist.node import http_servers, node, phases, status
 from monsoonhoist.overload import retry_after
 from monsoonhoist.queries import answer_builder
 
@@ -170,6 +170,10 @@
             detail = f"deadline_ms must be from 0 to {limit_ms}"
             self.refuse(request, data.Refusal.DEADLINE_OUT_OF_RANGE, detail)
             return
+        if not self._node.stop_schedule.may_accept(route, request.deadline_ms):
+            detail = "the instance is leaving, and less time is left than the request may take"
+            self.refuse(request, data.Refusal.LEAVING, detail)
+            return
         remaining_ms = request.deadline_ms or limit_ms
         self._may_have_run = True
         answer = await self._node.ticket_runner.run(route.route_id, request, remaining_ms)
@@ -246,7 +250,7 @@
     return request
 
 
-def make_server(local_node: node.Node) -> httpserver.HTTPServer:
+def make_server(local_node: node.Node) -> http_servers.FlushingServer:
     """Returns the HTTP server of a node, not yet listening."""
     arguments = {"local_node": local_node}
     application = web.Application(
@@ -259,7 +263,7 @@
             (r"/metrics", MetricsHandler, arguments),
         ]
     )
-    return httpserver.HTTPServer(
+    return http_servers.FlushingServer(
         application,
         max_body_size=SERVER_BODY_BYTES_MAX,
         idle_connection_timeout=IDLE_TIMEOUT_SECONDS,
--- a/monsoonhoist/platform/callers.py
+++ b/monsoonhoist/platform/callers.py
@@ -5,11 +5,11 @@
 import re
 
 import msgspec
-from tornado import httpserver, httputil, iostream
+from tornado import httputil, iostream
 
 from monsoonhoist import metrics
 from monsoonhoist.core import data, exchange
-from monsoonhoist.node import node, phases
+from monsoonhoist.node import http_servers, node, phases
 from monsoonhoist.node import status as node_status
 from monsoonhoist.overload import retry_after
 from monsoonhoist.platform import wire_names
@@ -79,10 +79,14 @@
         if route is None:
             self._refuse(data.Answer(request_id, data.Outcome.NOT_RUN, data.Refusal.UNKNOWN_ROUTE))
             return
+        deadline_ms = parse_deadline_ms(self._headers)
+        if not self._node.stop_schedule.may_accept(route, deadline_ms):
+            self._refuse(data.Answer(request_id, data.Outcome.NOT_RUN, data.Refusal.LEAVING))
+            return
         request = exchange.CallerRequest(
             request_id=request_id,
             content=self._make_http_request(),
-            deadline_ms=parse_deadline_ms(self._headers),
+            deadline_ms=deadline_ms,
             is_clamped=True,
         )
         self._answer_future = self._node.pending_queries.start(route.route_id, request)
@@ -278,14 +282,14 @@
 
 def make_server(
     delegate: httputil.HTTPServerConnectionDelegate, idle_timeout_seconds: float
-) -> httpserver.HTTPServer:
+) -> http_servers.FlushingServer:
     """Returns an HTTP server that passes requests to a delegate as they arrive.
 
     Args:
         delegate: Creates the handler of each request.
         idle_timeout_seconds: Time after which an idle connection is closed, in seconds.
     """
-    return httpserver.HTTPServer(
+    return http_servers.FlushingServer(
         delegate,
         max_header_size=HEADER_BYTES_MAX,
         max_body_size=BODY_BYTES_MAX,
--- a/monsoonhoist/platform/dialect.py
+++ b/monsoonhoist/platform/dialect.py
@@ -2,12 +2,10 @@
 
 import asyncio
 
-from tornado import httpserver
-
 from monsoonhoist import metrics
 from monsoonhoist.core import data
 from monsoonhoist.fleet import membership
-from monsoonhoist.node import backends, curl, dialect, node, replication
+from monsoonhoist.node import backends, curl, dialect, http_servers, node, replication
 from monsoonhoist.platform import backend_protocol, callers, reader, store_format
 from monsoonhoist.tables import store
 
@@ -57,7 +55,7 @@
         server_by_address: The servers, by the ``host:port`` that each listens on.
     """
 
-    def __init__(self, server_by_address: dict[str, httpserver.HTTPServer]):
+    def __init__(self, server_by_address: dict[str, http_servers.FlushingServer]):
         self._server_by_address = server_by_address
 
     def start(self) -> None:
@@ -66,12 +64,10 @@
             host, _, port = address.rpartition(":")
             server.listen(int(port), address=host)
 
-    async def close(self) -> None:
-        """Stops listening and closes all connections."""
-        for server in self._server_by_address.values():
-            server.stop()
-        for server in self._server_by_address.values():
-            await server.close_all_connections()
+    async def close(self, flush_seconds: float) -> None:
+        """Stops listening, and closes all connections once their answers are sent."""
+        servers = self._server_by_address.values()
+        await asyncio.gather(*(server.flush_and_close(flush_seconds) for server in servers))
 
 
 @dialect.register("platform")
--- a/monsoonhoist/protocol/events.py
+++ b/monsoonhoist/protocol/events.py
@@ -194,6 +194,10 @@
     """The time that the kernel's ``next_wake`` returned has been reached."""
 
 
+class AnswersDue(msgspec.Struct, frozen=True, tag="answers-due"):
+    """The instance is about to stop, so that every query must be answered now."""
+
+
 EntryEvent = (
     ViewChanged
     | QueryArrived
@@ -203,6 +207,7 @@
     | ReplyArrived
     | PeerLost
     | BatchUnsent
+    | AnswersDue
     | TimeReached
 )
 OwnerEvent = (
--- a/monsoonhoist/queries/entry.py
+++ b/monsoonhoist/queries/entry.py
@@ -95,6 +95,8 @@
                 return self._handle_batch_unsent(event)
             case events.ViewChanged():
                 return self._handle_view(event)
+            case events.AnswersDue():
+                return self._answer_all()
             case events.TimeReached():
                 return self._handle_time_reached()
 
@@ -337,6 +339,12 @@
                 self._handle_owner_timeout(state, now, commands)
         return commands
 
+    def _answer_all(self) -> list[events.Command]:
+        """Answers all queries with what they have, since the instance stops."""
+        states = list(self._query_by_id.values())
+        counts = [events.CountRefusal(data.Refusal.LEAVING) for _ in states]
+        return counts + [command for state in states for command in self._finish(state)]
+
     def _handle_owner_timeout(
         self, state: query.QueryState, now: float, commands: list[events.Command]
     ) -> None:
@@ -382,13 +390,8 @@
         self, state: query.QueryState, is_abandoned: bool = False
     ) -> list[events.Command]:
         """Returns the commands that cancel a query at the owners with pending sub-requests."""
-        owners = {
-            owner: None
-            for shard in state.shard_by_service.values()
-            for owner in shard.pending_by_attempt.values()
-        }
         cancel = messages.Cancel(state.spec.query_id, is_abandoned)
-        return [events.SendMessage(owner, cancel) for owner in owners]
+        return [events.SendMessage(owner, cancel) for owner in state.owners_at_work()]
 
 
 def _refuse(event: events.QueryArrived, reason: data.Refusal, detail: str) -> list[events.Command]:
--- a/monsoonhoist/queries/query.py
+++ b/monsoonhoist/queries/query.py
@@ -238,6 +238,15 @@
         """Returns whether no shard is pending."""
         return not any(self.is_pending(service) for service in self.services)
 
+    def owners_at_work(self) -> list[data.InstanceId]:
+        """Returns the owners with pending sub-requests, each once, in the order of the shards."""
+        owners = (
+            owner
+            for shard in self.shard_by_service.values()
+            for owner in shard.pending_by_attempt.values()
+        )
+        return list(dict.fromkeys(owners))
+
     def has_full_coverage(self) -> bool:
         """Returns whether the received parts cover the key space."""
         covered_keys = self._covered_keys_by_snapshot.get(self.snapshot, 0)
--- a/standins/shards.py
+++ b/standins/shards.py
@@ -35,12 +35,14 @@
             ``not_http`` with bytes that are not HTTP.
         remaining_faults: Number of further requests that the fault affects; -1 for no limit.
         is_leaving: Whether the server says in each reply that it is leaving.
+        body_bytes: Length of the replies' bodies; 0 for the records of the shard.
     """
 
     work_seconds: float = 0.005
     fault: str = ""
     remaining_faults: int = -1
     is_leaving: bool = False
+    body_bytes: int = 0
 
 
 @dataclasses.dataclass
@@ -176,7 +178,7 @@
         """Returns the bytes of an HTTP response with the given fault."""
         if fault == "not_http":
             return b"\x00\x01\x02 no answer\r\n\r\n"
-        body = self.shard_records(request.request_id)
+        body = b"x" * self.behaviour.body_bytes or self.shard_records(request.request_id)
         status = _STATUS_BY_FAULT.get(fault, "200 OK")
         request_id = "another" if fault == "foreign_id" else request.request_id
         lines = [f"HTTP/1.1 {status}", f"X-Request-Id: {request_id}"]
