Read the other values and instances of the native service beside an odd one

What operators would see: one value that the configuration service cannot deliver (not JSON, 404, too long) kept every other change from being read, again and again; one odd entry made the whole list of instances unreadable.

Change: such a value is logged and left out, and requested again by the next read; a failure of the service itself still fails the read. Entries of the list are read one by one. Keys are quoted in URLs.

Evidence: the five new scenarios of features/malformed_input.feature cannot run before (there was no class of error that tells the two apart; the list raises), all pass after.

--- a/features/malformed_input.feature
+++ b/features/malformed_input.feature
@@ -52,6 +52,30 @@
     When a watcher runs until it has read 2 times
     Then it has put the second value in force
 
+  # Guards against one value of the native service that keeps all others from being read.
+  Scenario Outline: A value that the configuration service cannot deliver affects only itself
+    Given a configuration service with the values "a, odd, b", and a reply for "odd" <defect>
+    When the service is read 2 times
+    Then the values "a, b" have been read
+    When "odd" can be read, and the service is read 1 time
+    Then the values "a, b, odd" have been read
+
+    Examples:
+      | defect                |
+      | that is not JSON      |
+      | with status 404       |
+      | that is too long      |
+
+  Scenario: A configuration service that does not answer is read again as a whole
+    Given a configuration service with the values "a, odd, b", and a reply for "odd" with status 503
+    Then reading the service fails
+
+  # Guards against one odd entry that makes the whole list of instances unreadable.
+  Scenario: An odd entry of the instance list affects only itself
+    Given an instance list with the instances "one" and "two" and 3 odd entries
+    When the instance list is read
+    Then it has the instances "one, two"
+
   Scenario Outline: No input makes a reader raise an undeclared exception
     Then no input makes the reader of "<kind>" fail
 
--- a/monsoonhoist/node/config_service.py
+++ b/monsoonhoist/node/config_service.py
@@ -7,6 +7,7 @@
 import asyncio
 import datetime
 import logging
+import urllib.parse
 from collections.abc import Callable
 
 import msgspec
@@ -23,7 +24,11 @@
 # Time that the reply to a watch may take beyond the duration of the watch.
 WATCH_TIMEOUT_MARGIN = datetime.timedelta(seconds=2)
 MS_PER_SECOND = 1000
+# Longest part of an entry that cannot be read, in the log.
+LOGGED_BYTES_MAX = 200
 STATUS_OK = 200
+# Statuses that say that the service is overloaded, not that a value cannot be read.
+STATUSES_OF_LOAD = (408, 429)
 
 # Not ``__name__``: operators select log lines by this name, which the module had before it was
 # renamed.
@@ -49,6 +54,10 @@
     text: str
 
 
+class UnreadableValueError(replication.ConfigServiceError):
+    """The service works, but its reply for one value cannot be used."""
+
+
 class ConfigServiceClient:
     """Reads the configuration service and the instance list of the native platform.
 
@@ -90,32 +99,49 @@
         """Returns the current value of a key.
 
         Raises:
-            replication.ConfigServiceError: If no usable reply was received.
+            UnreadableValueError: If the reply for this value cannot be used.
+            replication.ConfigServiceError: If no reply was received.
         """
         self._counters.count_service_read("value")
-        body = await self._get(f"{self._config_url}/v1/values/{key}", READ_TIMEOUT)
-        value = _decode(body, Value)
+        url = f"{self._config_url}/v1/values/{urllib.parse.quote(key, safe='/')}"
+        reply = await self._fetch(url, READ_TIMEOUT)
+        is_refused = 400 <= reply.status < 500 and reply.status not in STATUSES_OF_LOAD
+        if is_refused or reply.defect is not None:
+            reason = reply.defect.value if reply.defect is not None else f"status {reply.status}"
+            raise UnreadableValueError(f"{url}: {reason}")
+        _check_status(url, reply)
+        try:
+            value = decoding.decode_json(reply.body, Value)
+        except errors.MalformedInputError as error:
+            raise UnreadableValueError(f"{url}: {error}") from error
         return messages.TableValue(key, value.number, value.text)
 
     async def fetch_instances(self) -> tuple[membership.ListedInstance, ...]:
-        """Returns the instance list.
+        """Returns the instance list, without the entries that cannot be read.
 
         Raises:
             replication.ConfigServiceError: If no usable reply was received.
         """
         body = await self._get(self._instances_url, READ_TIMEOUT)
-        return _decode(body, tuple[membership.ListedInstance, ...])
+        listed = []
+        for entry in _decode(body, list[msgspec.Raw]):
+            try:
+                listed.append(decoding.decode_json(bytes(entry), membership.ListedInstance))
+            except errors.MalformedInputError as error:
+                extra = {"entry": bytes(entry)[:LOGGED_BYTES_MAX].decode(errors="replace")}
+                _log.error("listed instance not read", extra={**extra, "error": str(error)})
+        return tuple(listed)
 
     async def _get(self, url: str, timeout: datetime.timedelta) -> bytes:
+        reply = await self._fetch(url, timeout)
+        _check_status(url, reply)
+        return reply.body
+
+    async def _fetch(self, url: str, timeout: datetime.timedelta) -> curl.HttpReply:
         future: asyncio.Future[curl.HttpReply] = asyncio.get_running_loop().create_future()
         call = curl.HttpCall("GET", url, b"", timeout, CONNECT_TIMEOUT, is_counted=False)
         self._driver.start(call, lambda reply: future.done() or future.set_result(reply))
-        reply = await future
-        if reply.status != STATUS_OK:
-            raise replication.ConfigServiceError(
-                f"{url}: status {reply.status} {reply.error}".rstrip()
-            )
-        return reply.body
+        return await future
 
 
 class ConfigServiceReader(replication.TableReader):
@@ -132,12 +158,20 @@
         self._index = 0
 
     async def read(self, table_store: store.TableStore) -> replication.Reading:
-        """Waits for a change and returns the values that are newer than the store's."""
+        """Waits for a change and returns the values that are newer than the store's.
+
+        A value that cannot be read is left out and requested again by the next call.
+        """
         revision_index = await self._client.watch(self._index, self._wait_max)
         values = []
         for key, number in sorted(revision_index.number_by_key.items()):
-            if not table_store.has_processed(key, number):
+            if table_store.has_processed(key, number):
+                continue
+            try:
                 values.append(await self._client.fetch_value(key))
+            except UnreadableValueError as error:
+                extra = {"key": key, "number": number, "error": str(error)}
+                _log.error("value not read", extra=extra)
         self._index = revision_index.index
         return replication.Reading(tuple(values))
 
@@ -187,6 +221,12 @@
             await asyncio.sleep(self._period.total_seconds())
 
 
+def _check_status(url: str, reply: curl.HttpReply) -> None:
+    """Raises ``ConfigServiceError`` unless the reply has the status 200."""
+    if reply.status != STATUS_OK:
+        raise replication.ConfigServiceError(f"{url}: status {reply.status} {reply.error}".rstrip())
+
+
 def _decode(body: bytes, reply_type: type) -> object:
     try:
         return decoding.decode_json(body, reply_type)
