--- a/monsoonhoist/node/curl.py
+++ b/monsoonhoist/node/curl.py
@@ -135,6 +135,7 @@
         self.defect: Defect | None = None
         self.is_head_complete = False
         self._expected_header = call.expected_header
+        self._expected_name = call.expected_header.name.lower() if call.expected_header else ""
         self._is_counted = call.is_counted
         self._hold = hold
         self._head_bytes = 0
@@ -181,9 +182,9 @@
         name = name_bytes.decode(HEADER_ENCODING)
         value = value_bytes.strip(b" \t").decode(HEADER_ENCODING)
         self.headers.append(exchange.Header(name, value))
-        expected = self._expected_header
-        is_expected_name = expected is not None and name.lower() == expected.name.lower()
-        return Defect.FOREIGN if is_expected_name and value != expected.value else None
+        if name.lower() == self._expected_name and value != self._expected_header.value:
+            return Defect.FOREIGN
+        return None
 
     def write_body(self, chunk: bytes) -> int:
         """Records a chunk of the body; returns fewer bytes than given to make curl end the call."""
