Divide the steps with malformed input by what is odd

One module of 615 lines held the store's values, generated input, odd instances and odd requests. Each has a file now; the values that four features share are in features/store_values.py. The lines are the same but for one that is wrapped and the prefixes of moved names (compared as multisets); 52 scenarios of the features concerned pass.

--- a/features/steps/long_values.py
+++ b/features/steps/long_values.py
@@ -8,7 +8,8 @@
 
 from behave import given, then, when
 
-from features.steps import malformed_input, removed_keys
+from features import store_values
+from features.steps import removed_keys
 from monsoonhoist import errors
 from monsoonhoist.core import clock, data, exchange
 from monsoonhoist.node import streams
@@ -25,7 +26,7 @@
 
 def make_config(version, length=0):
     """Returns a configuration, with as many random bytes of JSON as its length requires."""
-    text = malformed_input.make_config(version)
+    text = store_values.make_config(version)
     if length:
         filler = "".join(random.Random(1).choices(string.ascii_letters + string.digits, k=length))
         text = text[:-1] + ', "Filler": "'
--- a/features/steps/removed_keys.py
+++ b/features/steps/removed_keys.py
@@ -4,7 +4,7 @@
 
 from behave import given, then, when
 
-from features.steps import malformed_input
+from features import store_values
 from monsoonhoist import metrics
 from monsoonhoist.core import clock, data
 from monsoonhoist.node import replication
@@ -78,13 +78,13 @@
 
 def make_value(name, number):
     """Returns the item of a server."""
-    text = json.dumps(malformed_input.SERVER_ITEM)
+    text = json.dumps(store_values.SERVER_ITEM)
     return messages.TableValue(data.TableKey(f"servers/{name}"), number, text)
 
 
 def make_config_value():
     """Returns the item of the configuration."""
-    return messages.TableValue(data.TableKey("op/config"), 1, malformed_input.make_config(1))
+    return messages.TableValue(data.TableKey("op/config"), 1, store_values.make_config(1))
 
 
 @given('a store of keys with the server "gone", which is removed while instance "old" is cut off')
