--- a/features/steps/platform_actions.py
+++ b/features/steps/platform_actions.py
@@ -261,10 +261,18 @@
 
 @then('the status lists "{key}" at {count:d} instances')
 def check_status_keys(context, key, count):
-    """Checks that the printed status contains the key and all instances."""
-    assert context.completed.stdout.count(key) >= 1, context.completed.stdout
-    for number in range(1, count + 1):
-        assert f"127.0.1.{number}" in context.completed.stdout, context.completed.stdout
+    """Checks that the status of each instance contains the key."""
+    has_key_by_instance = {}
+    for line in context.completed.stdout.splitlines():
+        # The lines about an instance follow the one that begins with its name.
+        if not line.startswith("  "):
+            instance = line.split(" ")[0]
+            has_key_by_instance[instance] = False
+        elif line.split()[:2] == ["key", key]:
+            has_key_by_instance[instance] = True
+    listing = {instance for instance, has_key in has_key_by_instance.items() if has_key}
+    expected = {f"127.0.1.{number}" for number in range(1, count + 1)}
+    assert listing == expected, context.completed.stdout
 
 
 def proofs_of(reply):
