--- a/features/steps/long_values.py
+++ b/features/steps/long_values.py
@@ -166,11 +166,12 @@
 def hear(context, number):
     """Announces a value and records the keys that are requested."""
     revision = messages.Revision(ODD_KEY, number, store.digest_of("odd"))
-    sent = []
-    replicator = context.pair.replicator_by_name[NEW]
-    replicator._send = lambda receiver, message: sent.append(message)
-    replicator.handle_message(OLD, messages.Revisions((revision,)))
-    context.request_count += sum(isinstance(each, messages.WantTables) for each in sent)
+    pair = context.pair
+    pair.replicator_by_name[NEW].handle_message(OLD, messages.Revisions((revision,)))
+    context.request_count += sum(
+        isinstance(message, messages.WantTables) for _, _, message in pair.pending
+    )
+    pair.pending.clear()
 
 
 @when('instance "new" hears of the same value for {seconds:d} s')
--- a/features/steps/removed_keys.py
+++ b/features/steps/removed_keys.py
@@ -25,12 +25,13 @@
         replicator_by_name: The replicators.
         is_connected: Whether messages are delivered.
         frame_lengths: Length of each message delivered, in bytes.
+        pending: Messages not yet delivered, with their senders and receivers.
     """
 
     def __init__(self, time_source=None):
         self.is_connected = False
         self.frame_lengths = []
-        self._pending = []
+        self.pending = []
         time_source = time_source or clock.SystemClock()
         self.replicator_by_name = {
             name: replication.TableReplicator(
@@ -48,7 +49,7 @@
         return tuple(other for other in NAMES if other != name and self.is_connected)
 
     def _send(self, sender, receiver, message):
-        self._pending.append((sender, receiver, message))
+        self.pending.append((sender, receiver, message))
         return True
 
     def connect(self):
@@ -62,8 +63,8 @@
 
     def deliver(self):
         """Delivers messages until there are none."""
-        while self._pending:
-            sender, receiver, message = self._pending.pop(0)
+        while self.pending:
+            sender, receiver, message = self.pending.pop(0)
             body = messages.encode(message)
             self.frame_lengths.append(len(body))
             self.replicator_by_name[receiver].handle_message(sender, messages.decode(body))
