--- a/features/platform.feature
+++ b/features/platform.feature
@@ -131,10 +131,15 @@
   # Guards against trailer fields that are taken for a head that was cut off.
   Scenario: A reply in chunks with a trailer field is forwarded
     Given the server "records-a" has started again, with the fault "trailer"
+    And the server "records-b" works for 60 ms
     When the caller sends 12 requests "GET" "/record/x"
     Then the server "records-a" has received some of them
     And all statuses are 200
     And each answer contains the server's proof for its request
+    When the caller sends 12 requests "POST" "/order/x"
+    Then the server "records-a" has received some of them
+    And all statuses are 200
+    And each answer contains the server's proof for its request
     And each request has run once
 
   Scenario: A server that says that it is leaving receives nothing, whatever the store says
