--- a/bench/mutants.py
+++ b/bench/mutants.py
@@ -263,7 +263,7 @@
     Mutant(
         "changes reported by a watch are discarded",
         "platform/reader.py",
-        "values += [_make_table_value(item) for item in reply.events]",
+        "values += _make_table_values(reply.events)",
         "continue",
         seed=6,
         rule="CONFIG",
@@ -352,9 +352,9 @@
     ),
     Mutant(
         "a graceful stop interrupts requests",
-        "node/node.py",
-        "while self.active and self._clock.monotonic() < drain_ends_at:",
-        "while False:",
+        "node/draining.py",
+        "while (count := count_work()) and self.seconds_to_end() > self._margin_seconds:",
+        "while count := 0:",
         seed=6,
         rule="LOST",
     ),
