Prefer instances of a large capacity as watchers

Cause: both watchers of a deployment of 112 instances were small ones with a link of 9 Mbit/s, on which one reply of the store took 1.8 to 3.8 s, so that a configuration came into force 8 s late. The order of watchers followed a hash alone.

Change: the order of watchers, and the watchers of a zone, follow the capacity first and the hash among equals. The first of each zone comes before the second of any, so that the two watchers are in different zones. All instances compute the same order from the membership records.

Evidence: the new scenario of watcher_selection.feature failed before (an instance of 0.5 cores was among the first two); watcher_selection, cells and neighbours pass.

--- a/features/steps/watcher_selection.py
+++ b/features/steps/watcher_selection.py
@@ -1,9 +1,9 @@
 """Steps that test which instances watch the configuration service."""
 
-from behave import then, when
+from behave import given, then, when
 
 from monsoonhoist.core import data
-from monsoonhoist.fleet import watcher_selection
+from monsoonhoist.fleet import membership, watcher_selection
 from monsoonhoist.protocol import messages
 
 INSTANCE_COUNT = 10
@@ -65,3 +65,57 @@
     """Checks that the instances at a range of positions do not watch."""
     for position in range(first, last + 1):
         assert not get_selections(context)[position].should_watch(position, at_ms / 1000), position
+
+
+@given(
+    "{count:d} instances in {zones:d} zones, of which the last {large_count:d} have"
+    " {large:f} cores and the others {small:f}"
+)
+def make_instances(context, count, zones, large_count, large, small):
+    """Makes the view that each instance has of all."""
+    members = [
+        data.Member(
+            data.InstanceId(f"i{number:02d}"),
+            data.Incarnation(1),
+            0,
+            data.MemberState.LIVE,
+            "h",
+            1,
+            data.ZoneId(f"z{number % zones}"),
+            large if number >= count - large_count else small,
+        )
+        for number in range(count)
+    ]
+    context.members = members
+    context.views = []
+    for member in members:
+        view = membership.Membership(member)
+        view.merge(members)
+        for other in members:
+            view.record_stream(other.instance, True)
+        context.views.append(view)
+
+
+@then("all instances agree on the order of watchers")
+def check_order(context):
+    """Checks that the positions that instances compute for themselves are all different."""
+    positions = [view.watch_position() for view in context.views]
+    assert sorted(positions) == list(range(len(positions))), positions
+    ordered = sorted(zip(positions, context.members, strict=True), key=lambda entry: entry[0])
+    context.ordered_members = [member for _, member in ordered]
+
+
+@then("the first {count:d} in the order have {cores:f} cores and are in different zones")
+def check_first(context, count, cores):
+    """Checks the capacity and the zones of the first watchers."""
+    first = context.ordered_members[:count]
+    assert all(member.capacity == cores for member in first), first
+    assert len({member.zone for member in first}) == count, first
+
+
+@then("the first {count:d} watchers of each zone include all of its instances with {cores:f} cores")
+def check_zone_watchers(context, count, cores):
+    """Checks which instances watch if each zone has watchers of its own."""
+    for member, view in zip(context.members, context.views, strict=True):
+        if member.capacity == cores:
+            assert view.is_watcher(count), member
--- a/features/watcher_selection.feature
+++ b/features/watcher_selection.feature
@@ -29,3 +29,10 @@
     When a peer reports a read by instance 2 of 100 ms age to each instance at 3200 ms
     Then the instances at positions 2 to 2 watch at 3300 ms
     And the instances at positions 3 to 9 do not watch at 3300 ms
+
+  Scenario: Instances of a large capacity watch first, in different zones
+    A small instance has a slow link, on which one long reply held up a configuration for 8 s.
+    Given 12 instances in 3 zones, of which the last 4 have 2.0 cores and the others 0.5
+    Then all instances agree on the order of watchers
+    And the first 2 in the order have 2.0 cores and are in different zones
+    And the first 2 watchers of each zone include all of its instances with 2.0 cores
--- a/monsoonhoist/fleet/membership.py
+++ b/monsoonhoist/fleet/membership.py
@@ -237,7 +237,11 @@
         """Returns this instance's position, from 0, in the order of watchers.
 
         The watchers of the configuration service are selected from the live instances of all
-        availability zones in this order, which is that of their hash weights, largest first.
+        availability zones in this order: first the preferred instance of each zone, then the next
+        one of each, and so on, so that the first two are in different zones. Instances of a larger
+        capacity come first among them, since small ones have slow links: a long reply of the
+        service would hold up what they pass on. Instances of the same capacity are ordered by
+        their hash weights.
 
         An instance that is not in its own view of the live ones gets the position after the last.
         """
@@ -246,14 +250,14 @@
     def is_watcher(self, watchers_per_zone: int) -> bool:
         """Returns whether this instance should watch the configuration service.
 
-        The watchers of an availability zone are its live instances with the largest hash weights.
+        The watchers of an availability zone are its live instances with the largest capacity, and
+        of these the ones with the largest hash weights.
 
         Args:
             watchers_per_zone: Number of watchers in each zone.
         """
-        zone_instances = [member.instance for member in self._live_in_zone()]
-        candidates = sorted(zone_instances, key=_watch_weight, reverse=True)
-        return self.local_member.instance in candidates[:watchers_per_zone]
+        candidates = sorted(self._live_in_zone(), key=_watch_order)[:watchers_per_zone]
+        return self.local_member.instance in [member.instance for member in candidates]
 
     def neighbours(
         self, degree: int, cell: tuple[data.InstanceId, ...] = ()
@@ -329,8 +333,16 @@
 
     @functools.cached_property
     def _position_by_instance(self) -> dict[data.InstanceId, int]:
-        candidates = sorted(self.live_instances, key=_watch_weight, reverse=True)
-        return {instance: position for position, instance in enumerate(candidates)}
+        rank_by_instance = {
+            member.instance: rank
+            for members in self.live_by_zone.values()
+            for rank, member in enumerate(sorted(members, key=_watch_order))
+        }
+        candidates = sorted(
+            self.live,
+            key=lambda member: (rank_by_instance[member.instance], *_watch_order(member)),
+        )
+        return {member.instance: position for position, member in enumerate(candidates)}
 
     def watch_position(self, instance: data.InstanceId) -> int:
         """Returns an instance's position, from 0, in the order of watchers."""
@@ -348,8 +360,9 @@
     return hashing.stable_hash(instance)
 
 
-def _watch_weight(instance: data.InstanceId) -> int:
-    return hashing.stable_hash("watch", instance)
+def _watch_order(member: data.Member) -> tuple[float, int]:
+    """Returns the key by which instances are preferred as watchers, smallest first."""
+    return (-member.capacity, -hashing.stable_hash("watch", member.instance))
 
 
 def _version_key(member: data.Member) -> tuple[int, int]:
