Read operators' keys by a request of their own beside all other keys

Cause: one watch and one list covered all keys of the store. A configuration waited behind lists of many pages, long replies, failures and the delay after them, and a reply that took longer than the watch and 0.5 s was given up although bytes arrived, and read again from its start.

Change: node/range_reader.py lists and watches ranges of keys by a task each, which repeats its own failures. Long lists are offered each second, not only at their end. node/http_fetch.py gives a reply up only when no byte arrives for 2 s; the native service uses it too.

--- /dev/null
+++ b/features/operator_keys.feature
@@ -0,0 +1,44 @@
+Feature: Operators' keys take effect on time while servers' keys are read
+  A fake store keeps its history for one second only, has pages of 50 items, and is reached over a
+  link of 9 Mbit/s with a round trip of 50 ms. Time is simulated.
+
+  Scenario Outline: A new configuration is offered while the list of servers is read
+    Given a fake store of <count> servers, and a watcher of it
+    When a server is written every 100 ms until 20000 ms
+    And a new configuration is written every 1700 ms until 20000 ms
+    Then each configuration is in force within 1000 ms
+
+    Examples:
+      | count |
+      | 1000  |
+      | 33000 |
+
+  Scenario: A new configuration is offered while the watch of servers gets long replies
+    Given a fake store of 1000 servers, and a watcher of it
+    When 4000 servers are written at once every 6000 ms until 30000 ms
+    And a new configuration is written every 1700 ms until 30000 ms
+    Then each configuration is in force within 1000 ms
+    And no request of the watcher was given up
+
+  Scenario Outline: Failures of the requests for servers do not delay a configuration
+    Given a fake store of 1000 servers, and a watcher of it
+    When the store answers requests for servers with <failure> from 3000 ms
+    And a new configuration is written every 1700 ms until 20000 ms
+    Then each configuration is in force within 1000 ms
+
+    Examples:
+      | failure    |
+      | status 503 |
+      | status 429 |
+      | silence    |
+
+  Scenario: Failures of the requests for operators' keys do not delay servers
+    Given a fake store of 1000 servers, and a watcher of it
+    When the store answers requests for operators' keys with status 503 from 3000 ms
+    And the server "late" is written at 8000 ms
+    Then the server "late" is in force within 3000 ms
+
+  Scenario: Reading operators' keys by themselves costs few calls
+    Given a fake store of 10 servers, and a watcher of it
+    When 600000 ms pass without a change
+    Then the watcher made at most 401 requests
--- a/monsoonhoist/node/config_service.py
+++ b/monsoonhoist/node/config_service.py
@@ -15,7 +15,7 @@
 from monsoonhoist import decoding, errors, metrics
 from monsoonhoist.core import data
 from monsoonhoist.fleet import membership
-from monsoonhoist.node import curl, dialect, replication
+from monsoonhoist.node import curl, dialect, http_fetch, replication
 from monsoonhoist.protocol import messages
 from monsoonhoist.tables import store
 
@@ -138,10 +138,8 @@
         return reply.body
 
     async def _fetch(self, url: str, timeout: datetime.timedelta) -> curl.HttpReply:
-        future: asyncio.Future[curl.HttpReply] = asyncio.get_running_loop().create_future()
         call = curl.HttpCall("GET", url, b"", timeout, CONNECT_TIMEOUT, is_counted=False)
-        self._driver.start(call, lambda reply: future.done() or future.set_result(reply))
-        return await future
+        return await http_fetch.fetch(self._driver, call)
 
 
 class ConfigServiceReader(replication.TableReader):
--- a/monsoonhoist/node/curl.py
+++ b/monsoonhoist/node/curl.py
@@ -142,6 +142,11 @@
         self._head_lines = 0
         self._uncounted_bytes = 0
 
+    @property
+    def received_bytes(self) -> int:
+        """Bytes of the response that have arrived."""
+        return self._head_bytes + self.body.tell()
+
     def handle_header(self, line: bytes) -> int | None:
         """Records a header line; returns -1 to make curl end the call and close its connection."""
         if self.defect is None:
--- /dev/null
+++ b/monsoonhoist/node/http_fetch.py
@@ -0,0 +1,48 @@
+"""One HTTP request that is given up only when no byte of its response arrives."""
+
+import asyncio
+import datetime
+
+import msgspec
+
+from monsoonhoist.node import curl
+
+# Longest time without a byte once a response has begun.
+STALL_TIMEOUT = datetime.timedelta(seconds=2)
+# Longest time of a whole response. The limit of its length already ends most endless ones.
+RESPONSE_TIMEOUT = datetime.timedelta(seconds=60)
+
+
+async def fetch(
+    driver: curl.CurlDriver, call: curl.HttpCall, stall_timeout: datetime.timedelta = STALL_TIMEOUT
+) -> curl.HttpReply:
+    """Makes a call and returns its reply, which has status 0 if the response was given up.
+
+    Long replies on slow links take longer than any timeout that detects a silent service in time.
+    They are not read again from the start as long as bytes arrive.
+
+    Args:
+        driver: HTTP client.
+        call: The call; its timeout applies until the first byte of the response.
+        stall_timeout: Longest time without a byte after the first.
+    """
+    reply_future: asyncio.Future[curl.HttpReply] = asyncio.get_running_loop().create_future()
+    patient_call = msgspec.structs.replace(call, timeout=call.timeout + RESPONSE_TIMEOUT)
+    transfer = driver.start(patient_call, reply_future.set_result)
+    timeout = call.timeout
+    received_bytes = 0
+    try:
+        while True:
+            await asyncio.wait((reply_future,), timeout=timeout.total_seconds())
+            if reply_future.done():
+                return reply_future.result()
+            if transfer.received_bytes == received_bytes:
+                break
+            received_bytes = transfer.received_bytes
+            timeout = stall_timeout
+    except asyncio.CancelledError:
+        driver.abort(transfer)
+        raise
+    driver.abort(transfer)
+    error = f"no byte within {timeout.total_seconds():g} s, after {received_bytes} bytes"
+    return curl.HttpReply(0, b"", True, True, error)
--- /dev/null
+++ b/monsoonhoist/node/range_reader.py
@@ -0,0 +1,257 @@
+"""Reader of a configuration service that is read by ranges of keys with a common prefix.
+
+Each range is listed and watched by a task of its own, which repeats its failed requests by itself.
+A long list, a long reply, a failure or a lost history of one range therefore does not delay the
+changes of another. Ranges may overlap: a change is then offered by whichever range reports it
+first.
+"""
+
+import abc
+import asyncio
+import collections
+import datetime
+import logging
+from collections.abc import Callable, Sequence
+
+import msgspec
+
+from monsoonhoist.core import data
+from monsoonhoist.node import replication
+from monsoonhoist.protocol import messages
+from monsoonhoist.tables import store
+
+# Delay before the list is read after the history is gone, so that a service that has lost it at
+# each request is not asked without pause.
+RELIST_DELAY_SECONDS = 0.05
+# Interval at which the values of a long list are offered before its end. Each offer rebuilds the
+# pools that have changed, which takes too long to do for each page.
+OFFER_INTERVAL_SECONDS = 1.0
+
+_log = logging.getLogger(__name__)
+
+
+class HistoryGoneError(replication.ConfigServiceError):
+    """The changes after a revision cannot be read: they are gone, or too long for a reply."""
+
+
+class NoReplyError(replication.ConfigServiceError):
+    """No reply was received, so that other requests that wait may be lost as well."""
+
+
+class KeyRange(msgspec.Struct, frozen=True):
+    """A range of keys.
+
+    Attributes:
+        prefix: Prefix of the keys; the empty one covers all.
+        watch_duration: Longest wait of a watch.
+        settle_delay: Delay before a watch is started again, in which changes accumulate.
+    """
+
+    prefix: str
+    watch_duration: datetime.timedelta
+    settle_delay: datetime.timedelta
+
+
+class Page(msgspec.Struct, frozen=True):
+    """Values of a range.
+
+    Attributes:
+        values: The values; empty ones are removals.
+        revision: Revision of the service at the time of the reply.
+        next_after: Key after which the next page starts; empty if this is the last.
+    """
+
+    values: tuple[messages.TableValue, ...]
+    revision: int
+    next_after: str = ""
+
+
+class RangeClient(abc.ABC):
+    """Requests to the configuration service."""
+
+    @abc.abstractmethod
+    async def read_page(self, prefix: str, after: str) -> Page:
+        """Returns the values with a prefix whose keys are after a key.
+
+        Raises:
+            ConfigServiceError: If the request failed.
+        """
+
+    @abc.abstractmethod
+    async def watch(self, prefix: str, revision: int, duration: datetime.timedelta) -> Page:
+        """Returns the changes of keys with a prefix after a revision, after waiting for one.
+
+        Raises:
+            HistoryGoneError: If the changes cannot be read.
+            ConfigServiceError: If the request failed.
+        """
+
+
+class RangeState:
+    """What is known of a range, and its readings that were not returned yet.
+
+    Attributes:
+        revision: Revision to watch from; None if the range must be listed.
+        listed_number: Revision of the latest complete list; None before the first.
+        readings: Readings in the order in which they were made.
+        watch_timeout: Ends the watch that is in progress; None if there is none.
+    """
+
+    def __init__(self) -> None:
+        self.revision: int | None = None
+        self.listed_number: int | None = None
+        self.readings: collections.deque[replication.Reading] = collections.deque()
+        self.watch_timeout: asyncio.Timeout | None = None
+
+
+class RangeReader(replication.TableReader):
+    """Lists and watches ranges of keys side by side.
+
+    Args:
+        client: Requests to the service.
+        ranges: The ranges. Readings of earlier ones are returned first.
+        retry_delay: Delay after a failed request, which grows with consecutive failures.
+        is_removable: Whether a key that a list no longer has counts as removed.
+    """
+
+    def __init__(
+        self,
+        client: RangeClient,
+        ranges: Sequence[KeyRange],
+        retry_delay: datetime.timedelta,
+        is_removable: Callable[[data.TableKey], bool],
+    ):
+        self._client = client
+        self._range_by_prefix = {key_range.prefix: key_range for key_range in ranges}
+        self._retry_delay = retry_delay
+        self._is_removable = is_removable
+        self._state_by_prefix = self._make_states()
+        self._tasks: list[asyncio.Task[None]] = []
+        self._has_readings = asyncio.Event()
+
+    async def read(self, table_store: store.TableStore) -> replication.Reading:
+        """Waits until any range has a new reading, and returns it.
+
+        A failed request is returned as a reading with an error; it is repeated by itself.
+        """
+        if not self._tasks:
+            self._tasks = [
+                asyncio.create_task(self._follow(prefix, table_store), name=f"range {prefix!r}")
+                for prefix in self._range_by_prefix
+            ]
+        while True:
+            for state in self._state_by_prefix.values():
+                if state.readings:
+                    return state.readings.popleft()
+            self._has_readings.clear()
+            await self._has_readings.wait()
+
+    def reset(self) -> None:
+        """Ends all requests and discards what is known; the next reading starts with the lists."""
+        for task in self._tasks:
+            task.cancel()
+        self._tasks = []
+        self._state_by_prefix = self._make_states()
+
+    def _make_states(self) -> dict[str, RangeState]:
+        return {prefix: RangeState() for prefix in self._range_by_prefix}
+
+    async def _follow(self, prefix: str, table_store: store.TableStore) -> None:
+        """Lists and watches a range until it is cancelled."""
+        state = self._state_by_prefix[prefix]
+        failures = 0
+        while True:
+            try:
+                if state.revision is None:
+                    await self._list(state, prefix, table_store)
+                else:
+                    await self._watch(state, self._range_by_prefix[prefix])
+                failures = 0
+                continue
+            except HistoryGoneError as error:
+                _log.info("range listed again", extra={"prefix": prefix, "error": str(error)})
+                state.revision = None
+                await asyncio.sleep(RELIST_DELAY_SECONDS)
+                continue
+            except replication.ConfigServiceError as error:
+                if isinstance(error, NoReplyError):
+                    self._restart_other_watches(state)
+                self._publish(state, replication.Reading((), error=str(error)))
+            except Exception as error:
+                # An error of the program must not end the task, nor delay the other ranges.
+                _log.exception("range not read", extra={"prefix": prefix})
+                state.revision = None
+                self._publish(state, replication.Reading((), error=repr(error)))
+            failures += 1
+            await asyncio.sleep(replication.retry_delay_seconds(self._retry_delay, failures))
+
+    async def _list(self, state: RangeState, prefix: str, table_store: store.TableStore) -> None:
+        """Reads a range page by page; keys that the service no longer has get empty values.
+
+        The pages of a range do not come from one snapshot. The watch starts from the revision of
+        the first page, so that it includes changes made while the later pages are read.
+        """
+        present_keys: set[data.TableKey] = set()
+        values: list[messages.TableValue] = []
+        revision: int | None = None
+        after = ""
+        loop = asyncio.get_running_loop()
+        offered_at = loop.time()
+        while True:
+            page = await self._client.read_page(prefix, after)
+            revision = page.revision if revision is None else revision
+            present_keys.update(value.key for value in page.values)
+            values += page.values
+            if not page.next_after:
+                break
+            if loop.time() - offered_at >= OFFER_INTERVAL_SECONDS:
+                self._publish(state, replication.Reading(tuple(values), is_complete=False))
+                values = []
+                offered_at = loop.time()
+            after = page.next_after
+        removed = tuple(
+            messages.TableValue(key, revision, "")
+            for key in table_store.nonempty_keys()
+            if key.startswith(prefix) and self._is_removable(key) and key not in present_keys
+        )
+        state.revision = state.listed_number = revision
+        self._publish_complete(state, (*values, *removed))
+
+    async def _watch(self, state: RangeState, key_range: KeyRange) -> None:
+        """Waits for the settle delay and then for changes of a range."""
+        await asyncio.sleep(key_range.settle_delay.total_seconds())
+        try:
+            async with asyncio.timeout(None) as state.watch_timeout:
+                page = await self._client.watch(
+                    key_range.prefix, state.revision, key_range.watch_duration
+                )
+        except TimeoutError:
+            return
+        finally:
+            state.watch_timeout = None
+        state.revision = page.revision
+        # The changes of the ranges within this one are known up to the same revision. Their long
+        # watches then do not start from a revision that the service has compacted.
+        for prefix, other in self._state_by_prefix.items():
+            if prefix.startswith(key_range.prefix) and other.revision is not None:
+                other.revision = max(other.revision, page.revision)
+        self._publish_complete(state, page.values)
+
+    def _restart_other_watches(self, state: RangeState) -> None:
+        """Ends the watches of the other ranges, which are then made again."""
+        now = asyncio.get_running_loop().time()
+        for other in self._state_by_prefix.values():
+            if other is not state and other.watch_timeout is not None:
+                other.watch_timeout.reschedule(now)
+                other.watch_timeout = None
+
+    def _publish_complete(self, state: RangeState, values: tuple[messages.TableValue, ...]) -> None:
+        """Makes a reading of which the range has been read completely."""
+        listed_numbers = [other.listed_number for other in self._state_by_prefix.values()]
+        is_complete = None not in listed_numbers
+        listed_number = min(listed_numbers) if is_complete else 0
+        self._publish(state, replication.Reading(values, listed_number, is_complete))
+
+    def _publish(self, state: RangeState, reading: replication.Reading) -> None:
+        state.readings.append(reading)
+        self._has_readings.set()
--- a/monsoonhoist/node/replication.py
+++ b/monsoonhoist/node/replication.py
@@ -61,10 +61,14 @@
         values: New values.
         listed_number: Revision number up to which all keys of the service were read; 0 if only
             changes were read, or if the service numbers the revisions of each key by themselves.
+        is_complete: Whether all keys have been read since the last reset of the reader.
+        error: Why a request failed; empty if none did. The reader repeats it by itself.
     """
 
     values: tuple[messages.TableValue, ...]
     listed_number: int = 0
+    is_complete: bool = True
+    error: str = ""
 
 
 class ValueRequest(msgspec.Struct, frozen=True):
@@ -89,7 +93,8 @@
         The first call after ``reset`` does not wait and covers all keys.
 
         Raises:
-            ConfigServiceError: If the service did not return a usable reply.
+            ConfigServiceError: If the service did not return a usable reply, and the reader leaves
+                the delay before the next request to its caller.
         """
 
     @abc.abstractmethod
@@ -310,7 +315,7 @@
         self.has_read_all = False
         self._must_read = reads_at_start
         self._on_read = on_read
-        self._retry_delay_seconds = retry_delay.total_seconds()
+        self._retry_delay = retry_delay
         self._reader = reader
         self._replicator = replicator
         self._is_watcher = is_watcher
@@ -324,13 +329,13 @@
         """Stops watching."""
         if self._task is not None:
             self._task.cancel()
+        self._reader.reset()
 
     def restart(self) -> None:
         """Aborts a pending watch and reads all keys again."""
         self.stop()
         self.has_read_all = False
         self._must_read = True
-        self._reader.reset()
         self.start()
 
     async def _run(self) -> None:
@@ -342,10 +347,15 @@
                 continue
             try:
                 reading = await self._reader.read(self._replicator.store)
+                if reading.error:
+                    _log.warning("configuration service not read", extra={"error": reading.error})
+                    failures += 1
+                    continue
                 self._replicator.offer(reading.values, "service")
                 self._replicator.store.record_listing(reading.listed_number)
-                self.has_read_all = True
-                self._must_read = False
+                if reading.is_complete:
+                    self.has_read_all = True
+                    self._must_read = False
                 self._on_read()
                 if failures:
                     _log.info("configuration service read again")
@@ -353,16 +363,17 @@
             except ConfigServiceError as error:
                 _log.warning("configuration service not read", extra={"error": str(error)})
                 failures += 1
-                await asyncio.sleep(self._retry_delay(failures))
+                await asyncio.sleep(retry_delay_seconds(self._retry_delay, failures))
             except Exception:
                 # An error of the program must not end the loop: the instance would go on serving
                 # by tables that grow old.
                 _log.exception("reading of the configuration service failed")
                 self._reader.reset()
                 failures += 1
-                await asyncio.sleep(self._retry_delay(failures))
+                await asyncio.sleep(retry_delay_seconds(self._retry_delay, failures))
+
 
-    def _retry_delay(self, failures: int) -> float:
-        """Returns the delay before the next read, in seconds, after consecutive failures."""
-        delay = min(RETRY_MAX_SECONDS, self._retry_delay_seconds * 2 ** (failures - 1))
-        return delay * random.uniform(0.75, 1.25)
+def retry_delay_seconds(initial: datetime.timedelta, failures: int) -> float:
+    """Returns the delay before the next read, in seconds, after consecutive failures."""
+    delay = min(RETRY_MAX_SECONDS, initial.total_seconds() * 2 ** (failures - 1))
+    return delay * random.uniform(0.75, 1.25)
--- a/monsoonhoist/platform/dialect.py
+++ b/monsoonhoist/platform/dialect.py
@@ -88,7 +88,12 @@
         """Returns the reader of the store."""
         timing = self.config.timing
         return reader.StoreReader(
-            self.config.platform.store, timing.watch_ms, timing.watch_settle_ms, driver, counters
+            self.config.platform.store,
+            timing.watch_ms,
+            timing.watch_settle_ms,
+            driver,
+            counters,
+            timing.service_retry_ms,
         )
 
     def make_listing(
--- a/monsoonhoist/platform/wire_names.py
+++ b/monsoonhoist/platform/wire_names.py
@@ -25,8 +25,9 @@
 
 CONFIG_KEY = "op/config"
 SERVER_KEY_PREFIX = "servers/"
-# Prefixes of all keys that an instance reads and watches. The empty prefix covers every key.
-WATCHED_KEY_PREFIXES = ("",)
+# Prefix of the keys that operators write, and the prefix that covers every key.
+OPERATOR_KEY_PREFIX = "op/"
+ALL_KEYS_PREFIX = ""
 
 # Size of one record in the body of a response that is merged with others.
 RECORD_BYTES = 16
@@ -44,3 +45,8 @@
         "upgrade",
     }
 )
+
+
+def is_removable(key: str) -> bool:
+    """Returns whether a key that the store no longer lists is out of force."""
+    return key.startswith(SERVER_KEY_PREFIX)
