Announce server values to fewer peers, and not to those that announced them

Values that servers write are now announced to the neighbours outside the cell and to two within it, 50 ms later, and not to peers that have announced them. Operators' keys go to all at once. A peer that compares its tables gets a reply although comparisons with others are rare; with announcements that start later, features/reconciliation.feature showed that an instance could miss a value for longer than 5 s otherwise.

--- a/features/steps/neighbours.py
+++ b/features/steps/neighbours.py
@@ -67,7 +67,7 @@
         config,
         context.members,
         types.SimpleNamespace(store=types.SimpleNamespace(tables=data.Tables({}, {}))),
-        types.SimpleNamespace(set_neighbours=lambda members: None),
+        types.SimpleNamespace(set_neighbours=lambda members, spread: None),
         (context.published.append,),
         clock.SystemClock(),
     )
--- a/features/steps/reconciling.py
+++ b/features/steps/reconciling.py
@@ -55,8 +55,13 @@
             lambda receiver, message: self._send(name, receiver, message),
             lambda: tuple(other for other in self._names if other != name),
             lambda: None,
+            call_later=self._call_later,
         )
 
+    def _call_later(self, delay_seconds, function):
+        due = self.clock.monotonic() + delay_seconds
+        heapq.heappush(self._in_flight, (due, next(self._sequence), None, None, function))
+
     def _send(self, sender, receiver, message):
         if self.is_muted and receiver == MISSING:
             return True
@@ -85,6 +90,9 @@
     def _deliver(self):
         while self._in_flight and self._in_flight[0][0] <= self.clock.monotonic():
             _, _, sender, receiver, message = heapq.heappop(self._in_flight)
+            if receiver is None:
+                message()
+                continue
             replicator = self.replicator_by_name[receiver]
             if isinstance(message, messages.WantRevisions):
                 self.listed_by_name[receiver] += len(replicator.store.revisions(message.buckets))
--- a/monsoonhoist/fleet/membership.py
+++ b/monsoonhoist/fleet/membership.py
@@ -15,6 +15,8 @@
 
 # Share of an instance's neighbours that are in other availability zones.
 OTHER_ZONES_SHARE = 0.3
+# Number of instances of the own cell to which an instance announces every table value.
+CELL_SPREAD_DEGREE = 2
 # Places of a zone's cells that may stay empty after instances have gone, as a share of the live
 # instances, before the places are dealt anew.
 GONE_PLACES_SHARE = 0.25
@@ -273,18 +275,38 @@
             degree: Number of neighbours for gossip.
             cell: Instances of this instance's cell, all of which are included.
         """
-        members = self.other_members()
-        cell_members = tuple(member for member in members if member.instance in cell)
-        others = [member for member in members if member.instance not in cell]
+        cell_members = tuple(member for member in self.other_members() if member.instance in cell)
+        return cell_members + self._neighbours_outside(degree, cell)
+
+    def spread_targets(
+        self, degree: int, cell: tuple[data.InstanceId, ...] = ()
+    ) -> frozenset[data.InstanceId]:
+        """Returns the neighbours to which every table value is announced.
+
+        These are the neighbours outside the cell, and few within it: all instances of a cell are
+        neighbours of each other, so that each value would be announced to each many times.
+
+        Args:
+            degree: Number of neighbours besides the cell.
+            cell: Instances of this instance's cell.
+        """
+        cell_members = [member for member in self.other_members() if member.instance in cell]
+        targets = self._gossip_neighbours(cell_members, CELL_SPREAD_DEGREE)
+        targets += self._neighbours_outside(degree, cell)
+        return frozenset(member.instance for member in targets)
+
+    def _neighbours_outside(
+        self, degree: int, cell: tuple[data.InstanceId, ...]
+    ) -> tuple[data.Member, ...]:
+        """Returns the neighbours that are not in a cell, at most ``degree``."""
+        others = [member for member in self.other_members() if member.instance not in cell]
         if len(others) <= degree:
-            return cell_members + tuple(others)
+            return tuple(others)
         same_zone = [member for member in others if member.zone == self.local_member.zone]
         other_zones = [member for member in others if member.zone != self.local_member.zone]
         other_zones_count = max(math.ceil(degree * OTHER_ZONES_SHARE), degree - len(same_zone))
         zone_neighbours = self._gossip_neighbours(same_zone, degree - other_zones_count)
-        return (
-            cell_members + zone_neighbours + self._gossip_neighbours(other_zones, other_zones_count)
-        )
+        return zone_neighbours + self._gossip_neighbours(other_zones, other_zones_count)
 
     def _gossip_neighbours(self, others: list[data.Member], degree: int) -> tuple[data.Member, ...]:
         """Returns at most ``degree`` of the given instances as neighbours for gossip."""
--- a/monsoonhoist/node/node.py
+++ b/monsoonhoist/node/node.py
@@ -110,6 +110,8 @@
             self.send,
             self._streams.gossiping_instances,
             lambda: self._view_publisher.refresh(),
+            self._streams.spread_instances,
+            asyncio.get_running_loop().call_later,
         )
         self._listing = self.dialect.make_listing(self._driver, self.counters, self._handle_listed)
         self._member_gossip = member_gossip.MemberGossip(
--- a/monsoonhoist/node/peers.py
+++ b/monsoonhoist/node/peers.py
@@ -33,14 +33,25 @@
         self._counters = counters
         self._listener = listener
         self._stream_by_id: dict[data.InstanceId, outbound_stream.OutboundStream] = {}
+        self._spread_targets: frozenset[data.InstanceId] = frozenset()
         self._server = inbound_server.InboundServer(options, listener, self._acknowledge)
 
     def listen(self, host: str, port: int) -> None:
         """Accepts streams on an address."""
         self._server.listen(host, port)
 
-    def set_neighbours(self, members: tuple[data.Member, ...]) -> None:
-        """Maintains streams to these neighbours; others stay open only while in use."""
+    def set_neighbours(
+        self,
+        members: tuple[data.Member, ...],
+        spread: frozenset[data.InstanceId] = frozenset(),
+    ) -> None:
+        """Maintains streams to these neighbours; others stay open only while in use.
+
+        Args:
+            members: The neighbours.
+            spread: Those to which every table value is announced.
+        """
+        self._spread_targets = spread
         neighbours = {member.instance for member in members}
         for instance in list(self._stream_by_id):
             stream = self._stream_by_id[instance]
@@ -64,6 +75,10 @@
             )
         )
 
+    def spread_instances(self) -> tuple[data.InstanceId, ...]:
+        """Returns the gossiping instances to which every table value is announced, sorted."""
+        return tuple(name for name in self.gossiping_instances() if name in self._spread_targets)
+
     def connected_instances(self) -> tuple[data.InstanceId, ...]:
         """Returns the instances whose streams are up, sorted."""
         return tuple(sorted(name for name, stream in self._stream_by_id.items() if stream.is_up))
--- a/monsoonhoist/node/replication.py
+++ b/monsoonhoist/node/replication.py
@@ -22,7 +22,7 @@
 from monsoonhoist import errors, metrics
 from monsoonhoist.core import clock, data
 from monsoonhoist.protocol import messages
-from monsoonhoist.tables import reconciliation, store
+from monsoonhoist.tables import announcements, reconciliation, store
 
 # Minimum interval between two requests for the same key.
 VALUE_REQUEST_INTERVAL_SECONDS = 0.5
@@ -34,6 +34,9 @@
 MESSAGE_VALUES_BYTES = 1_048_576
 # Interval at which an instance that is not a watcher checks whether it has become one.
 ROLE_CHECK_INTERVAL_SECONDS = 0.25
+# How long announcements of keys that operators do not write are collected. Peers that announce the
+# same values meanwhile need no announcement, so the delay varies by up to a half.
+ANNOUNCE_DELAY_SECONDS = 0.05
 # Most keys listed in the log line about accepted values.
 LOGGED_KEYS_MAX = 5
 RETRY_MAX_SECONDS = 1.5
@@ -108,6 +111,9 @@
         send: Sends a message to an instance.
         connected_instances: Returns the instances whose streams are up; announcements go to them.
         on_change: Called after new values have been applied.
+        spread_instances: Returns those of the connected instances to which values that operators
+            do not write are announced; None for all.
+        call_later: Calls a function after a delay in seconds; None to announce at once.
 
     Attributes:
         store: Current values.
@@ -122,6 +128,8 @@
         send: Callable[[data.InstanceId, messages.Message], bool],
         connected_instances: Callable[[], tuple[data.InstanceId, ...]],
         on_change: Callable[[], None],
+        spread_instances: Callable[[], tuple[data.InstanceId, ...]] | None = None,
+        call_later: Callable[[float, Callable[[], None]], object] | None = None,
     ):
         self.store = store.TableStore(table_format)
         self.changed_at: float | None = None
@@ -130,6 +138,11 @@
         self._send = send
         self._connected_instances = connected_instances
         self._on_change = on_change
+        self._spread_instances = spread_instances or connected_instances
+        self._call_later = call_later
+        self._announcements = announcements.Announcements()
+        self._is_announcement_due = False
+        self._format = table_format
         self._digest = self.store.digest()
         self._request_by_key: dict[data.TableKey, ValueRequest] = {}
         self._schedule = reconciliation.ReconciliationSchedule(time_source)
@@ -153,9 +166,30 @@
         self._schedule.record_change()
         self._digest = self.store.digest()
         self._on_change()
-        revisions = [self.store.revision_by_key[key] for key in accepted]
-        for instance in self._connected_instances():
-            self._send_revisions(instance, revisions)
+        self._announce([self.store.revision_by_key[key] for key in accepted])
+
+    def _announce(self, revisions: list[messages.Revision]) -> None:
+        """Announces the revisions of operators' keys at once, and the others a little later."""
+        urgent = [each for each in revisions if self._format.is_operator_key(each.key)]
+        if urgent:
+            for instance in self._connected_instances():
+                self._send_revisions(instance, urgent)
+        self._announcements.add(
+            each for each in revisions if not self._format.is_operator_key(each.key)
+        )
+        if self._call_later is None:
+            self._send_announcements()
+        elif not self._is_announcement_due:
+            self._is_announcement_due = True
+            delay = ANNOUNCE_DELAY_SECONDS * random.uniform(0.5, 1.5)
+            self._call_later(delay, self._send_announcements)
+
+    def _send_announcements(self) -> None:
+        self._is_announcement_due = False
+        taken = self._announcements.take(self._spread_instances())
+        for instance, revisions in taken.items():
+            if revisions:
+                self._send_revisions(instance, revisions)
 
     def _offer_value(self, value: messages.TableValue, source: str) -> bool:
         """Offers a value to the store; returns whether it was accepted."""
@@ -189,11 +223,9 @@
     def handle_revisions(self, sender: data.InstanceId, message: messages.Revisions) -> None:
         """Requests the values that are newer at the sender."""
         now = self._clock.monotonic()
-        wanted = [
-            revision
-            for revision in self.store.find_newer(message)
-            if self._may_request(revision, now)
-        ]
+        newer = self.store.find_newer(message)
+        self._announcements.record_heard(sender, message.revisions, newer)
+        wanted = [revision for revision in newer if self._may_request(revision, now)]
         for revision in wanted:
             repeat_at = now + VALUE_REQUEST_INTERVAL_SECONDS
             self._request_by_key[revision.key] = ValueRequest(revision.number, repeat_at)
@@ -261,9 +293,8 @@
         wanted = self._schedule.take_buckets(differing)
         if wanted:
             self._send(sender, messages.WantRevisions(wanted))
-        # ``handle_digest`` replies to the empty digest, since it differs from this instance's.
-        if differing:
-            self.handle_digest(sender, b"")
+        if differing and self._schedule.try_reply(sender):
+            self._send(sender, self.bucket_digests())
 
 
 def _split(entries: list[EntryT]) -> Iterator[list[EntryT]]:
--- a/monsoonhoist/node/views.py
+++ b/monsoonhoist/node/views.py
@@ -106,8 +106,10 @@
         if inputs != self._neighbour_inputs:
             self._neighbour_inputs = inputs
             degree = self._spread_settings.neighbours
-            neighbours = self._members.neighbours(degree, cell.members)
-            self._peer_streams.set_neighbours(neighbours)
+            self._peer_streams.set_neighbours(
+                self._members.neighbours(degree, cell.members),
+                self._members.spread_targets(degree, cell.members),
+            )
         previous = self.view
         self.view = events.ViewChanged(
             tables, live, cell.members, cell.count, fleet_size, self._make_topology(cell)
--- a/monsoonhoist/platform/store_format.py
+++ b/monsoonhoist/platform/store_format.py
@@ -48,6 +48,10 @@
         findings = tuple(store_records.find_config_problems(file, config))
         return store.ParsedValue(findings, None if findings else config)
 
+    def is_operator_key(self, key: data.TableKey) -> bool:
+        """Returns whether a key is not one that a server writes."""
+        return not key.startswith(wire_names.SERVER_KEY_PREFIX)
+
     def update_tables(
         self,
         content_by_key: Mapping[data.TableKey, object],
--- a/monsoonhoist/tables/reconciliation.py
+++ b/monsoonhoist/tables/reconciliation.py
@@ -35,6 +35,7 @@
         self._clock = time_source
         self._changed_at = -math.inf
         self._compared_at = -math.inf
+        self._replied_at_by_peer: dict[data.InstanceId, float] = {}
         self._compared_at_by_peer: dict[data.InstanceId, float] = {}
         self._requested_at_by_bucket: dict[int, float] = {}
 
@@ -55,6 +56,17 @@
             self._compared_at_by_peer[peer] = now
         return is_due
 
+    def try_reply(self, peer: data.InstanceId) -> bool:
+        """Returns whether the digests may be sent in reply to those of a peer, and records it.
+
+        The peer may have missed values, so that comparisons with others do not delay the reply.
+        """
+        now = self._clock.monotonic()
+        is_due = now - self._replied_at_by_peer.get(peer, -math.inf) >= self._interval(now)
+        if is_due:
+            self._replied_at_by_peer[peer] = now
+        return is_due
+
     def take_buckets(self, differing: Iterable[int]) -> tuple[int, ...]:
         """Returns the buckets whose revisions may be requested now, and records the requests.
 
@@ -62,7 +74,7 @@
             differing: Buckets whose digests differ from those of a peer.
         """
         now = self._clock.monotonic()
-        interval = BUSY_INTERVAL_SECONDS if self._is_changing(now) else QUIET_INTERVAL_SECONDS
+        interval = self._interval(now)
         taken = tuple(
             bucket
             for bucket in differing
@@ -72,5 +84,8 @@
             self._requested_at_by_bucket[bucket] = now
         return taken
 
+    def _interval(self, now: float) -> float:
+        return BUSY_INTERVAL_SECONDS if self._is_changing(now) else QUIET_INTERVAL_SECONDS
+
     def _is_changing(self, now: float) -> bool:
         return now - self._changed_at < CHANGE_SECONDS
--- a/monsoonhoist/tables/store.py
+++ b/monsoonhoist/tables/store.py
@@ -89,6 +89,10 @@
             text: The value.
         """
 
+    def is_operator_key(self, key: data.TableKey) -> bool:
+        """Returns whether operators write a key, so that its values are spread before others."""
+        return True
+
     @abc.abstractmethod
     def update_tables(
         self,
