Give shards only to instances that are ready, and choose neighbours in a module of their own

With owners_when_ready an instance of a cell owns shards once it is ready; its record says so in a field with a default, so that builds can be mixed. If no instance of a cell is ready, all of them own shards as before.

--- a/bench/workloads.py
+++ b/bench/workloads.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from monsoonhoist.core import clock, data
-from monsoonhoist.fleet import membership
+from monsoonhoist.fleet import membership, neighbours
 from monsoonhoist.kernels import kernel
 from monsoonhoist.node import curl, search
 from monsoonhoist.protocol import events, fanout, messages
@@ -239,7 +239,7 @@
     version = next(_member_versions)
     view.merge((make_member(1, version),))
     view.live()
-    view.neighbours(16)
+    neighbours.choose(view.local_member, view.other_members(), 16)
     view.is_watcher(2)
 
 
--- a/features/neighbours.feature
+++ b/features/neighbours.feature
@@ -46,3 +46,15 @@
   Scenario: Streams that are open only while in use spread no tables
     Given an instance with 3 neighbours, one of which it ceases to have
     Then tables and membership records are passed on to 2 of them
+
+  Scenario: An instance that has just started owns no shards of its cell
+    Guards against sub-requests to an instance that is still loading the tables: the first queries
+    after each planned restart waited for it.
+
+    Given an instance of a cell of 4 among 8 instances in one zone
+    When another instance of its cell starts anew
+    Then the cell of the view has 3 instances without it
+    When that instance is ready
+    Then the cell of the view has 4 instances with it
+    When all instances of the cell start anew
+    Then the cell of the view has 4 instances with it
--- a/features/steps/announcing.py
+++ b/features/steps/announcing.py
@@ -5,7 +5,7 @@
 from behave import given, then
 
 from monsoonhoist.core import data
-from monsoonhoist.fleet import membership
+from monsoonhoist.fleet import membership, neighbours
 from monsoonhoist.protocol import messages
 from monsoonhoist.tables import announcements
 
@@ -37,7 +37,9 @@
         view = membership.Membership(member)
         view.merge(tuple(members))
         cell = view.cell(size) if size > 1 else ()
-        context.targets_by_name[member.instance] = view.spread_targets(degree, cell)
+        context.targets_by_name[member.instance] = neighbours.spread_targets(
+            member, view.other_members(), degree, cell
+        )
 
 
 @then(
--- a/features/steps/neighbours.py
+++ b/features/steps/neighbours.py
@@ -3,6 +3,7 @@
 import asyncio
 import types
 
+import msgspec
 from behave import given, then, when
 from tornado import netutil
 
@@ -250,3 +251,68 @@
 def check_gossiping(context, count):
     """Checks the number of instances over which tables spread."""
     assert len(context.gossiping) == count, context.gossiping
+
+
+def merge_restarted(context, instance, incarnation, accepts_work, version=0):
+    """Merges the record of an instance that has started anew, and publishes the view."""
+    record = msgspec.structs.replace(
+        make_member(instance),
+        incarnation=data.Incarnation(incarnation),
+        version=version,
+        accepts_work=accepts_work,
+    )
+    context.members.merge((record,))
+    context.publisher.refresh()
+
+
+@when("another instance of its cell starts anew")
+def restart_cell_member(context):
+    """Merges the record of the starting instance; views without new tables follow 50 ms apart."""
+    local = context.members.local_member.instance
+    context.restarted = next(each for each in context.first_cell if each != local)
+
+    async def run():
+        merge_restarted(context, context.restarted, 2, False)
+        await asyncio.sleep(0.1)
+
+    asyncio.run(run())
+
+
+@when("that instance is ready")
+def become_ready(context):
+    """Merges the record with which the instance announces that it is ready."""
+
+    async def run():
+        merge_restarted(context, context.restarted, 2, True, version=1)
+        await asyncio.sleep(0.1)
+
+    asyncio.run(run())
+
+
+@when("all instances of the cell start anew")
+def restart_cell(context):
+    """Merges records of starting instances, this one included."""
+
+    async def run():
+        local = context.members.local_member
+        context.members.local_member = msgspec.structs.replace(local, accepts_work=False)
+        for instance in context.first_cell:
+            if instance != local.instance:
+                merge_restarted(context, instance, 3, False)
+        await asyncio.sleep(0.1)
+
+    asyncio.run(run())
+
+
+@then("the cell of the view has {count:d} instances without it")
+def check_cell_without(context, count):
+    """Checks the cell of the latest view."""
+    cell = context.publisher.view.cell
+    assert len(cell) == count and context.restarted not in cell, cell
+
+
+@then("the cell of the view has {count:d} instances with it")
+def check_cell_with(context, count):
+    """Checks the cell of the latest view."""
+    cell = context.publisher.view.cell
+    assert len(cell) == count and context.restarted in cell, cell
--- a/monsoonhoist/core/data.py
+++ b/monsoonhoist/core/data.py
@@ -270,6 +270,8 @@
         zone: Availability zone.
         capacity: Processor time per second that the instance may use, in seconds on a core of
             typical speed.
+        accepts_work: Whether the instance may own shards; False while it starts, if the settings
+            ask for that.
     """
 
     instance: InstanceId
@@ -280,6 +282,7 @@
     peer_port: int
     zone: ZoneId
     capacity: float = 1.0
+    accepts_work: bool = True
 
 
 class KeyRange(msgspec.Struct, frozen=True, array_like=True):
--- a/monsoonhoist/fleet/membership.py
+++ b/monsoonhoist/fleet/membership.py
@@ -6,17 +6,12 @@
 """
 
 import functools
-import math
 from collections.abc import Iterable
 
 import msgspec
 
 from monsoonhoist.core import data, hashing
 
-# Share of an instance's neighbours that are in other availability zones.
-OTHER_ZONES_SHARE = 0.3
-# Number of instances of the own cell to which an instance announces every table value.
-CELL_SPREAD_DEGREE = 2
 # Places of a zone's cells that may stay empty after instances have gone, as a share of the live
 # instances, before the places are dealt anew.
 GONE_PLACES_SHARE = 0.25
@@ -158,12 +153,23 @@
 
     def mark_leaving(self) -> data.Member:
         """Marks this instance as leaving and returns its new record."""
+        return self._update_local(state=data.MemberState.LEAVING)
+
+    def mark_accepting(self) -> data.Member:
+        """Marks this instance as one that may own shards and returns its new record."""
+        return self._update_local(accepts_work=True)
+
+    def _update_local(self, **changes: object) -> data.Member:
         self._mark_changed()
-        self.local_member = msgspec.structs.replace(
-            self.local_member, version=self.local_member.version + 1, state=data.MemberState.LEAVING
-        )
+        version = self.local_member.version + 1
+        self.local_member = msgspec.structs.replace(self.local_member, version=version, **changes)
         return self.local_member
 
+    def accepting(self, instances: tuple[data.InstanceId, ...]) -> tuple[data.InstanceId, ...]:
+        """Returns those of some instances that may own shards, or all if none may."""
+        refusing = {member.instance for member in self._current().live if not member.accepts_work}
+        return tuple(each for each in instances if each not in refusing) or instances
+
     def state_of(self, instance: data.InstanceId) -> data.MemberState:
         """Returns an instance's state in this view; ``gone`` if it is unknown."""
         if instance == self.local_member.instance:
@@ -261,69 +267,6 @@
         candidates = sorted(self._live_in_zone(), key=_watch_order)[:watchers_per_zone]
         return self.local_member.instance in [member.instance for member in candidates]
 
-    def neighbours(
-        self, degree: int, cell: tuple[data.InstanceId, ...] = ()
-    ) -> tuple[data.Member, ...]:
-        """Returns the instances to keep a stream to, at most ``degree`` besides the cell.
-
-        Most of them are in this instance's availability zone, since traffic between zones is
-        expensive. Both within the zone and outside it, half are the successors on a hash ring,
-        which keeps the graph of streams connected; the others are those with the largest
-        hash weight of the pair, which keeps its diameter small.
-
-        Args:
-            degree: Number of neighbours for gossip.
-            cell: Instances of this instance's cell, all of which are included.
-        """
-        cell_members = tuple(member for member in self.other_members() if member.instance in cell)
-        return cell_members + self._neighbours_outside(degree, cell)
-
-    def spread_targets(
-        self, degree: int, cell: tuple[data.InstanceId, ...] = ()
-    ) -> frozenset[data.InstanceId]:
-        """Returns the neighbours to which every table value is announced.
-
-        These are the neighbours outside the cell, and few within it: all instances of a cell are
-        neighbours of each other, so that each value would be announced to each many times.
-
-        Args:
-            degree: Number of neighbours besides the cell.
-            cell: Instances of this instance's cell.
-        """
-        cell_members = [member for member in self.other_members() if member.instance in cell]
-        targets = self._gossip_neighbours(cell_members, CELL_SPREAD_DEGREE)
-        targets += self._neighbours_outside(degree, cell)
-        return frozenset(member.instance for member in targets)
-
-    def _neighbours_outside(
-        self, degree: int, cell: tuple[data.InstanceId, ...]
-    ) -> tuple[data.Member, ...]:
-        """Returns the neighbours that are not in a cell, at most ``degree``."""
-        others = [member for member in self.other_members() if member.instance not in cell]
-        if len(others) <= degree:
-            return tuple(others)
-        same_zone = [member for member in others if member.zone == self.local_member.zone]
-        other_zones = [member for member in others if member.zone != self.local_member.zone]
-        other_zones_count = max(math.ceil(degree * OTHER_ZONES_SHARE), degree - len(same_zone))
-        zone_neighbours = self._gossip_neighbours(same_zone, degree - other_zones_count)
-        return zone_neighbours + self._gossip_neighbours(other_zones, other_zones_count)
-
-    def _gossip_neighbours(self, others: list[data.Member], degree: int) -> tuple[data.Member, ...]:
-        """Returns at most ``degree`` of the given instances as neighbours for gossip."""
-        if len(others) <= degree:
-            return tuple(others)
-        local_position = _ring_position(self.local_member.instance)
-        ring = sorted(
-            others, key=lambda member: (_ring_position(member.instance) - local_position) % 2**64
-        )
-        ring_count = (degree + 1) // 2
-        chosen = ring[:ring_count]
-        by_pair_weight = sorted(ring[ring_count:], key=self._pair_weight, reverse=True)
-        return tuple(chosen + by_pair_weight[: degree - ring_count])
-
-    def _pair_weight(self, member: data.Member) -> int:
-        return hashing.stable_hash(*sorted((self.local_member.instance, member.instance)))
-
 
 class _Snapshot:
     """What is derived from one revision of the view.
@@ -378,10 +321,6 @@
     )
 
 
-def _ring_position(instance: data.InstanceId) -> int:
-    return hashing.stable_hash(instance)
-
-
 def _watch_order(member: data.Member) -> tuple[float, int]:
     """Returns the key by which instances are preferred as watchers, smallest first."""
     return (-member.capacity, -hashing.stable_hash("watch", member.instance))
--- a/monsoonhoist/node/member_gossip.py
+++ b/monsoonhoist/node/member_gossip.py
@@ -37,6 +37,11 @@
         if self._timer is not None:
             self._timer.cancel()
 
+    def announce(self, record: data.Member, instances: tuple[data.InstanceId, ...]) -> None:
+        """Sends a new record of this instance to others."""
+        for instance in instances:
+            self._send(instance, messages.Members((record,)))
+
     def merge(self, sender: data.InstanceId, message: messages.Members) -> bool:
         """Merges received records; returns whether any was new."""
         updates = self._members.merge(message.members)
--- a/monsoonhoist/node/node.py
+++ b/monsoonhoist/node/node.py
@@ -165,11 +165,9 @@
 
     def _make_task(self, role: traces.Role, kernel: kernels.EventKernel) -> kernels.KernelTask:
         """Returns the task that runs one of the kernels."""
-        observers = [self._request_log.observe]
-        if self._trace is not None:
-            observers.append(self._trace.record)
+        observers = (self._request_log.observe, *([self._trace.record] if self._trace else []))
         return kernels.KernelTask(
-            role, kernel, self._event_clock, self.counters, self._execute, tuple(observers)
+            role, kernel, self._event_clock, self.counters, self._execute, observers
         )
 
     def start(self) -> None:
@@ -204,10 +202,7 @@
         _log.info("leaving")
         self.phase = phases.Phase.LEAVING
         self.stop_schedule.begin()
-        record = self.members.mark_leaving()
-        for instance in self._streams.connected_instances():
-            self.send(instance, messages.Members((record,)))
-        self._view_publisher.refresh()
+        self._publish_record(self.members.mark_leaving())
 
     def answer_all(self) -> None:
         """Answers the requests that are still unanswered with what they have."""
@@ -383,6 +378,12 @@
         if self.phase is phases.Phase.STARTING:
             self.phase = phases.Phase.READY
             _log.info("ready")
+            if not self.members.local_member.accepts_work:
+                self._publish_record(self.members.mark_accepting())
+
+    def _publish_record(self, record: data.Member) -> None:
+        self._member_gossip.announce(record, self._streams.connected_instances())
+        self._view_publisher.refresh()
 
     def _handle_pause(self, seconds: float) -> None:
         """Reloads the tables after a pause; with ``hold_after_pause``, not ready until then."""
--- a/monsoonhoist/node/peers.py
+++ b/monsoonhoist/node/peers.py
@@ -158,6 +158,7 @@
         peer_port=instance.peer_port,
         zone=data.ZoneId(instance.zone),
         capacity=instance.capacity,
+        accepts_work=not config.spread.owners_when_ready,
     )
 
 
--- a/monsoonhoist/node/views.py
+++ b/monsoonhoist/node/views.py
@@ -8,7 +8,7 @@
 
 from monsoonhoist import settings
 from monsoonhoist.core import clock, data, placement, sliding_maximum
-from monsoonhoist.fleet import cells, membership
+from monsoonhoist.fleet import cells, membership, neighbours
 from monsoonhoist.node import peers, replication
 from monsoonhoist.protocol import events
 
@@ -106,13 +106,19 @@
         if inputs != self._neighbour_inputs:
             self._neighbour_inputs = inputs
             degree = self._spread_settings.neighbours
+            local, others = self._members.local_member, self._members.other_members()
             self._peer_streams.set_neighbours(
-                self._members.neighbours(degree, cell.members),
-                self._members.spread_targets(degree, cell.members),
+                neighbours.choose(local, others, degree, cell.members),
+                neighbours.spread_targets(local, others, degree, cell.members),
             )
         previous = self.view
         self.view = events.ViewChanged(
-            tables, live, cell.members, cell.count, fleet_size, self._make_topology(cell)
+            tables,
+            live,
+            self._members.accepting(cell.members),
+            cell.count,
+            fleet_size,
+            self._make_topology(cell),
         )
         self._published_at = self._clock.monotonic()
         if previous is not None and _decides_alike(previous, self.view):
--- a/monsoonhoist/settings.py
+++ b/monsoonhoist/settings.py
@@ -218,6 +218,9 @@
     ownership policy ``cell``; 0 derives it from the tables and the number of live instances.
     ``first_start`` states that all instances start together and before there is traffic, so that
     only watchers need to read the service.
+
+    With ``owners_when_ready``, an instance of a cell becomes the owner of shards only when it is
+    ready: while it loads the tables, the other instances of its cell go on calling the servers.
     """
 
     neighbours: Annotated[int, msgspec.Meta(ge=2, le=64)] = 16
@@ -225,6 +228,7 @@
     watchers: Annotated[int, msgspec.Meta(ge=0, le=64)] = 0
     cell_size: Annotated[int, msgspec.Meta(ge=0, le=1024)] = 0
     first_start: bool = False
+    owners_when_ready: bool = False
     stale_ms: datetime.timedelta = datetime.timedelta(milliseconds=2000)
     stale_step_ms: datetime.timedelta = datetime.timedelta(milliseconds=300)
 
