Request and send values of operators' keys ahead of others between instances

Cause: an instance requested all announced values of a peer by one message and got them by messages of up to 1 MiB, in the order of their keys. A configuration that was announced meanwhile waited behind them on the stream and at the receiver.

Change: table formats tell operators' keys from others.

--- a/features/operator_keys.feature
+++ b/features/operator_keys.feature
@@ -42,3 +42,16 @@
     Given a fake store of 10 servers, and a watcher of it
     When 600000 ms pass without a change
     Then the watcher made at most 401 requests
+
+  Scenario: A configuration does not wait behind servers' values between instances
+    Given instance "old" has a configuration and 4000 servers, and instance "new" has nothing
+    When the instances are connected, and a configuration is written at "old" after 10 messages
+    Then the first value that "new" requested and received is the configuration
+    And at most 100000 bytes are delivered from the write until it is in force at "new"
+    And all 4000 servers are in force at "new"
+
+  Scenario: Values that were requested and got lost are requested again
+    Given instance "old" has a configuration and 4000 servers, and instance "new" has nothing
+    When the instances are connected, and the messages after the first 10 are lost
+    And the instances compare their tables again 3 s later
+    Then all 4000 servers are in force at "new"
--- a/monsoonhoist/node/replication.py
+++ b/monsoonhoist/node/replication.py
@@ -22,14 +22,12 @@
 
 from monsoonhoist import errors, metrics
 from monsoonhoist.core import clock, data
+from monsoonhoist.node import value_requests
 from monsoonhoist.protocol import messages
 from monsoonhoist.tables import store
 
-# Minimum interval between two requests for the same key, between two replies to the digest of
-# the same peer, and between two requests for the same bucket.
-VALUE_REQUEST_INTERVAL_SECONDS = 0.5
-# How long a value that could not be read is not requested again.
-UNREADABLE_VALUE_INTERVAL_SECONDS = 30.0
+# Minimum interval between two replies to the digest of the same peer, and between two requests for
+# the same bucket.
 DIGEST_REPLY_INTERVAL_SECONDS = 0.5
 BUCKET_REQUEST_INTERVAL_SECONDS = 0.5
 # Most revisions or keys in a message, and the length of compressed values at which a message is
@@ -71,18 +69,6 @@
     error: str = ""
 
 
-class ValueRequest(msgspec.Struct, frozen=True):
-    """The last request for a value.
-
-    Attributes:
-        number: Number of the requested revision.
-        repeat_at: When the same value may be requested again, in monotonic seconds.
-    """
-
-    number: int
-    repeat_at: float
-
-
 class TableReader(abc.ABC):
     """Reads table values from the configuration service."""
 
@@ -135,7 +121,10 @@
         self._connected_instances = connected_instances
         self._on_change = on_change
         self._digest = self.store.digest()
-        self._request_by_key: dict[data.TableKey, ValueRequest] = {}
+        self._is_operator_key = table_format.is_operator_key
+        self._requests = value_requests.ValueRequests(
+            time_source, table_format.is_operator_key, self.store.is_newer
+        )
         self._replied_at_by_peer: dict[data.InstanceId, float] = {}
         self._requested_at_by_bucket: dict[int, float] = {}
 
@@ -173,7 +162,7 @@
             _log.error(message, extra={**extra, "findings": findings})
         if result.acceptance is not store.Acceptance.ACCEPTED:
             return False
-        self._request_by_key.pop(value.key, None)
+        self._requests.record_accepted(value.key)
         return True
 
     def handle_message(self, sender: data.InstanceId, message: messages.Message) -> None:
@@ -189,31 +178,40 @@
                 self.handle_value_request(sender, message)
             case messages.PackedTables():
                 self.offer(self._unpack(message), "peer")
+                keys = [packed.key for packed in message.tables]
+                self._request(sender, self._requests.record_values(sender, keys))
 
     def handle_revisions(self, sender: data.InstanceId, message: messages.Revisions) -> None:
         """Requests the values that are newer at the sender."""
-        now = self._clock.monotonic()
-        wanted = [
-            revision
-            for revision in self.store.find_newer(message)
-            if self._may_request(revision, now)
-        ]
-        for revision in wanted:
-            repeat_at = now + VALUE_REQUEST_INTERVAL_SECONDS
-            self._request_by_key[revision.key] = ValueRequest(revision.number, repeat_at)
-        for batch in _split([revision.key for revision in wanted]):
-            self._send(sender, messages.WantTables(tuple(batch)))
-
-    def _may_request(self, revision: messages.Revision, now: float) -> bool:
-        """Returns whether a value has not been requested a short time ago."""
-        request = self._request_by_key.get(revision.key)
-        return request is None or revision.number > request.number or now >= request.repeat_at
+        self._request(sender, self._requests.add(sender, message.revisions))
+
+    def _request(
+        self, instance: data.InstanceId, batches: Iterable[tuple[data.TableKey, ...]]
+    ) -> None:
+        for batch in batches:
+            for keys in _split(list(batch)):
+                self._send(instance, messages.WantTables(tuple(keys)))
 
     def handle_value_request(self, sender: data.InstanceId, message: messages.WantTables) -> None:
-        """Sends the requested values, in as many messages as their length requires."""
+        """Sends the requested values, those of operators' keys first in messages of their own."""
+        for keys in self._operators_first(message.keys, lambda key: key):
+            self._send_values(sender, keys)
+
+    def _operators_first(
+        self, entries: Iterable[EntryT], key_of: Callable[[EntryT], data.TableKey]
+    ) -> tuple[list[EntryT], list[EntryT]]:
+        """Returns the entries of operators' keys, and all others."""
+        operators: list[EntryT] = []
+        others: list[EntryT] = []
+        for entry in entries:
+            (operators if self._is_operator_key(key_of(entry)) else others).append(entry)
+        return operators, others
+
+    def _send_values(self, sender: data.InstanceId, keys: list[data.TableKey]) -> None:
+        """Sends values in as many messages as their length requires."""
         batch: list[messages.PackedTable] = []
         batch_bytes = 0
-        for key in message.keys:
+        for key in keys:
             value = self.store.value(key)
             if value is None:
                 continue
@@ -240,15 +238,15 @@
                 extra = {"key": packed.key, "number": packed.number, "error": str(error)}
                 _log.error("table value not read", extra=extra)
                 self._counters.count_table_value(store.Acceptance.REJECTED, "peer")
-                repeat_at = self._clock.monotonic() + UNREADABLE_VALUE_INTERVAL_SECONDS
-                self._request_by_key[packed.key] = ValueRequest(packed.number, repeat_at)
+                self._requests.record_unreadable(packed.key, packed.number)
         return values
 
     def _send_revisions(
         self, instance: data.InstanceId, revisions: Iterable[messages.Revision]
     ) -> None:
-        for batch in _split(list(revisions)):
-            self._send(instance, messages.Revisions(tuple(batch)))
+        for part in self._operators_first(revisions, lambda revision: revision.key):
+            for batch in _split(part):
+                self._send(instance, messages.Revisions(tuple(batch)))
 
     def handle_digest(self, sender: data.InstanceId, digest: bytes) -> None:
         """Sends the bucket digests to a peer whose digest differs, rate-limited by peer."""
--- a/monsoonhoist/platform/store_format.py
+++ b/monsoonhoist/platform/store_format.py
@@ -32,6 +32,10 @@
         self._config_by_service_name: dict[str, store_records.ServiceConfig] = {}
         self._keys_by_service: dict[data.ServiceId, set[data.TableKey]] = {}
 
+    def is_operator_key(self, key: data.TableKey) -> bool:
+        """Returns whether a key is the configuration or another one that operators write."""
+        return key.startswith(wire_names.OPERATOR_KEY_PREFIX)
+
     def parse(self, key: data.TableKey, file: str, text: str) -> store.ParsedValue:
         """Parses a value; only a malformed configuration has findings and is rejected."""
         if key.startswith(wire_names.SERVER_KEY_PREFIX):
--- a/monsoonhoist/tables/native.py
+++ b/monsoonhoist/tables/native.py
@@ -9,6 +9,10 @@
 class NativeFormat(store.TableFormat):
     """Table format with one value for all routes, and one or more values for each pool."""
 
+    def is_operator_key(self, key: data.TableKey) -> bool:
+        """Returns whether a key is none of a pool, which can have many and long ones."""
+        return not pools.is_pool_key(key)
+
     def parse(self, key: data.TableKey, file: str, text: str) -> store.ParsedValue:
         """Parses and validates a value."""
         return parse(key, file, text)
--- a/monsoonhoist/tables/store.py
+++ b/monsoonhoist/tables/store.py
@@ -89,6 +89,10 @@
             text: The value.
         """
 
+    def is_operator_key(self, key: data.TableKey) -> bool:
+        """Returns whether operators write a key; its values do not wait behind those of others."""
+        return False
+
     @abc.abstractmethod
     def update_tables(
         self,
@@ -213,13 +217,10 @@
         newest = max((rev.number for rev in (current, rejected) if rev is not None), default=-1)
         return number <= newest
 
-    def find_newer(self, peer_revisions: messages.Revisions) -> tuple[messages.Revision, ...]:
-        """Returns the revisions of a peer that are newer than the current ones."""
-        return tuple(
-            revision
-            for revision in peer_revisions.revisions
-            if self._is_newer(revision, self.revision_by_key.get(revision.key))
-        )
+    def is_newer(self, revision: messages.Revision) -> bool:
+        """Returns whether a revision is newer than the current one of its key."""
+        current = self.revision_by_key.get(revision.key)
+        return current is None or _sort_key(revision) > _sort_key(current)
 
     def revisions(self, buckets: Collection[int] | None = None) -> tuple[messages.Revision, ...]:
         """Returns the current revisions in the given buckets, or in all, ordered by key."""
@@ -254,10 +255,6 @@
         """Returns one digest over all current revisions."""
         return hashlib.sha256(self.bucket_digests()).digest()[:16]
 
-    @staticmethod
-    def _is_newer(candidate: messages.Revision, current: messages.Revision | None) -> bool:
-        return current is None or _sort_key(candidate) > _sort_key(current)
-
 
 def bucket_of(key: data.TableKey) -> int:
     """Returns the number of the bucket that a key belongs to."""
