Evacuate availability zones by keys that operators write

Cause: operators need the backend servers of a zone to receive nothing new; the only means was to mark each server as leaving, which leaves it a last resort and has to be undone server by server.

Change: the presence of op/evacuate/ZONE (platform) or evacuate/ZONE (native) puts the zone into data.Tables.evacuated_zones. Servers of such a zone are not available in shards.shard, not even as a last resort, and get no connections ahead. A query that cannot reach its minimum coverage any more is refused at its entry before any call, as not run; otherwise the shard counts as missing at once. Values that are empty, unreadable or longer than 4096 characters evacuate too, with a warning. A removal that a watcher missed is found by the complete list; a list or an index older than the key replaces nothing. The native reader takes the presence from the index, numbered by it. Log lines "zone evacuated" and "zone back in service", gauge evacuated_zones, status. A server that is back in service starts with a limit of one call.

--- a/features/steps/operator_keys.py
+++ b/features/steps/operator_keys.py
@@ -105,7 +105,16 @@
         """Writes an item and wakes the watches that wait."""
         self.revision += 1
         value = base64.b64encode(text.encode()).decode()
-        self._item_by_key[key] = {"Key": key, "Rev": self.revision, "Value": value}
+        self._put({"Key": key, "Rev": self.revision, "Value": value})
+
+    def remove(self, key):
+        """Removes an item and wakes the watches that wait."""
+        self.revision += 1
+        self._put({"Key": key, "Rev": self.revision, "Removed": True})
+
+    def _put(self, item):
+        key = item["Key"]
+        self._item_by_key[key] = item
         for transfer, event in list(self._waiting):
             if key.startswith(transfer.query["Prefix"]):
                 event.set()
@@ -156,20 +165,26 @@
         """Returns the status and the reply to a request."""
         await asyncio.sleep(ROUND_TRIP_SECONDS)
         query = transfer.query
-        failure = self.failure_by_prefix.get("" if query["Prefix"] != "op/" else "op/")
-        if failure == "silence":
-            await asyncio.sleep(1e6)
+        failure = await self._fail(query)
         if failure is not None:
             return int(failure.removeprefix("status ")), {}
         if path == "/api/kv-range":
             return 200, self._make_page(query)
         return await self._watch(transfer)
 
+    async def _fail(self, query):
+        """Returns how requests for a prefix fail, or never; None if they do not."""
+        failure = self.failure_by_prefix.get("op/" if query["Prefix"] == "op/" else "")
+        if failure == "silence":
+            await asyncio.sleep(1e6)
+        return failure
+
     def _make_page(self, query):
         keys = sorted(
             key
             for key in self._item_by_key
             if key.startswith(query["Prefix"]) and key > query.get("after", "")
+            if "Removed" not in self._item_by_key[key]
         )
         items = [self._item_by_key[key] for key in keys[:PAGE_ITEMS]]
         return {
@@ -194,6 +209,8 @@
             pass
         finally:
             self._waiting.discard(waiter)
+        # A reply to a watch that waits is lost as well.
+        await self._fail(query)
         changes = self._changes(query["Prefix"], after)
         return 200, {"events": changes, "CurrentRev": self.revision}
 
@@ -237,6 +254,19 @@
     context.written_at_by_key[written] = asyncio.get_running_loop().time()
 
 
+def remove(context, key):
+    """Removes an item and records when."""
+    context.store.remove(key)
+    written = (key, context.store.revision)
+    context.written_at_by_key[written] = asyncio.get_running_loop().time()
+
+
+@when("the store answers again from {at_ms:d} ms")
+def answer_again(context, at_ms):
+    """Ends all failures."""
+    add_action(context, at_ms, lambda: context.store.failure_by_prefix.clear())
+
+
 @when("{count:d} servers are written at once every {interval_ms:d} ms until {end_ms:d} ms")
 def write_servers(context, count, interval_ms, end_ms):
     """Writes many servers, as a repartitioning does."""
--- a/monsoonhoist/client.py
+++ b/monsoonhoist/client.py
@@ -157,6 +157,7 @@
         f" {'connected' if member.connected else 'not connected'}"
         for member in instance_status.members
     )
+    lines.extend(f"  zone  {zone} evacuated" for zone in instance_status.evacuated_zones)
     lines.extend(f"  finding  {finding}" for finding in instance_status.findings)
     return lines
 
--- a/monsoonhoist/core/data.py
+++ b/monsoonhoist/core/data.py
@@ -248,10 +248,17 @@
 
 
 class Tables(msgspec.Struct, frozen=True):
-    """The route and pool tables in force, built from the accepted table values."""
+    """The tables in force, built from the accepted table values.
+
+    Attributes:
+        route_by_id: The routes.
+        pool_by_id: The pools.
+        evacuated_zones: Availability zones whose backend servers receive nothing new.
+    """
 
     route_by_id: dict[RouteId, Route]
     pool_by_id: dict[PoolId, Pool]
+    evacuated_zones: frozenset[ZoneId] = frozenset()
 
 
 class Member(msgspec.Struct, frozen=True, array_like=True):
--- a/monsoonhoist/fleet/warming.py
+++ b/monsoonhoist/fleet/warming.py
@@ -20,9 +20,10 @@
 ) -> tuple[data.Server, ...]:
     """Returns the servers to which an instance opens connections ahead.
 
-    These are the servers, without leaving ones, of the shards that the instance owns in its cell,
-    in pools of at least ``SHARDS_MIN`` shards; none if there are fewer than ``CELLS_MIN`` cells. Of
-    a shard with servers in the instance's own availability zone, only those are selected.
+    These are the servers, without leaving and evacuated ones, of the shards that the instance owns
+    in its cell, in pools of at least ``SHARDS_MIN`` shards; none if there are fewer than
+    ``CELLS_MIN`` cells. Of a shard with servers in the instance's own availability zone, only those
+    are selected.
 
     Args:
         view: Current tables and live instances.
@@ -32,6 +33,7 @@
     if view.cells < CELLS_MIN:
         return ()
     instances = view.cell or view.instances
+    evacuated_zones = view.tables.evacuated_zones
     own_zone = view.topology.zone_by_instance.get(instance)
     return tuple(
         server
@@ -39,7 +41,14 @@
         if len(pool.servers_by_service) >= SHARDS_MIN
         for service, servers in pool.servers_by_service.items()
         if policy.owners(pool.pool_id, service, instances)[0] == instance
-        for server in _nearest([server for server in servers if not server.leaving], own_zone)
+        for server in _nearest(
+            [
+                server
+                for server in servers
+                if not server.leaving and server.zone not in evacuated_zones
+            ],
+            own_zone,
+        )
     )
 
 
--- a/monsoonhoist/node/config_service.py
+++ b/monsoonhoist/node/config_service.py
@@ -8,7 +8,7 @@
 import datetime
 import logging
 import urllib.parse
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 import msgspec
 
@@ -17,7 +17,7 @@
 from monsoonhoist.fleet import membership
 from monsoonhoist.node import curl, dialect, http_fetch, replication
 from monsoonhoist.protocol import messages
-from monsoonhoist.tables import store
+from monsoonhoist.tables import native, store
 
 CONNECT_TIMEOUT = datetime.timedelta(seconds=1)
 READ_TIMEOUT = datetime.timedelta(seconds=5)
@@ -26,6 +26,8 @@
 MS_PER_SECOND = 1000
 # Longest part of an entry that cannot be read, in the log.
 LOGGED_BYTES_MAX = 200
+# Text in place of the value of an evacuation, which is not fetched.
+EVACUATION_TEXT = "{}"
 STATUS_OK = 200
 # Statuses that say that the service is overloaded, not that a value cannot be read.
 STATUSES_OF_LOAD = (408, 429)
@@ -158,12 +160,18 @@
     async def read(self, table_store: store.TableStore) -> replication.Reading:
         """Waits for a change and returns the values that are newer than the store's.
 
-        A value that cannot be read is left out and requested again by the next call.
+        A value that cannot be read is left out and requested again by the next call. Changed
+        evacuations are returned by themselves, ahead of all other values.
         """
         revision_index = await self._client.watch(self._index, self._wait_max)
+        changes = tuple(_find_evacuation_changes(revision_index, table_store))
+        if changes:
+            # They do not wait for other values, which the next call reads by the same index.
+            return replication.Reading(changes, is_complete=False)
         values = []
         for key, number in sorted(revision_index.number_by_key.items()):
-            if table_store.has_processed(key, number):
+            is_evacuation = key.startswith(native.EVACUATION_KEY_PREFIX)
+            if is_evacuation or table_store.has_processed(key, number):
                 continue
             try:
                 values.append(await self._client.fetch_value(key))
@@ -219,6 +227,26 @@
             await asyncio.sleep(self._period.total_seconds())
 
 
+def _find_evacuation_changes(
+    revision_index: RevisionIndex, table_store: store.TableStore
+) -> Iterator[messages.TableValue]:
+    """Yields the evacuations that were added or removed.
+
+    Only the presence of their keys counts, so that no value is fetched. They are numbered by the
+    index of the service, which rises with each change: a stale index then replaces nothing.
+    """
+    present = {
+        key for key in revision_index.number_by_key if key.startswith(native.EVACUATION_KEY_PREFIX)
+    }
+    in_force = {
+        key for key in table_store.nonempty_keys() if key.startswith(native.EVACUATION_KEY_PREFIX)
+    }
+    for key in sorted(present ^ in_force):
+        text = EVACUATION_TEXT if key in present else ""
+        if not table_store.has_processed(key, revision_index.index):
+            yield messages.TableValue(key, revision_index.index, text)
+
+
 def _check_status(url: str, reply: curl.HttpReply) -> None:
     """Raises ``ConfigServiceError`` unless the reply has the status 200."""
     if reply.status != STATUS_OK:
--- a/monsoonhoist/node/gauges.py
+++ b/monsoonhoist/node/gauges.py
@@ -31,6 +31,12 @@
         "s",
         lambda: _read_report_age(local_node.latest_read_report()),
     )
+    add_gauge(
+        "evacuated_zones",
+        "Availability zones whose backend servers receive nothing new",
+        "",
+        lambda: {metrics.NO_LABELS: len(local_node.replicator.store.tables.evacuated_zones)},
+    )
     add_gauge(
         "active",
         "Requests and calls in flight",
--- a/monsoonhoist/node/node.py
+++ b/monsoonhoist/node/node.py
@@ -110,6 +110,7 @@
             self.send,
             self._streams.gossiping_instances,
             lambda: self._view_publisher.refresh(),
+            self.latest_read_report,
         )
         self._listing = self.dialect.make_listing(self._driver, self.counters, self._handle_listed)
         self._member_gossip = member_gossip.MemberGossip(
--- a/monsoonhoist/node/replication.py
+++ b/monsoonhoist/node/replication.py
@@ -22,7 +22,7 @@
 
 from monsoonhoist import errors, metrics
 from monsoonhoist.core import clock, data
-from monsoonhoist.node import value_requests
+from monsoonhoist.node import evacuation_log, value_requests
 from monsoonhoist.protocol import messages
 from monsoonhoist.tables import store
 
@@ -98,6 +98,7 @@
         send: Sends a message to an instance.
         connected_instances: Returns the instances whose streams are up; announcements go to them.
         on_change: Called after new values have been applied.
+        latest_read: Returns the latest known read of the configuration service, for the log.
 
     Attributes:
         store: Current values.
@@ -112,6 +113,7 @@
         send: Callable[[data.InstanceId, messages.Message], bool],
         connected_instances: Callable[[], tuple[data.InstanceId, ...]],
         on_change: Callable[[], None],
+        latest_read: Callable[[], messages.ConfigReadReport | None] = lambda: None,
     ):
         self.store = store.TableStore(table_format)
         self.changed_at: float | None = None
@@ -120,6 +122,7 @@
         self._send = send
         self._connected_instances = connected_instances
         self._on_change = on_change
+        self._evacuation_log = evacuation_log.EvacuationLog(table_format, latest_read)
         self._digest = self.store.digest()
         self._is_operator_key = table_format.is_operator_key
         self._requests = value_requests.ValueRequests(
@@ -147,6 +150,7 @@
         self._digest = self.store.digest()
         self._on_change()
         revisions = [self.store.revision_by_key[key] for key in accepted]
+        self._evacuation_log.record(revisions, self.store.tables, source)
         for instance in self._connected_instances():
             self._send_revisions(instance, revisions)
 
--- a/monsoonhoist/node/status.py
+++ b/monsoonhoist/node/status.py
@@ -4,6 +4,7 @@
 
 from monsoonhoist.core import data
 from monsoonhoist.node import node
+from monsoonhoist.tables import evacuations
 
 
 class KeyStatus(msgspec.Struct, frozen=True):
@@ -51,7 +52,9 @@
         keys: Keys of the current tables.
         members: Other instances.
         pools: Pools of the current tables.
-        findings: A message for each route whose pool is not defined.
+        findings: A message for each route whose pool is not defined, and for each evacuated zone
+            without servers.
+        evacuated_zones: Availability zones whose backend servers receive nothing new.
     """
 
     instance: data.InstanceId
@@ -63,6 +66,7 @@
     members: tuple[MemberStatus, ...]
     pools: tuple[PoolStatus, ...]
     findings: tuple[str, ...]
+    evacuated_zones: tuple[data.ZoneId, ...] = ()
 
 
 def make_status(local_node: "node.Node") -> Status:
@@ -93,7 +97,12 @@
             f"route {route.route_id}: the pool {route.pool!r} is not defined"
             for route in store.tables.route_by_id.values()
             if route.pool not in store.tables.pool_by_id
+        )
+        + tuple(
+            f"zone {zone}: evacuated, but no pool has a server in it"
+            for zone in evacuations.zones_without_servers(store.tables)
         ),
+        evacuated_zones=tuple(sorted(store.tables.evacuated_zones)),
     )
 
 
--- a/monsoonhoist/node/warmup.py
+++ b/monsoonhoist/node/warmup.py
@@ -67,6 +67,11 @@
             for address, checked_at in self._checked_at_by_address.items()
             if now - checked_at < CHECK_INTERVAL_SECONDS
         }
+        evacuated_zones = message.tables.evacuated_zones
+        if evacuated_zones:
+            self._pending_servers = collections.deque(
+                server for server in self._pending_servers if server.zone not in evacuated_zones
+            )
         for server in servers:
             if server.address not in self._checked_at_by_address:
                 self._checked_at_by_address[server.address] = now
--- a/monsoonhoist/platform/reader.py
+++ b/monsoonhoist/platform/reader.py
@@ -16,6 +16,7 @@
 from monsoonhoist.node import curl, http_fetch, range_reader, replication
 from monsoonhoist.platform import wire_names
 from monsoonhoist.protocol import messages
+from monsoonhoist.tables import evacuations
 
 CONNECT_TIMEOUT = datetime.timedelta(seconds=1)
 READ_TIMEOUT = datetime.timedelta(seconds=2)
@@ -25,6 +26,8 @@
 # the calls to the store grow by less than a tenth in a calm hour.
 OPERATOR_WATCH_DURATION = datetime.timedelta(seconds=25)
 RETRY_DELAY = datetime.timedelta(milliseconds=500)
+# Longest value of an evacuation that is passed on; a longer one counts as unreadable.
+EVACUATION_VALUE_LENGTH_MAX = 4096
 MS_PER_SECOND = 1000
 STATUS_OK = 200
 STATUS_HISTORY_GONE = 410
@@ -165,12 +168,15 @@
     return tuple(
         _make_table_value(item)
         for item in items
-        if item.key == wire_names.CONFIG_KEY or item.key.startswith(wire_names.SERVER_KEY_PREFIX)
+        if item.key == wire_names.CONFIG_KEY or wire_names.is_removable(item.key)
     )
 
 
 def _make_table_value(item: Item) -> messages.TableValue:
-    """Converts an item to a table value, empty if the item is not base64-encoded UTF-8 text."""
+    """Converts an item to a table value, empty if the item is not base64-encoded UTF-8 text.
+
+    An evacuation is in force as long as its key is present, whatever its value is.
+    """
     text = ""
     if not item.removed:
         try:
@@ -178,4 +184,7 @@
         # The base class of the errors of base64 and of UTF-8.
         except ValueError as error:
             _log.error("item that cannot be read", extra={"key": item.key, "error": str(error)})
+        is_evacuation = item.key.startswith(wire_names.EVACUATION_KEY_PREFIX)
+        if is_evacuation and not 0 < len(text) <= EVACUATION_VALUE_LENGTH_MAX:
+            text = evacuations.UNREADABLE_TEXT
     return messages.TableValue(data.TableKey(item.key), item.rev, text)
--- a/monsoonhoist/platform/store_format.py
+++ b/monsoonhoist/platform/store_format.py
@@ -8,7 +8,7 @@
 from monsoonhoist import decoding, errors
 from monsoonhoist.core import data, diagnostics, hashing
 from monsoonhoist.platform import store_records, wire_names
-from monsoonhoist.tables import store
+from monsoonhoist.tables import evacuations, store
 
 # Rank of a route by its priority, which starts at 0 for the most urgent.
 RANK_BY_PRIORITY = data.RANK_ORDER
@@ -36,10 +36,19 @@
         """Returns whether a key is the configuration or another one that operators write."""
         return key.startswith(wire_names.OPERATOR_KEY_PREFIX)
 
+    def evacuated_zone(self, key: data.TableKey) -> data.ZoneId | None:
+        """Returns the availability zone that a key evacuates, or None."""
+        if not key.startswith(wire_names.EVACUATION_KEY_PREFIX):
+            return None
+        return data.ZoneId(key.removeprefix(wire_names.EVACUATION_KEY_PREFIX))
+
     def parse(self, key: data.TableKey, file: str, text: str) -> store.ParsedValue:
         """Parses a value; only a malformed configuration has findings and is rejected."""
         if key.startswith(wire_names.SERVER_KEY_PREFIX):
             return _parse_server(key, file, text)
+        zone = self.evacuated_zone(key)
+        if zone is not None:
+            return evacuations.parse(zone, file, text)
         if key != wire_names.CONFIG_KEY:
             return store.ParsedValue(())
         if len(text.encode()) > store.VALUE_BYTES_MAX:
@@ -77,7 +86,10 @@
             pool_id: _replace_servers(pool, servers_by_service)
             for pool_id, pool in tables.pool_by_id.items()
         }
-        return data.Tables(tables.route_by_id, pool_by_id)
+        zones = tables.evacuated_zones
+        if any(key.startswith(wire_names.EVACUATION_KEY_PREFIX) for key in changed_keys):
+            zones = evacuations.find_zones(content_by_key)
+        return data.Tables(tables.route_by_id, pool_by_id, zones)
 
     def _build_tables(
         self, config: store_records.ConfigValue, content_by_key: Mapping[data.TableKey, object]
@@ -100,7 +112,7 @@
             data.RouteId(route_config.name): _make_route(route_config, self._hedge_budget)
             for route_config in config.routes
         }
-        return data.Tables(route_by_id, pool_by_id)
+        return data.Tables(route_by_id, pool_by_id, evacuations.find_zones(content_by_key))
 
     def _update_keys_by_service(
         self,
--- a/monsoonhoist/platform/wire_names.py
+++ b/monsoonhoist/platform/wire_names.py
@@ -25,6 +25,8 @@
 
 CONFIG_KEY = "op/config"
 SERVER_KEY_PREFIX = "servers/"
+# Prefix of the keys that each evacuate the availability zone that they name.
+EVACUATION_KEY_PREFIX = "op/evacuate/"
 # Prefix of the keys that operators write, and the prefix that covers every key.
 OPERATOR_KEY_PREFIX = "op/"
 ALL_KEYS_PREFIX = ""
@@ -49,4 +51,4 @@
 
 def is_removable(key: str) -> bool:
     """Returns whether a key that the store no longer lists is out of force."""
-    return key.startswith(SERVER_KEY_PREFIX)
+    return key.startswith((SERVER_KEY_PREFIX, EVACUATION_KEY_PREFIX))
--- a/monsoonhoist/queries/entry.py
+++ b/monsoonhoist/queries/entry.py
@@ -130,8 +130,8 @@
         if pool is None or not pool.servers_by_service:
             detail = f"the pool {pool_id!r} is not defined"
             return _refuse(event, data.Refusal.POOL_NOT_DEFINED, detail)
-        if not any(pool.servers_by_service.values()):
-            detail = f"the pool {pool_id!r} has no server"
+        if not plan.has_servers(self._tables, route, pool):
+            detail = f"the pool {pool_id!r} has too few servers"
             return _refuse(event, data.Refusal.NO_SERVER, detail)
         if not self._pool_states.admission_for(pool_id).admit(route.rank):
             detail = f"too much {route.rank.value} work for the pool {pool_id!r}"
--- a/monsoonhoist/queries/plan.py
+++ b/monsoonhoist/queries/plan.py
@@ -23,6 +23,8 @@
 # Upper bound of the sum of both margins, as a share of the goal.
 GOAL_MARGIN_MAX_SHARE = 0.4
 MS_PER_SECOND = 1000
+# Permitted error when a product of a share and a count is compared with a count.
+ROUNDING_TOLERANCE = 1e-9
 
 
 def make_query(
@@ -78,6 +80,25 @@
     )
 
 
+def has_servers(tables: data.Tables, route: data.Route, pool: data.Pool) -> bool:
+    """Returns whether enough shards of a pool have a server outside the evacuated zones.
+
+    A query that cannot reach its minimum coverage is then refused before any server is called.
+    """
+    zones = tables.evacuated_zones
+    if not zones:
+        return any(pool.servers_by_service.values())
+    served_count = sum(
+        any(server.zone not in zones for server in servers)
+        for servers in pool.servers_by_service.values()
+    )
+    # With a defined snapshot, each shard has exactly one key; else its keys are not known.
+    needed_count = 1.0
+    if pool.snapshot and route.repeatable:
+        needed_count = max(1.0, pool.key_space * route.minimum_coverage - ROUNDING_TOLERANCE)
+    return served_count >= needed_count
+
+
 def _service_for(
     request: exchange.CallerRequest, services: tuple[data.ServiceId, ...]
 ) -> data.ServiceId:
--- a/monsoonhoist/shards/server.py
+++ b/monsoonhoist/shards/server.py
@@ -62,6 +62,7 @@
         self._wait_until = 0.0
         self._leaving_since: float | None = None
         self._is_unlisted = False
+        self._is_evacuated = False
         self._slowness = ADDED_SERVER_SLOWNESS if is_added else 1.0
         self._slowness_updated_at = -math.inf
         self._failure_share = 0.0
@@ -101,11 +102,26 @@
         self._leaving_since = None
         if self._is_unlisted:
             self._is_unlisted = False
-            self._slowness = ADDED_SERVER_SLOWNESS
-            self._slowness_updated_at = -math.inf
-            self._failure_share = 0.0
-            self._backoff_until = 0.0
-            self._consecutive_failures = 0
+            self._forget_health()
+
+    def set_evacuated(self, is_evacuated: bool) -> None:
+        """Records whether the server's zone is evacuated, so that it receives nothing new.
+
+        A server that is back in service counts as added, with the limit of its first call.
+        """
+        if self._is_evacuated and not is_evacuated:
+            self._forget_health()
+            self._limit = 1
+            self._successes = 0
+        self._is_evacuated = is_evacuated
+
+    def _forget_health(self) -> None:
+        """Discards what was learned of a server that was out of service."""
+        self._slowness = ADDED_SERVER_SLOWNESS
+        self._slowness_updated_at = -math.inf
+        self._failure_share = 0.0
+        self._backoff_until = 0.0
+        self._consecutive_failures = 0
 
     def is_available(self, now: float) -> bool:
         """Returns whether new calls may be sent to the server."""
@@ -118,7 +134,12 @@
         return now - self._leaving_since < grace_seconds
 
     def available_at(self) -> float:
-        """Returns when backoff, draining and requested wait end, in monotonic seconds."""
+        """Returns when backoff, draining and requested wait end, in monotonic seconds.
+
+        The time is infinite while the server's zone is evacuated.
+        """
+        if self._is_evacuated:
+            return math.inf
         return max(self._backoff_until, self._draining_until, self._wait_until)
 
     @property
@@ -126,6 +147,11 @@
         """Whether the table marks the server as leaving or no longer lists it."""
         return self._leaving_since is not None
 
+    @property
+    def is_evacuated(self) -> bool:
+        """Whether the server's zone is evacuated."""
+        return self._is_evacuated
+
     def has_capacity(self) -> bool:
         """Returns whether one more call in flight is within the limit."""
         return len(self.started_at_by_call_id) < self._limit
--- a/monsoonhoist/shards/shard.py
+++ b/monsoonhoist/shards/shard.py
@@ -64,7 +64,11 @@
         return servers is self._servers and len(self.server_by_id) == len(servers)
 
     def update(
-        self, servers: tuple[data.Server, ...], share: limits.LimitShare, now: float
+        self,
+        servers: tuple[data.Server, ...],
+        share: limits.LimitShare,
+        now: float,
+        evacuated_zones: frozenset[data.ZoneId] = frozenset(),
     ) -> None:
         """Applies the shard's servers from a newer table.
 
@@ -76,6 +80,7 @@
             servers: The servers of the table.
             share: Share of the servers' limits that this instance may use.
             now: The time, in monotonic seconds.
+            evacuated_zones: Zones whose servers receive nothing new, not even as a last resort.
         """
         self._servers = servers
         state_by_id: dict[data.ServerId, server.ServerState] = {}
@@ -86,11 +91,13 @@
                 state = server.ServerState(record, limit_max, bool(self.server_by_id))
             else:
                 state.update(record, limit_max)
+            state.set_evacuated(record.zone in evacuated_zones)
             self._apply_notice(state, now)
             state_by_id[record.server_id] = state
         for server_id, state in self.server_by_id.items():
             if server_id not in state_by_id:
                 state.mark_unlisted(now)
+                state.set_evacuated(state.server.zone in evacuated_zones)
                 if state.is_last_resort(now, self._leaving_grace_seconds):
                     state_by_id[server_id] = state
         self.server_by_id = state_by_id
@@ -136,11 +143,11 @@
             self.queued_count -= 1
 
     def holdings(self) -> tuple[data.Holding, ...]:
-        """Returns the snapshots held by the servers that are not leaving, newest first."""
+        """Returns the snapshots of servers neither leaving nor evacuated, newest first."""
         holding_by_snapshot = {
             holding.snapshot: holding
             for state in self.server_by_id.values()
-            if not state.is_leaving
+            if not (state.is_leaving or state.is_evacuated)
             for holding in state.holdings
         }
         return tuple(
--- a/monsoonhoist/shards/shard_table.py
+++ b/monsoonhoist/shards/shard_table.py
@@ -52,7 +52,7 @@
         state = shard.ShardState(pool_id, service, queue, grace, self.notices)
         state.keys = shard.fixed_keys(pool, service)
         # It is unknown when leaving servers began to leave; their grace period counts as over.
-        state.update(servers, self._limit_share, -math.inf)
+        state.update(servers, self._limit_share, -math.inf, self._tables.evacuated_zones)
         self._state_by_key[pool_id, service] = state
         return state
 
@@ -60,14 +60,16 @@
         self, tables: data.Tables, limit_share: limits.LimitShare, now: float
     ) -> list[shard.ShardState]:
         """Applies newer tables and returns the shards that have changed."""
+        zones = tables.evacuated_zones
+        is_same_for_all = limit_share == self._limit_share and zones == self._tables.evacuated_zones
         self._tables = tables
         changed: list[shard.ShardState] = []
         for key, state in self._state_by_key.items():
             pool = tables.pool_by_id.get(key[0])
             servers = pool.servers_by_service.get(key[1], ()) if pool else ()
-            if limit_share != self._limit_share or not state.is_current(servers):
+            if not is_same_for_all or not state.is_current(servers):
                 state.keys = shard.fixed_keys(pool, key[1]) if pool else state.keys
-                state.update(servers, limit_share, now)
+                state.update(servers, limit_share, now, zones)
                 changed.append(state)
         self._limit_share = limit_share
         return changed
--- a/monsoonhoist/tables/native.py
+++ b/monsoonhoist/tables/native.py
@@ -3,7 +3,10 @@
 from collections.abc import Collection, Mapping
 
 from monsoonhoist.core import data, diagnostics
-from monsoonhoist.tables import pools, routes, store
+from monsoonhoist.tables import evacuations, pools, routes, store
+
+# Prefix of the keys that each evacuate the availability zone that they name.
+EVACUATION_KEY_PREFIX = "evacuate/"
 
 
 class NativeFormat(store.TableFormat):
@@ -17,6 +20,12 @@
         """Parses and validates a value."""
         return parse(key, file, text)
 
+    def evacuated_zone(self, key: data.TableKey) -> data.ZoneId | None:
+        """Returns the availability zone that a key evacuates, or None."""
+        if not key.startswith(EVACUATION_KEY_PREFIX):
+            return None
+        return data.ZoneId(key.removeprefix(EVACUATION_KEY_PREFIX))
+
     def update_tables(
         self,
         content_by_key: Mapping[data.TableKey, object],
@@ -35,7 +44,10 @@
                 if pools.is_pool_key(key) and pools.pool_id_of(key) == pool_id
             ]
             pool_by_id[pool_id] = pools.merge_parts(pool_id, parts)
-        return data.Tables(route_by_id, pool_by_id)
+        zones = tables.evacuated_zones
+        if any(key.startswith(EVACUATION_KEY_PREFIX) for key in changed_keys):
+            zones = evacuations.find_zones(content_by_key)
+        return data.Tables(route_by_id, pool_by_id, zones)
 
 
 def parse(key: data.TableKey, file: str, text: str) -> store.ParsedValue:
@@ -49,5 +61,8 @@
     if pools.is_pool_key(key):
         part = pools.parse(key, file, text)
         return store.ParsedValue(part.findings, part)
-    message = f"the key {key!r} is neither routes nor a pool"
+    if key.startswith(EVACUATION_KEY_PREFIX):
+        zone = data.ZoneId(key.removeprefix(EVACUATION_KEY_PREFIX))
+        return evacuations.parse(zone, file, text)
+    message = f"the key {key!r} is neither routes nor a pool, and evacuates no zone"
     return store.ParsedValue((diagnostics.Finding(diagnostics.Place(file), message),))
--- a/monsoonhoist/tables/store.py
+++ b/monsoonhoist/tables/store.py
@@ -93,6 +93,10 @@
         """Returns whether operators write a key; its values do not wait behind those of others."""
         return False
 
+    def evacuated_zone(self, key: data.TableKey) -> data.ZoneId | None:
+        """Returns the availability zone that a key evacuates, or None."""
+        return None
+
     @abc.abstractmethod
     def update_tables(
         self,
