Document evacuations, and check zones before they are evacuated

A scenario of platform.feature evacuates the zone of all servers of the stand-in and puts it back after the store has discarded its history.

--- a/features/check.feature
+++ b/features/check.feature
@@ -61,6 +61,31 @@
       | routes.ini:9: | sections must be named [route NAME]         |
       | routes.ini:0: | the pool 'nowhere' is not among             |
 
+  Scenario: Zones are checked before they are evacuated
+    Given a file "pool.ini" with
+      """
+      [pool]
+      key_space = 100
+      [server a]
+      service = s
+      address = 127.0.0.1:1
+      zone = z1
+      slots = 2
+      connections = 2
+      [server b]
+      service = t
+      address = 127.0.0.1:2
+      zone = z2
+      slots = 2
+      connections = 2
+      """
+    When the operator checks "--pool here=pool.ini --evacuated z1 --evacuated z9"
+    Then the exit code is 1
+    And the findings are
+      | place        | words                                                      |
+      | evacuate/z9: | no pool has a server in it                                 |
+      | pool/here:   | all servers of the shard 's' are in zones to be evacuated  |
+
   Scenario Outline: The examples have no findings
     When the operator checks the example "<example>"
     Then the exit code is 0
--- a/features/environment.py
+++ b/features/environment.py
@@ -84,7 +84,8 @@
             ):
                 context.fleet.set_state(name, "ready")
         context.fleet.store.fault = ""
-        for key in [key for key in context.fleet.store.item_by_key if key.startswith("other/")]:
+        own_prefixes = ("other/", "op/evacuate/")
+        for key in [key for key in context.fleet.store.item_by_key if key.startswith(own_prefixes)]:
             context.fleet.call_in_thread(lambda key=key: context.fleet.store.remove(key))
         context.fleet.publish()
 
--- a/features/platform.feature
+++ b/features/platform.feature
@@ -226,6 +226,24 @@
     And the operator adds the route "/new/"
     Then "/new/x" is answered with 200 at the instances 1 to 3 within 3 s
 
+  Scenario: The zone of all servers is evacuated and put back in service
+    When the operator evacuates the zone "z1"
+    Then "/record/x" is answered with 503 at the instances 1 to 3 within 3 s
+    When the operator requests the status of all instances
+    Then the status lists "op/evacuate/z1" at 3 instances
+    And the status says that the zone "z1" is evacuated
+    When the caller sends "GET" "/record/x"
+    Then the answer states when to retry
+    And the answer arrived within 500 ms
+    And the request has not run
+    When the caller sends "GET" "/find/x"
+    Then the status is 503
+    And the request has not run
+    When the store discards its history
+    And the operator puts the zone "z1" back in service
+    Then "/record/x" is answered with 200 at the instances 1 to 3 within 3 s
+    And an instance has logged "zone evacuated" and "zone back in service"
+
   Scenario Outline: The store is unavailable for a while
     When the store has the fault "<fault>" for 2500 ms
     And the caller sends 6 requests "GET" "/record/x"
--- a/features/steps/platform_actions.py
+++ b/features/steps/platform_actions.py
@@ -184,6 +184,18 @@
     add_route(context, prefix)
 
 
+@when('the operator evacuates the zone "{zone}"')
+def evacuate_zone(context, zone):
+    """Writes the key of an evacuation to the store."""
+    context.fleet.call_in_thread(lambda: context.fleet.store.put(f"op/evacuate/{zone}", b"{}"))
+
+
+@when('the operator puts the zone "{zone}" back in service')
+def put_zone_back(context, zone):
+    """Removes the key of an evacuation from the store."""
+    context.fleet.call_in_thread(lambda: context.fleet.store.remove(f"op/evacuate/{zone}"))
+
+
 @when("the store discards its history")
 def discard_history(context):
     """Discards the history that running watches of the store need."""
@@ -259,6 +271,13 @@
     )
 
 
+@then('the status says that the zone "{zone}" is evacuated')
+def check_status_zone(context, zone):
+    """Checks that the status of each instance names the zone."""
+    lines = [line.split() for line in context.completed.stdout.splitlines()]
+    assert lines.count(["zone", zone, "evacuated"]) == 3, context.completed.stdout
+
+
 @then('the status lists "{key}" at {count:d} instances')
 def check_status_keys(context, key, count):
     """Checks that the status of each instance contains the key."""
--- a/features/steps/platform_checks.py
+++ b/features/steps/platform_checks.py
@@ -204,6 +204,13 @@
     assert any(name in json.dumps(line.get("findings", "")) for line in lines)
 
 
+@then('an instance has logged "{first}" and "{second}"')
+def check_log_messages(context, first, second):
+    """Searches the instances' logs for two messages."""
+    logged = {line.get("message") for number in range(1, 4) for line in context.fleet.log(number)}
+    assert {first, second} <= logged, sorted(filter(None, logged))
+
+
 @then("the servers' work on it ends within {ms:d} ms")
 def check_work_ended(context, ms):
     """Waits until all servers that received the request have detected the closed connection."""
--- a/monsoonhoist/cli.py
+++ b/monsoonhoist/cli.py
@@ -74,6 +74,10 @@
     pool: Annotated[
         list[str] | None, typer.Option(help="NAME=FILE of a pool; may be repeated.")
     ] = None,
+    evacuated: Annotated[
+        list[str] | None,
+        typer.Option(help="Zone to be evacuated; may be repeated. Needs the pools."),
+    ] = None,
 ) -> None:
     """Check settings and tables and show every finding.
 
@@ -85,7 +89,8 @@
             settings.load(settings_path)
         except errors.SettingsError as error:
             findings.extend(error.findings)
-    findings.extend(review.review_files(routes, tuple(pool or ())))
+    zones = tuple(data.ZoneId(zone) for zone in evacuated or ())
+    findings.extend(review.review_files(routes, tuple(pool or ()), zones))
     _print_findings(findings)
     if findings:
         raise typer.Exit(EXIT_FINDINGS)
--- a/monsoonhoist/tables/review.py
+++ b/monsoonhoist/tables/review.py
@@ -7,13 +7,16 @@
 
 
 def review_files(
-    routes_path: pathlib.Path | None, pool_specs: tuple[str, ...]
+    routes_path: pathlib.Path | None,
+    pool_specs: tuple[str, ...],
+    evacuated_zones: tuple[data.ZoneId, ...] = (),
 ) -> tuple[diagnostics.Finding, ...]:
     """Returns all errors in the files, including routes whose pool is not among the files.
 
     Args:
         routes_path: File with the table of routes, or None.
         pool_specs: ``NAME=FILE`` for each pool. Without any, the pools of routes are not checked.
+        evacuated_zones: Availability zones that are to be evacuated.
     """
     findings: list[diagnostics.Finding] = []
     parts: list[pools.PoolPart] = []
@@ -38,9 +41,37 @@
             findings.extend(parsed.findings)
             if pool_specs and isinstance(parsed.content, routes.RoutesTable):
                 findings.extend(_find_undefined_pools(str(routes_path), parsed.content, parts))
+    findings.extend(_find_evacuation_problems(evacuated_zones, parts))
     return tuple(findings)
 
 
+def _find_evacuation_problems(
+    zones: tuple[data.ZoneId, ...], parts: list[pools.PoolPart]
+) -> list[diagnostics.Finding]:
+    """Returns a finding for each zone without servers, and each shard without other servers."""
+    findings = [
+        diagnostics.Finding(
+            diagnostics.Place(f"{native.EVACUATION_KEY_PREFIX}{zone}"), "no pool has a server in it"
+        )
+        for zone in zones
+        if not any(server.zone == zone for part in parts for server in part.servers)
+    ]
+    zones_by_shard: dict[tuple[data.PoolId, data.ServiceId], set[data.ZoneId]] = {}
+    for part in parts:
+        for server in part.servers:
+            shard_zones = zones_by_shard.setdefault((part.pool_id, server.service), set())
+            shard_zones.add(server.zone)
+    findings.extend(
+        diagnostics.Finding(
+            diagnostics.Place(f"{pools.KEY_PREFIX}{pool_id}"),
+            f"all servers of the shard {service!r} are in zones to be evacuated",
+        )
+        for (pool_id, service), shard_zones in sorted(zones_by_shard.items())
+        if shard_zones <= set(zones)
+    )
+    return findings
+
+
 def _read_file(file: str, findings: list[diagnostics.Finding]) -> str | None:
     """Returns the text of a file, or None after adding a finding if it cannot be read."""
     try:
