--- a/monsoonhoist/node/node.py
+++ b/monsoonhoist/node/node.py
@@ -110,6 +110,7 @@
             self.send,
             self._streams.gossiping_instances,
             lambda: self._view_publisher.refresh(),
+            self.latest_read_report,
             self._streams.spread_instances,
             asyncio.get_running_loop().call_later,
         )
@@ -228,10 +229,8 @@
     @property
     def active(self) -> int:
         """Number of requests and calls in flight; a request counts in each task that holds it."""
-        owner = self._kernel.owner
-        entry = self._kernel.entry
-        pending = self.pending_queries.count
-        return pending + entry.active_queries + owner.active + self.ticket_runner.active
+        kernel_work = self._kernel.entry.active_queries + self._kernel.owner.active
+        return self.pending_queries.count + kernel_work + self.ticket_runner.active
 
     @property
     def view(self) -> events.ViewChanged | None:
