Let the loopback ports of test deployments follow from one base

Cause: the native deployments used 20000 to 22213 and the platform's 26000 and up, so two test runs on one machine failed with addresses in use. Change: standins/ports.py derives all ports from TEST_PORT_BASE, with today's ports as the default. The tables in examples/ stay; a deployment writes a copy with shifted addresses into its folder. FLEET_PORT_BASE keeps its meaning for the cases in review/.

--- a/features/steps/failures.py
+++ b/features/steps/failures.py
@@ -10,7 +10,7 @@
 from features import callers
 from monsoonhoist.core import data
 from monsoonhoist.protocol import messages
-from standins import site
+from standins import ports, site
 
 SOCKET_TIMEOUT_SECONDS = 10.0
 
@@ -133,7 +133,7 @@
 
 def connect_unknown_peer(context, number, payload):
     """Sends bytes to the peer port of an instance and stores the socket for the check."""
-    port = site.PEER_PORT_BASE + number
+    port = ports.PEER_PORT_BASE + number
     unknown_peer = socket.create_connection(("127.0.0.1", port), timeout=SOCKET_TIMEOUT_SECONDS)
     unknown_peer.sendall(payload)
     context.unknown_peers = [*getattr(context, "unknown_peers", []), unknown_peer]
--- a/features/steps/tables.py
+++ b/features/steps/tables.py
@@ -11,7 +11,7 @@
 from monsoonhoist.protocol import messages
 from monsoonhoist.tables import store
 from soak import native
-from standins import site
+from standins import ports, site
 
 SOCKET_TIMEOUT_SECONDS = 10.0
 
@@ -93,7 +93,7 @@
         messages.PackedTables((messages.pack_table(value),)),
         messages.Heartbeat(1, b""),
     )
-    port = site.PEER_PORT_BASE + instance
+    port = ports.PEER_PORT_BASE + instance
     with socket.create_connection(
         ("127.0.0.1", port), timeout=SOCKET_TIMEOUT_SECONDS
     ) as connection:
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -7,7 +7,6 @@
 import asyncio
 import http.client
 import json
-import os
 import pathlib
 import signal
 import subprocess
@@ -16,10 +15,9 @@
 import threading
 from collections.abc import Callable
 
-from standins import shards, site, store
+from standins import ports, shards, site, store
 
-# First port of a deployment; several deployments run side by side with different values.
-PORT_BASE = int(os.environ.get("FLEET_PORT_BASE", "26000"))
+PORT_BASE = ports.FLEET_PORT_BASE
 STORE_ADDRESS = ("127.0.2.1", PORT_BASE + 100)
 SERVER_HOST = "127.0.2.1"
 SERVER_PORT_BASE = PORT_BASE + 200
--- a/standins/site.py
+++ b/standins/site.py
@@ -16,12 +16,9 @@
 
 import msgspec
 
-from standins import relay
+from standins import ports, relay
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
-CONFIG_SERVICE_PORT = 20_000
-HTTP_PORT_BASE = 20_100
-PEER_PORT_BASE = 20_200
 TIMEOUT_SECONDS = 30.0
 POLL_INTERVAL_SECONDS = 0.02
 
@@ -106,7 +103,7 @@
 
     def start_config_service(self) -> None:
         """Starts the process of the configuration service and the instance list."""
-        command = [sys.executable, "-m", "standins.config_service", str(CONFIG_SERVICE_PORT)]
+        command = [sys.executable, "-m", "standins.config_service", str(ports.CONFIG_SERVICE_PORT)]
         self._spawn("config-service", command)
         self._wait_for(
             lambda: fetch(f"{config_service_url()}/v1/instances") is not None, "config-service"
@@ -149,7 +146,7 @@
 
     def pool_text(self, pool: str) -> str:
         """Returns a pool's table; a relayed server has the address of its relay, made on demand."""
-        path = ROOT / "examples" / self.options.example / "pools" / f"{pool}.ini"
+        path = self._pool_path(pool)
         text = path.read_text(encoding="utf-8")
         server = self.options.relayed_server
         address = read_addresses(path).get(server)
@@ -190,8 +187,8 @@
         return (
             f"[instance]\nname = node-{number}\ndeployment = {self.options.example}\n"
             f"zone = {self._zone(number)}\nhost = 127.0.0.1\n"
-            f"http_port = {HTTP_PORT_BASE + number}\npeer_port = {self._peer_port(number)}\n"
-            f"peer_listen_port = {PEER_PORT_BASE + number}\n"
+            f"http_port = {ports.HTTP_PORT_BASE + number}\npeer_port = {self._peer_port(number)}\n"
+            f"peer_listen_port = {ports.PEER_PORT_BASE + number}\n"
             f"[platform]\nconfig_url = {config_service_url()}\n"
             f"instances_url = {config_service_url()}/v1/instances\n{self.options.settings}"
         )
@@ -249,12 +246,11 @@
 
     def servers(self, pool: str) -> list[str]:
         """Returns the names of a pool's backend servers."""
-        path = ROOT / "examples" / self.options.example / "pools" / f"{pool}.ini"
-        return list(read_addresses(path))
+        return list(read_addresses(self._pool_path(pool)))
 
     def url(self, number: int) -> str:
         """Returns the base URL at which an instance serves callers."""
-        return f"http://127.0.0.1:{HTTP_PORT_BASE + number}"
+        return f"http://127.0.0.1:{ports.HTTP_PORT_BASE + number}"
 
     def send_query(self, number: int, route: str, query: str, **fields: object) -> dict:
         """Sends a request to an instance and returns the answer."""
@@ -277,10 +273,20 @@
         return code
 
     def pool_paths(self) -> list[pathlib.Path]:
-        """Returns the table files of the pools whose backend servers are started."""
+        """Returns the tables of the pools whose servers are started, with this run's ports."""
         folder = ROOT / "examples" / self.options.example / "pools"
         names = self.options.pools
-        return [path for path in sorted(folder.glob("*.ini")) if not names or path.stem in names]
+        pools = sorted(path.stem for path in folder.glob("*.ini"))
+        return [self._pool_path(pool) for pool in pools if not names or pool in names]
+
+    def _pool_path(self, pool: str) -> pathlib.Path:
+        """Returns a copy of a pool's table of the example, with this run's ports."""
+        copy = self.folder / f"{pool}.ini"
+        if not copy.exists():
+            path = ROOT / "examples" / self.options.example / "pools" / f"{pool}.ini"
+            text = ports.shift_addresses(path.read_text(encoding="utf-8"))
+            copy.write_text(text, encoding="utf-8")
+        return copy
 
     def stop(self) -> None:
         """Kills all processes that this object started, and closes the relays."""
@@ -305,10 +311,10 @@
     def _peer_port(self, number: int) -> int:
         """Returns the port for streams to an instance; that of its relay if it is relayed."""
         if number not in self.options.relayed_instances:
-            return PEER_PORT_BASE + number
+            return ports.PEER_PORT_BASE + number
         name = f"node-{number}"
         if name not in self.relay_by_name:
-            self.relay_by_name[name] = relay.Relay("127.0.0.1", PEER_PORT_BASE + number)
+            self.relay_by_name[name] = relay.Relay("127.0.0.1", ports.PEER_PORT_BASE + number)
         return self.relay_by_name[name].port
 
     def _zone(self, number: int) -> str:
@@ -338,7 +344,7 @@
 
 def config_service_url() -> str:
     """Returns the base URL of the configuration service."""
-    return f"http://127.0.0.1:{CONFIG_SERVICE_PORT}"
+    return f"http://127.0.0.1:{ports.CONFIG_SERVICE_PORT}"
 
 
 def fetch(url: str) -> str | None:
