Judge the soak by exit status and standard output, and close its stand-ins in order

Cause: features/soak.feature failed beside other load with 0 broken promises. is_clean read standard output and standard error as one text, and asyncio's streams of Python 3.11 write 'Exception in callback StreamReaderProtocol.connection_made ... CancelledError' for each connection whose task is cancelled. Fleet.stop cancelled the tasks of connections that had not ended yet, which happens when the machine is busy. Change: a run is judged by its exit status and its last line on standard output. ShardServer and the soak's proxies close their connections and wait for their tasks, and a clean run must write nothing to standard error. A failure shows the report without the plan, apart from the end of standard error. Evidence: on the old stand-ins the three new scenarios fail with that message.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -6,7 +6,18 @@
   Scenario: A short run breaks no promise
     When the soak test runs seed 3 for 14 s with 4 instances
     Then it ends with 0 broken promises
+    And it writes nothing to standard error
 
   Scenario: Seeds of past failures no longer break a promise
     When the soak test runs the seeds of past failures
     Then all of them end with 0 broken promises
+
+  Scenario Outline: The stand-ins close their connections in order (tracebacks failed a clean run)
+    When a server and a proxy before it are stopped with a connection that <state>
+    Then the event loop has reported no error
+
+    Examples:
+      | state             |
+      | is idle           |
+      | waits for a reply |
+      | was just opened   |
--- a/features/steps/soaking.py
+++ b/features/steps/soaking.py
@@ -4,24 +4,26 @@
 the import path while behave loads the steps.
 """
 
+import asyncio
 import pathlib
 import subprocess
 import sys
 
 from behave import then, when
 
-from soak import plan
-from standins import site
+from soak import plan, proxy
+from standins import shards, site
 
 SEEDS_PATH = pathlib.Path(__file__).resolve().parent.parent / "soak" / "seeds"
 RUN_TIMEOUT_SECONDS = 150
+ERROR_CHARS_MAX = 2000
 
 
 def run_seed(seed, seconds, instances):
-    """Runs the soak test with a seed and returns the output of the command."""
+    """Runs the soak test with a seed and returns the completed process."""
     command = [sys.executable, "-m", "soak", "--seed", str(seed)]
     command += ["--seconds", str(seconds), "--instances", str(instances)]
-    completed = subprocess.run(
+    return subprocess.run(
         command,
         cwd=site.ROOT,
         capture_output=True,
@@ -29,12 +31,13 @@
         check=False,
         timeout=RUN_TIMEOUT_SECONDS,
     )
-    return completed.stdout + completed.stderr
 
 
-def is_clean(output):
-    """Returns whether the output of a run reports no broken promise."""
-    return output.strip().endswith(" 0 broken promises")
+def describe(completed):
+    """Returns what a run printed, without its plan, and the end of what it reported as errors."""
+    lines = [line for line in completed.stdout.splitlines() if not line.startswith("    ")]
+    report = "\n".join(lines)
+    return f"exit status {completed.returncode}\n{report}\n{completed.stderr[-ERROR_CHARS_MAX:]}"
 
 
 @then("two plans of seed {first:d} are equal and the plan of seed {second:d} differs")
@@ -47,22 +50,73 @@
 @when("the soak test runs seed {seed:d} for {seconds:d} s with {instances:d} instances")
 def run_one_seed(context, seed, seconds, instances):
     """Runs the soak test with one seed."""
-    context.outputs = [run_seed(seed, seconds, instances)]
+    context.runs = [run_seed(seed, seconds, instances)]
 
 
 @when("the soak test runs the seeds of past failures")
 def run_failed_seeds(context):
     """Runs the soak test with each seed of the file of past failures."""
-    context.outputs = []
+    context.runs = []
     for line in SEEDS_PATH.read_text(encoding="utf-8").splitlines():
         if line and not line.startswith("#"):
             seed, seconds, instances = line.split()[:3]
-            context.outputs.append(run_seed(int(seed), int(seconds), int(instances)))
+            context.runs.append(run_seed(int(seed), int(seconds), int(instances)))
 
 
 @then("it ends with 0 broken promises")
 @then("all of them end with 0 broken promises")
 def check_clean(context):
-    """Checks the outputs of all runs."""
-    for output in context.outputs:
-        assert is_clean(output), output[-3000:]
+    """Checks the exit status and the last line of the standard output of all runs."""
+    for completed in context.runs:
+        assert completed.returncode == 0, describe(completed)
+        assert completed.stdout.strip().endswith(" 0 broken promises"), describe(completed)
+
+
+@then("it writes nothing to standard error")
+def check_errors(context):
+    """Checks that no run reports an error, so that errors of the stand-ins are not overlooked."""
+    for completed in context.runs:
+        assert not completed.stderr, completed.stderr[-ERROR_CHARS_MAX:]
+
+
+@when("a server and a proxy before it are stopped with a connection that {state}")
+def stop_stand_ins(context, state):
+    """Stops both as the soak does, with connections that the client still holds."""
+    context.loop_errors = []
+    asyncio.run(_stop_with_connection(state, context.loop_errors))
+
+
+async def _stop_with_connection(state, errors):
+    loop = asyncio.get_running_loop()
+    loop.set_exception_handler(lambda _, details: errors.append(details["message"]))
+    server = shards.ShardServer("records-a", "127.0.0.1", 0, 1)
+    server.behaviour.work_seconds = 60.0
+    await server.start()
+    server_proxy = proxy.Proxy(server.address)
+    address = await server_proxy.start("127.0.0.1", 0)
+    writers = []
+    for target in (server.address, address):
+        host, _, port = target.rpartition(":")
+        _, writer = await asyncio.open_connection(host, int(port))
+        writers.append(writer)
+        if state == "waits for a reply":
+            writer.write(b"GET /record/1 HTTP/1.1\r\nX-Request-Id: r\r\n\r\n")
+    if state == "waits for a reply":
+        while len(server.received_requests) < len(writers):
+            await asyncio.sleep(0.01)
+    elif state == "is idle":
+        await asyncio.sleep(0.05)
+    server.stop()
+    await server_proxy.close()
+    await server.close_connections()
+    for task in asyncio.all_tasks() - {asyncio.current_task()}:
+        task.cancel()
+    await asyncio.sleep(0)
+    for writer in writers:
+        writer.close()
+
+
+@then("the event loop has reported no error")
+def check_loop_errors(context):
+    """Checks that no callback of the event loop has failed."""
+    assert not context.loop_errors, context.loop_errors
--- a/soak/proxied_fleet.py
+++ b/soak/proxied_fleet.py
@@ -119,15 +119,15 @@
             await server_proxy.start(host, int(port))
             self._server_proxy_by_name[name] = server_proxy
 
-    def _close_servers(self) -> None:
-        super()._close_servers()
+    async def _close_connections(self) -> None:
         proxy_groups = (
             self._peer_proxy_by_instance,
             self._store_proxy_by_instance,
             self._server_proxy_by_name,
         )
         for running_proxy in (member for group in proxy_groups for member in group.values()):
-            running_proxy.close()
+            await running_proxy.close()
+        await super()._close_connections()
 
     def address_of(self, name: str) -> str:
         """Returns the address of the proxy of a server."""
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -5,6 +5,8 @@
 import dataclasses
 import re
 
+from standins import shards
+
 CHUNK_BYTES = 65_536
 DELAY_SECONDS = 0.15
 # The first bytes of a stream between instances hold the name of the instance that opened it. In a
@@ -45,7 +47,8 @@
         host, _, port = target.rpartition(":")
         self._target = (host, int(port))
         self._connections: set[Connection] = set()
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks: set[asyncio.Task] = set()
+        self._accept_tasks: set[asyncio.Task[None]] = set()
         self._server: asyncio.Server | None = None
         self.fault_by_source: dict[int, str] = {}
 
@@ -85,22 +88,38 @@
         """Ends the fault of a source."""
         self.fault_by_source.pop(source, None)
 
-    def close(self) -> None:
-        """Stops listening and resets all connections."""
+    async def close(self) -> None:
+        """Stops listening, resets all connections and waits until their tasks have ended."""
         self._server.close()
-        for task in self._tasks:
-            task.cancel()
-        self.inject_fault("reset", ANY_SOURCE)
+        for _ in range(shards.ACCEPT_LOOP_RUNS):
+            await asyncio.sleep(0)
+        while self._accept_tasks:
+            for task in self._tasks:
+                task.cancel()
+            self.inject_fault("reset", ANY_SOURCE)
+            await asyncio.wait(set(self._accept_tasks))
 
     async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        accept_task = asyncio.current_task()
+        self._accept_tasks.add(accept_task)
         try:
-            target_reader, target_writer = await asyncio.open_connection(*self._target)
-        except BaseException as error:
-            # BaseException includes the cancellation when the deployment stops meanwhile.
+            await self._connect_and_relay(reader, writer)
+        finally:
+            self._accept_tasks.discard(accept_task)
             writer.transport.abort()
-            if isinstance(error, OSError):
-                return
-            raise
+
+    async def _connect_and_relay(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        # A task of its own, so that ``close`` can cancel it without cancelling the task of the
+        # accepted connection, which asyncio's streams of Python 3.11 report on standard error.
+        connecting = asyncio.create_task(asyncio.open_connection(*self._target))
+        self._tasks.add(connecting)
+        await asyncio.wait({connecting})
+        self._tasks.discard(connecting)
+        if connecting.cancelled() or connecting.exception() is not None:
+            return
+        target_reader, target_writer = connecting.result()
         connection = Connection(writer, target_writer)
         self._connections.add(connection)
         relay_tasks = {
@@ -115,7 +134,6 @@
             for task in relay_tasks:
                 task.cancel()
             self._connections.discard(connection)
-            writer.transport.abort()
             target_writer.transport.abort()
 
     async def _relay(
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -125,6 +125,11 @@
         for server in self.server_by_name.values():
             server.stop()
 
+    async def _close_connections(self) -> None:
+        """Closes the connections of the stand-ins and waits until all of them have ended."""
+        for server in self.server_by_name.values():
+            await server.close_connections()
+
     def run_in_thread(self, coroutine: object) -> object:
         """Runs a coroutine on the thread's event loop and returns its result."""
         return asyncio.run_coroutine_threadsafe(coroutine, self._loop).result(CALL_TIMEOUT_SECONDS)
@@ -285,6 +290,7 @@
         for process in self.process_by_number.values():
             process.wait()
         self.call_in_thread(self._close_servers)
+        self.run_in_thread(self._close_connections())
         self.run_in_thread(_cancel_tasks())
         self._loop.call_soon_threadsafe(self._loop.stop)
         self._thread.join()
--- a/standins/shards.py
+++ b/standins/shards.py
@@ -13,6 +13,8 @@
 RECORD_BYTES = 16
 # Delay of a second copy of a reply, after which the connection is idle.
 SECOND_COPY_DELAY_SECONDS = 0.02
+# Runs of the event loop after which the task of a connection that was just accepted has started.
+ACCEPT_LOOP_RUNS = 5
 
 
 @dataclasses.dataclass
@@ -78,7 +80,7 @@
     Args:
         name: Name of the server.
         host: Address to listen on.
-        port: Port to listen on.
+        port: Port to listen on; 0 for a free one.
         slots: Number of requests that may run at a time.
 
     Attributes:
@@ -97,15 +99,30 @@
         self._port = port
         self._slots = asyncio.Semaphore(slots)
         self._server: asyncio.Server | None = None
+        self._writer_by_task: dict[asyncio.Task[None], asyncio.StreamWriter] = {}
 
     async def start(self) -> None:
         """Starts accepting connections."""
         self._server = await asyncio.start_server(self._serve_connection, self._host, self._port)
+        self.address = f"{self._host}:{self._server.sockets[0].getsockname()[1]}"
 
     def stop(self) -> None:
         """Closes the listening socket; open connections stay open."""
         self._server.close()
 
+    async def close_connections(self) -> None:
+        """Closes the open connections and waits until all of them have ended.
+
+        They are not ended by cancelling their tasks: asyncio's streams of Python 3.11 report a
+        cancelled connection on standard error.
+        """
+        for _ in range(ACCEPT_LOOP_RUNS):
+            await asyncio.sleep(0)
+        while self._writer_by_task:
+            for writer in self._writer_by_task.values():
+                writer.transport.abort()
+            await asyncio.wait(set(self._writer_by_task))
+
     def shard_records(self, request_id: str) -> bytes:
         """Returns the records of this server's shard, which are the same for every request."""
         # The name without its last letter is the same for both servers of a shard.
@@ -119,12 +136,15 @@
     async def _serve_connection(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        task = asyncio.current_task()
+        self._writer_by_task[task] = writer
         try:
             while await self._serve_request(reader, writer):
                 pass
         except (asyncio.IncompleteReadError, ConnectionError):
             pass
         finally:
+            del self._writer_by_task[task]
             writer.close()
 
     async def _serve_request(
