Send the request of each call to a server once

Cause: libcurl sends an idempotent request again, up to five times, if a kept connection ends before a byte of the response. No budget allowed the resends, they carried the old time limit, and the owner did not learn of the loss. Change: node.single_sending looks at a socket before libcurl reads from it and ends a call whose connection ended unanswered as lost. CURLOPT_PREREQFUNCTION and CURLOPT_SOCKOPTFUNCTION refuse a second request and a connection for it.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -169,6 +169,22 @@
     Then the status is 502
     And the answer arrived within 500 ms
 
+  # Guards against resends by libcurl on kept connections, which no budget allowed and no one counted.
+  Scenario Outline: Each lost answer is one attempt of a repeatable request, and is counted
+    When the caller sends 12 requests "GET" "/record/x"
+    And the metrics of instance 1 are read
+    Given the server "records-a" has the fault "<fault>"
+    And the server "records-b" has the fault "<fault>"
+    When the caller sends "GET" "/record/x"
+    Then the status is 502
+    And the request was received 2 times
+    And instance 1 has counted 2 more calls whose connection was lost
+
+    Examples:
+      | fault |
+      | lost  |
+      | reset |
+
   Scenario: A non-repeatable request runs once when its answer is lost
     Given the server "records-a" has the fault "lost"
     And the server "records-b" has the fault "lost"
--- a/features/steps/metrics.py
+++ b/features/steps/metrics.py
@@ -42,6 +42,16 @@
     ]
 
 
+@then("instance {number:d} has counted {count:d} more calls whose connection was lost")
+def check_lost_calls(context, number, count):
+    """Compares the number of lost calls with that when the metrics were read."""
+    name, labels = "monsoonhoist_call_seconds_count", "end=connection_lost"
+    count_before = sum(select_values(context, name, labels))
+    read_metrics(context, number)
+    counted = sum(select_values(context, name, labels)) - count_before
+    assert counted == count, counted
+
+
 @then('"{name}" with "{labels}" is at least {least:d}')
 def check_least(context, name, labels, least):
     """Checks the sum of the selected series."""
--- a/features/steps/platform_checks.py
+++ b/features/steps/platform_checks.py
@@ -171,6 +171,13 @@
         assert len(runs) == 1, (request_id, runs)
 
 
+@then("the request was received {count:d} times")
+def check_received_count(context, count):
+    """Checks in the servers' records how often the request reached a server."""
+    requests = context.fleet.received_requests(context.request_id)
+    assert len(requests) == count, [request.received_at for request in requests]
+
+
 @then("the request has not run")
 def check_not_run(context):
     """Checks in the servers' records that the request did not run."""
--- a/monsoonhoist/metrics.py
+++ b/monsoonhoist/metrics.py
@@ -159,6 +159,9 @@
             "late_replies", "Replies dropped as late or duplicate"
         )
         self._pauses = self._make_counter("pauses", "Pauses of the process that were noticed")
+        self._ended_connections = self._make_counter(
+            "ended_connections", "Kept connections to servers that had ended before a call"
+        )
         self._calls_not_allowed = self._make_counter(
             "calls_not_allowed", "Extra calls not made, by limit"
         )
@@ -211,6 +214,7 @@
             for source in TABLE_VALUE_SOURCES:
                 self._table_values.add(0, result=acceptance.value, source=source)
         unlabelled = (self._calls, self._sub_requests, self._late_replies, self._pauses)
+        unlabelled += (self._ended_connections,)
         for counter in (*unlabelled, self._log_lines_left_out, self._attempts_exceeded):
             counter.add(0)
 
@@ -289,3 +293,7 @@
     def count_pause(self) -> None:
         """Counts a detected pause of the process."""
         self._pauses.add(1)
+
+    def count_ended_connection(self) -> None:
+        """Counts a kept connection to a server that was found ended before a request was sent."""
+        self._ended_connections.add(1)
--- a/monsoonhoist/node/backends.py
+++ b/monsoonhoist/node/backends.py
@@ -89,6 +89,7 @@
         self._name_prefix = name_prefix
         self._clock = time_source
         self._driver = driver
+        driver.on_ended_connection = counters.count_ended_connection
         self._protocol = protocol
         self._counters = counters
         self._report = report
--- a/monsoonhoist/node/curl.py
+++ b/monsoonhoist/node/curl.py
@@ -1,7 +1,7 @@
 """HTTP client for many short calls: the curl multi interface on the event loop.
 
-Each call has a timeout. Non-repeatable calls use a new connection, because curl itself
-resends a request if a reused connection turns out to be closed.
+Each call has a timeout. Non-repeatable calls use a new connection, since the server may close one
+that is kept just when a request is sent on it, and it is then unknown whether the request has run.
 """
 
 import asyncio
@@ -17,6 +17,7 @@
 import pycurl
 
 from monsoonhoist.core import exchange
+from monsoonhoist.node import curl_events, single_sending
 from monsoonhoist.overload import held_bytes
 
 MS_PER_SECOND = 1000
@@ -76,6 +77,7 @@
             another value, the call ends and its connection is closed.
         is_counted: Whether the response counts with the others in progress, the longest of which is
             ended if all together are too long.
+        is_sent_once: Whether curl must not send the request again by itself.
     """
 
     method: str
@@ -87,6 +89,7 @@
     headers: tuple[str, ...] = ()
     expected_header: exchange.Header | None = None
     is_counted: bool = True
+    is_sent_once: bool = False
 
 
 class HttpReply(msgspec.Struct, frozen=True):
@@ -119,6 +122,7 @@
         on_done: Called once with the result.
         call: The call.
         hold: Called with this transfer and the number of bytes that it holds in addition.
+        send_guard: Keeps curl from sending the request again; None if it may.
     """
 
     def __init__(
@@ -127,6 +131,7 @@
         on_done: Callable[[HttpReply], None],
         call: HttpCall,
         hold: Callable[["Transfer", int], None],
+        send_guard: single_sending.SendGuard | None = None,
     ):
         self.handle = handle
         self.on_done = on_done
@@ -134,6 +139,7 @@
         self.headers: list[exchange.Header] = []
         self.defect: Defect | None = None
         self.is_head_complete = False
+        self.send_guard = send_guard
         self._expected_header = call.expected_header
         self._expected_name = call.expected_header.name.lower() if call.expected_header else ""
         self._is_counted = call.is_counted
@@ -142,6 +148,10 @@
         self._head_lines = 0
         self._uncounted_bytes = 0
 
+    def awaits_response(self) -> bool:
+        """Returns whether the request, which must be sent once, is sent and has no response yet."""
+        return self.send_guard is not None and self.send_guard.is_sent and not self._head_lines
+
     def handle_header(self, line: bytes) -> int | None:
         """Records a header line; returns -1 to make curl end the call and close its connection."""
         if self.defect is None:
@@ -217,6 +227,9 @@
         idle_timeout: Idle time after which a connection is not reused.
         responses_bytes_max: Most bytes that the responses in progress may hold together. If there
             are more, the call with the longest is ended.
+
+    Attributes:
+        on_ended_connection: Called when a kept connection had ended before it was reused.
     """
 
     def __init__(
@@ -228,20 +241,22 @@
         self._idle_seconds = max(1, round(idle_timeout.total_seconds()))
         self._loop = asyncio.get_running_loop()
         self._multi = pycurl.CurlMulti()
-        self._multi.setopt(pycurl.M_SOCKETFUNCTION, self._watch_socket)
-        self._multi.setopt(pycurl.M_TIMERFUNCTION, self._set_timer)
+        self.on_ended_connection: Callable[[], None] = lambda: None
+        self._connections = single_sending.KeptConnections()
+        self._events = curl_events.EventWatcher(self._loop, self._run_socket_action)
+        self._multi.setopt(pycurl.M_SOCKETFUNCTION, self._events.watch_socket)
+        self._multi.setopt(pycurl.M_TIMERFUNCTION, self._events.set_timer)
         self._multi.setopt(pycurl.M_MAXCONNECTS, IDLE_CONNECTIONS_MAX)
-        self._timer: asyncio.TimerHandle | None = None
         self._transfer_by_handle: dict[pycurl.Curl, Transfer] = {}
         self._idle_handles: collections.deque[pycurl.Curl] = collections.deque()
-        self._watched_sockets: set[int] = set()
 
     def start(self, call: HttpCall, on_done: Callable[[HttpReply], None]) -> Transfer:
         """Starts a call; ``on_done`` is called once with its result."""
         handle = self._idle_handles.pop() if self._idle_handles else pycurl.Curl()
-        transfer = Transfer(handle, on_done, call, self._hold)
-        self._transfer_by_handle[handle] = transfer
+        guard = single_sending.SendGuard(self._connections) if call.is_sent_once else None
+        transfer = Transfer(handle, on_done, call, self._hold, guard)
         self._set_options(handle, call, transfer)
+        self._transfer_by_handle[handle] = transfer
         self._multi.add_handle(handle)
         return transfer
 
@@ -268,14 +283,11 @@
 
     def close(self) -> None:
         """Ends all calls without calling ``on_done`` and closes all connections."""
-        if self._timer is not None:
-            self._timer.cancel()
         for handle in list(self._transfer_by_handle):
             self._multi.remove_handle(handle)
             handle.close()
         self._transfer_by_handle.clear()
-        for descriptor in list(self._watched_sockets):
-            self._unwatch(descriptor)
+        self._events.close()
         self._multi.close()
 
     def _set_options(self, handle: pycurl.Curl, call: HttpCall, transfer: Transfer) -> None:
@@ -287,10 +299,13 @@
         handle.setopt(pycurl.TIMEOUT_MS, _to_milliseconds(call.timeout))
         handle.setopt(pycurl.CONNECTTIMEOUT_MS, _to_milliseconds(call.connect_timeout))
         handle.setopt(pycurl.MAXAGE_CONN, self._idle_seconds)
-        handle.setopt(pycurl.FRESH_CONNECT, int(call.own_connection))
-        handle.setopt(pycurl.FORBID_REUSE, int(call.own_connection))
+        if call.own_connection:
+            handle.setopt(pycurl.FRESH_CONNECT, 1)
+            handle.setopt(pycurl.FORBID_REUSE, 1)
         handle.setopt(pycurl.HEADERFUNCTION, transfer.handle_header)
         handle.setopt(pycurl.PATH_AS_IS, 1)
+        if transfer.send_guard is not None:
+            transfer.send_guard.set_options(handle)
         if call.method == "POST" or call.body:
             handle.setopt(pycurl.POST, 1)
             handle.setopt(pycurl.POSTFIELDS, call.body)
@@ -302,40 +317,10 @@
             lines = [line.encode(HEADER_ENCODING) for line in call.headers]
             handle.setopt(pycurl.HTTPHEADER, lines)
 
-    def _watch_socket(self, action: int, descriptor: int, multi: object, data: object) -> None:
-        """Callback of curl to start or stop watching a socket on the event loop."""
-        self._unwatch(descriptor)
-        if action == pycurl.POLL_REMOVE:
-            return
-        self._watched_sockets.add(descriptor)
-        if action in (pycurl.POLL_IN, pycurl.POLL_INOUT):
-            self._loop.add_reader(
-                descriptor, self._run_socket_action, descriptor, pycurl.CSELECT_IN
-            )
-        if action in (pycurl.POLL_OUT, pycurl.POLL_INOUT):
-            self._loop.add_writer(
-                descriptor, self._run_socket_action, descriptor, pycurl.CSELECT_OUT
-            )
-
-    def _unwatch(self, descriptor: int) -> None:
-        if descriptor in self._watched_sockets:
-            self._watched_sockets.discard(descriptor)
-            self._loop.remove_reader(descriptor)
-            self._loop.remove_writer(descriptor)
-
-    def _set_timer(self, milliseconds: int) -> None:
-        """Callback of curl to set its timer; -1 to cancel it."""
-        if self._timer is not None:
-            self._timer.cancel()
-            self._timer = None
-        if milliseconds >= 0:
-            delay = milliseconds / MS_PER_SECOND
-            self._timer = self._loop.call_later(
-                delay, self._run_socket_action, pycurl.SOCKET_TIMEOUT, 0
-            )
-
     def _run_socket_action(self, descriptor: int, event_mask: int) -> None:
         """Lets curl process a socket or its timer, then reports the calls that are finished."""
+        if event_mask == pycurl.CSELECT_IN and single_sending.has_ended(descriptor):
+            self._end_unanswered(descriptor)
         self._multi.socket_action(descriptor, event_mask)
         while True:
             queued, succeeded, failed = self._multi.info_read()
@@ -350,8 +335,23 @@
             if not queued:
                 return
 
+    def _end_unanswered(self, descriptor: int) -> None:
+        """Ends the call on a connection that ended before its response.
+
+        curl itself would take an idle connection to resend, and close it as that is not allowed.
+        """
+        for handle, transfer in self._transfer_by_handle.items():
+            if transfer.awaits_response() and handle.getinfo(pycurl.ACTIVESOCKET) == descriptor:
+                self._finish(transfer, pycurl.E_RECV_ERROR, "the connection ended unanswered")
+                return
+
     def _finish(self, transfer: Transfer, code: int, message: str) -> None:
         handle = transfer.handle
+        if transfer.send_guard is not None and transfer.send_guard.take_restart():
+            self.on_ended_connection()
+            self._multi.remove_handle(handle)
+            self._multi.add_handle(handle)
+            return
         del self._transfer_by_handle[handle]
         self._held.release(transfer)
         # curl reports success if the server closes the connection within the head.
--- a/monsoonhoist/node/search.py
+++ b/monsoonhoist/node/search.py
@@ -118,6 +118,7 @@
             connect_timeout=self._connect_timeout,
             own_connection=not query.repeatable,
             headers=JSON_HEADERS,
+            is_sent_once=True,
         )
 
     def make_cancellation(self, command: events.StartCall, call_name: str) -> curl.HttpCall:
@@ -128,6 +129,7 @@
             body=b"",
             timeout=CANCEL_TIMEOUT,
             connect_timeout=self._connect_timeout,
+            is_sent_once=True,
         )
 
     def make_health_check(self, server: data.Server) -> None:
--- /dev/null
+++ b/monsoonhoist/node/single_sending.py
@@ -0,0 +1,112 @@
+"""Keeps curl from sending a request twice.
+
+curl resends a request, up to five times, if a connection that it has used before ends before a byte
+of the response, and has no option against this. Such a resend reaches a server without being
+allowed, with an outdated deadline, and hides the loss of the response.
+"""
+
+import errno
+import socket
+
+import pycurl
+
+# Most entries for local endpoints: twice the connections that curl keeps.
+ENDPOINTS_MAX = 8_192
+# Plain integers, which are passed faster than members of an enumeration.
+_FAMILY = int(socket.AF_INET)
+_KIND = int(socket.SOCK_STREAM)
+_PEEK_FLAGS = int(socket.MSG_PEEK | socket.MSG_DONTWAIT)
+_ENDED_ERRORS = (errno.ECONNRESET, errno.EPIPE, errno.ETIMEDOUT, errno.EHOSTUNREACH)
+
+
+class KeptConnections:
+    """Sockets of connections by their local endpoints, to check a connection that is reused.
+
+    curl looks for connections that have ended only once a second. Entries of closed connections
+    remain until they are replaced, so that an entry is compared with its socket.
+    """
+
+    def __init__(self) -> None:
+        self._descriptor_by_endpoint: dict[tuple[str, int], int] = {}
+
+    def record(self, address: str, port: int, descriptor: int) -> None:
+        """Records the socket of a new connection; the oldest entry goes if there are too many."""
+        self._descriptor_by_endpoint[address, port] = descriptor
+        if len(self._descriptor_by_endpoint) > ENDPOINTS_MAX:
+            del self._descriptor_by_endpoint[next(iter(self._descriptor_by_endpoint))]
+
+    def has_ended(self, address: str, port: int) -> bool:
+        """Returns whether a connection is known to have ended."""
+        descriptor = self._descriptor_by_endpoint.get((address, port))
+        return descriptor is not None and has_ended(descriptor, port)
+
+
+class SendGuard:
+    """Allows curl to send the request of one call once, on a connection that has not ended.
+
+    Args:
+        connections: Connections that may be reused.
+
+    Attributes:
+        is_sent: Whether curl has begun to send the request.
+    """
+
+    def __init__(self, connections: KeptConnections) -> None:
+        self.is_sent = False
+        self._connections = connections
+        self._descriptor: int | None = None
+        self._has_met_ended = False
+
+    def set_options(self, handle: pycurl.Curl) -> None:
+        """Registers the callbacks of this guard."""
+        handle.setopt(pycurl.PREREQFUNCTION, self._allow_request)
+        handle.setopt(pycurl.SOCKOPTFUNCTION, self._allow_connection)
+
+    def take_restart(self) -> bool:
+        """Returns, once, whether the call ended unsent only because its connection had ended."""
+        has_met_ended, self._has_met_ended = self._has_met_ended, False
+        return has_met_ended
+
+    def _allow_request(
+        self, remote_address: str, local_address: str, remote_port: int, local_port: int
+    ) -> int:
+        """Callback of curl before it sends the request on a connection."""
+        if self.is_sent:
+            return pycurl.PREREQFUNC_ABORT
+        if self._descriptor is not None:
+            self._connections.record(local_address, local_port, self._descriptor)
+        elif self._connections.has_ended(local_address, local_port):
+            self._has_met_ended = True
+            return pycurl.PREREQFUNC_ABORT
+        self.is_sent = True
+        return pycurl.PREREQFUNC_OK
+
+    def _allow_connection(self, descriptor: int, purpose: int) -> int:
+        """Callback of curl before it opens a connection."""
+        if self.is_sent:
+            return pycurl.SOCKOPT_ERROR
+        self._descriptor = descriptor
+        return pycurl.SOCKOPT_OK
+
+
+def has_ended(descriptor: int, local_port: int = 0) -> bool:
+    """Returns whether a socket has been closed or reset by its peer and holds no more data.
+
+    Args:
+        descriptor: Descriptor of the socket.
+        local_port: Local port that the socket has, unless the descriptor belongs to another one
+            now; 0 if that cannot be.
+    """
+    # The base class of ``socket.socket`` takes a third of its time. The family is stated so that
+    # Python does not ask the system for it; it does not matter here.
+    view = socket.SocketType(_FAMILY, _KIND, 0, descriptor)
+    try:
+        if local_port and view.getsockname()[1] != local_port:
+            return False
+        return not view.recv(1, _PEEK_FLAGS)
+    except BlockingIOError:
+        return False
+    except OSError as error:
+        return error.errno in _ENDED_ERRORS
+    finally:
+        view.detach()
--- a/monsoonhoist/platform/backend_protocol.py
+++ b/monsoonhoist/platform/backend_protocol.py
@@ -64,6 +64,7 @@
             own_connection=not command.query.repeatable,
             headers=tuple(lines),
             expected_header=_find_header(request.headers, wire_names.REQUEST_ID_HEADER),
+            is_sent_once=True,
         )
 
     def make_cancellation(self, command: events.StartCall, call_name: str) -> None:
@@ -81,6 +82,7 @@
             timeout=self._connect_timeout,
             connect_timeout=self._connect_timeout,
             headers=tuple(f"{name}:" for name in CURL_DEFAULT_HEADERS),
+            is_sent_once=True,
         )
 
     def read_report(self, reply: curl.HttpReply) -> exchange.ServerReport:
--- a/standins/shards.py
+++ b/standins/shards.py
@@ -7,6 +7,8 @@
 import asyncio
 import dataclasses
 import hashlib
+import socket
+import struct
 
 # Number and size of the records of a shard.
 RECORDS = 12
@@ -25,9 +27,10 @@
         work_seconds: Time for which a request occupies a slot.
         fault: Fault of the replies, or ``""`` for none. ``shed`` and ``wrong_server`` refuse the
             request with status 503 or 421 before it runs. After the request ran, ``lost`` closes
-            the connection without a reply, ``error`` replies with status 500, ``foreign_id`` with
-            the id of another request, ``no_proof`` without a proof, ``encoded`` with a content
-            encoding, ``truncated`` with half of the body, ``cut_head`` with part of the head,
+            and ``reset`` resets the connection without a reply, ``error`` replies with status 500,
+            ``foreign_id`` with the id of another request, ``no_proof`` without a proof, ``encoded``
+            with a content encoding, ``truncated`` with half of the body, ``cut_head`` with part of
+            the head,
             ``second_copy`` with the same reply twice, the second time on the idle connection,
             ``control_in_value``, ``space_in_name``, ``no_colon``, ``control_in_proof`` and
             ``comma_in_proof`` with one wrong byte in a header field, ``interim_status`` with the
@@ -88,6 +91,7 @@
         address: Address as ``HOST:PORT``.
         behaviour: Behaviour that tests may change.
         received_requests: Requests received, oldest first.
+        connection_count: Number of connections accepted.
     """
 
     def __init__(self, name: str, host: str, port: int, slots: int):
@@ -95,6 +99,7 @@
         self.address = f"{host}:{port}"
         self.behaviour = Behaviour()
         self.received_requests: list[ReceivedRequest] = []
+        self.connection_count = 0
         self._host = host
         self._port = port
         self._slots = asyncio.Semaphore(slots)
@@ -138,6 +143,7 @@
     ) -> None:
         task = asyncio.current_task()
         self._writer_by_task[task] = writer
+        self.connection_count += 1
         try:
             while await self._serve_request(reader, writer):
                 pass
@@ -172,7 +178,12 @@
                 return False
             connection_closed.cancel()
             await asyncio.gather(connection_closed, return_exceptions=True)
-        if fault == "lost":
+        if fault in ("lost", "reset"):
+            if fault == "reset":
+                # With a linger time of 0 the system resets the connection.
+                linger = struct.pack("ii", 1, 0)
+                stream_socket = writer.get_extra_info("socket")
+                stream_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
             writer.transport.abort()
             return False
         writer.write(self._encode_reply(request, fault))
