--- a/features/platform.feature
+++ b/features/platform.feature
@@ -18,6 +18,20 @@
     And the answer has the header "X-Extra" with the value "kept"
     And the answer contains the server's proof for this request
 
+  # Guards against libcurl's normalization of paths, which changed the case of percent-encoded bytes
+  # and dropped what follows a "#".
+  Scenario Outline: Path and query reach the server as they were received
+    When the caller sends "GET" "<target>"
+    Then the status is 200
+    And the server received "GET" "<target>" without a body
+
+    Examples:
+      | target                    |
+      | /record/z%c3%bcri%2f0     |
+      | /record/%7e%41/?q=%c3%BC  |
+      | /record/a#b?c             |
+      | /record//x/./../[1]?{2}   |
+
   # Guards against own answers to HEAD that close the connection instead of being sent.
   Scenario: HEAD requests are answered, also by the instance itself
     When the caller sends "HEAD" "/record/x"
@@ -169,6 +183,22 @@
     Then the status is 502
     And the answer arrived within 500 ms
 
+  # Guards against resends by libcurl on kept connections, which no budget allowed and no one counted.
+  Scenario Outline: Each lost answer is one attempt of a repeatable request, and is counted
+    When the caller sends 12 requests "GET" "/record/x"
+    And the metrics of instance 1 are read
+    Given the server "records-a" has the fault "<fault>"
+    And the server "records-b" has the fault "<fault>"
+    When the caller sends "GET" "/record/x"
+    Then the status is 502
+    And the request was received 2 times
+    And instance 1 has counted 2 more calls whose connection was lost
+
+    Examples:
+      | fault |
+      | lost  |
+      | reset |
+
   Scenario: A non-repeatable request runs once when its answer is lost
     Given the server "records-a" has the fault "lost"
     And the server "records-b" has the fault "lost"
--- a/monsoonhoist/platform/backend_protocol.py
+++ b/monsoonhoist/platform/backend_protocol.py
@@ -55,7 +55,7 @@
         lines.append(f"{wire_names.SERVER_ID_HEADER}: {command.server.server_id}")
         return curl.HttpCall(
             method=request.method,
-            url=f"http://{command.server.address}{request.target}",
+            url=f"http://{command.server.address}",
             body=request.body,
             timeout=datetime.timedelta(seconds=remaining_seconds),
             connect_timeout=min(
@@ -64,6 +64,8 @@
             own_connection=not command.query.repeatable,
             headers=tuple(lines),
             expected_header=_find_header(request.headers, wire_names.REQUEST_ID_HEADER),
+            is_sent_once=True,
+            target=request.target,
         )
 
     def make_cancellation(self, command: events.StartCall, call_name: str) -> None:
@@ -81,6 +83,7 @@
             timeout=self._connect_timeout,
             connect_timeout=self._connect_timeout,
             headers=tuple(f"{name}:" for name in CURL_DEFAULT_HEADERS),
+            is_sent_once=True,
         )
 
     def read_report(self, reply: curl.HttpReply) -> exchange.ServerReport:
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -7,7 +7,6 @@
 import asyncio
 import http.client
 import json
-import os
 import pathlib
 import signal
 import subprocess
@@ -16,10 +15,9 @@
 import threading
 from collections.abc import Callable
 
-from standins import shards, site, store
+from standins import ports, shards, site, store
 
-# First port of a deployment; several deployments run side by side with different values.
-PORT_BASE = int(os.environ.get("FLEET_PORT_BASE", "26000"))
+PORT_BASE = ports.FLEET_PORT_BASE
 STORE_ADDRESS = ("127.0.2.1", PORT_BASE + 100)
 SERVER_HOST = "127.0.2.1"
 SERVER_PORT_BASE = PORT_BASE + 200
@@ -127,6 +125,11 @@
         for server in self.server_by_name.values():
             server.stop()
 
+    async def _close_connections(self) -> None:
+        """Closes the connections of the stand-ins and waits until all of them have ended."""
+        for server in self.server_by_name.values():
+            await server.close_connections()
+
     def run_in_thread(self, coroutine: object) -> object:
         """Runs a coroutine on the thread's event loop and returns its result."""
         return asyncio.run_coroutine_threadsafe(coroutine, self._loop).result(CALL_TIMEOUT_SECONDS)
@@ -287,6 +290,7 @@
         for process in self.process_by_number.values():
             process.wait()
         self.call_in_thread(self._close_servers)
+        self.run_in_thread(self._close_connections())
         self.run_in_thread(_cancel_tasks())
         self._loop.call_soon_threadsafe(self._loop.stop)
         self._thread.join()
--- a/standins/shards.py
+++ b/standins/shards.py
@@ -7,12 +7,16 @@
 import asyncio
 import dataclasses
 import hashlib
+import socket
+import struct
 
 # Number and size of the records of a shard.
 RECORDS = 12
 RECORD_BYTES = 16
 # Delay of a second copy of a reply, after which the connection is idle.
 SECOND_COPY_DELAY_SECONDS = 0.02
+# Runs of the event loop after which the task of a connection that was just accepted has started.
+ACCEPT_LOOP_RUNS = 5
 
 
 @dataclasses.dataclass
@@ -23,9 +27,10 @@
         work_seconds: Time for which a request occupies a slot.
         fault: Fault of the replies, or ``""`` for none. ``shed`` and ``wrong_server`` refuse the
             request with status 503 or 421 before it runs. After the request ran, ``lost`` closes
-            the connection without a reply, ``error`` replies with status 500, ``foreign_id`` with
-            the id of another request, ``no_proof`` without a proof, ``encoded`` with a content
-            encoding, ``truncated`` with half of the body, ``cut_head`` with part of the head,
+            and ``reset`` resets the connection without a reply, ``error`` replies with status 500,
+            ``foreign_id`` with the id of another request, ``no_proof`` without a proof, ``encoded``
+            with a content encoding, ``truncated`` with half of the body, ``cut_head`` with part of
+            the head,
             ``second_copy`` with the same reply twice, the second time on the idle connection,
             ``control_in_value``, ``space_in_name``, ``no_colon``, ``control_in_proof`` and
             ``comma_in_proof`` with one wrong byte in a header field, ``interim_status`` with the
@@ -78,7 +83,7 @@
     Args:
         name: Name of the server.
         host: Address to listen on.
-        port: Port to listen on.
+        port: Port to listen on; 0 for a free one.
         slots: Number of requests that may run at a time.
 
     Attributes:
@@ -86,6 +91,7 @@
         address: Address as ``HOST:PORT``.
         behaviour: Behaviour that tests may change.
         received_requests: Requests received, oldest first.
+        connection_count: Number of connections accepted.
     """
 
     def __init__(self, name: str, host: str, port: int, slots: int):
@@ -93,19 +99,35 @@
         self.address = f"{host}:{port}"
         self.behaviour = Behaviour()
         self.received_requests: list[ReceivedRequest] = []
+        self.connection_count = 0
         self._host = host
         self._port = port
         self._slots = asyncio.Semaphore(slots)
         self._server: asyncio.Server | None = None
+        self._writer_by_task: dict[asyncio.Task[None], asyncio.StreamWriter] = {}
 
     async def start(self) -> None:
         """Starts accepting connections."""
         self._server = await asyncio.start_server(self._serve_connection, self._host, self._port)
+        self.address = f"{self._host}:{self._server.sockets[0].getsockname()[1]}"
 
     def stop(self) -> None:
         """Closes the listening socket; open connections stay open."""
         self._server.close()
 
+    async def close_connections(self) -> None:
+        """Closes the open connections and waits until all of them have ended.
+
+        They are not ended by cancelling their tasks: asyncio's streams of Python 3.11 report a
+        cancelled connection on standard error.
+        """
+        for _ in range(ACCEPT_LOOP_RUNS):
+            await asyncio.sleep(0)
+        while self._writer_by_task:
+            for writer in self._writer_by_task.values():
+                writer.transport.abort()
+            await asyncio.wait(set(self._writer_by_task))
+
     def shard_records(self, request_id: str) -> bytes:
         """Returns the records of this server's shard, which are the same for every request."""
         # The name without its last letter is the same for both servers of a shard.
@@ -119,12 +141,16 @@
     async def _serve_connection(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        task = asyncio.current_task()
+        self._writer_by_task[task] = writer
+        self.connection_count += 1
         try:
             while await self._serve_request(reader, writer):
                 pass
         except (asyncio.IncompleteReadError, ConnectionError):
             pass
         finally:
+            del self._writer_by_task[task]
             writer.close()
 
     async def _serve_request(
@@ -152,7 +178,12 @@
                 return False
             connection_closed.cancel()
             await asyncio.gather(connection_closed, return_exceptions=True)
-        if fault == "lost":
+        if fault in ("lost", "reset"):
+            if fault == "reset":
+                # With a linger time of 0 the system resets the connection.
+                linger = struct.pack("ii", 1, 0)
+                stream_socket = writer.get_extra_info("socket")
+                stream_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
             writer.transport.abort()
             return False
         writer.write(self._encode_reply(request, fault))
