Start backend servers slowly, at a pace that follows from their responses

Cause: when the servers of a zone return, each owner sends them their whole part at once or avoids them long after they have recovered. Limits on calls in flight do not help with many owners of a few calls a second each.

Change: a server that is new, listed again, of another incarnation or in backoff has a share below 1. It may receive only queries whose hash is below a bound that follows from the share, so that the servers of all shards are tried by the same queries. The share follows from latency against the route's median, failures, refusals, the reported load and time. Off by default: [pace] slow_start.

Not measured on the users' deployments.

--- a/monsoonhoist/metrics.py
+++ b/monsoonhoist/metrics.py
@@ -14,6 +14,7 @@
 from typing import Protocol
 
 from monsoonhoist.core import data
+from monsoonhoist.shards import slow_start
 from monsoonhoist.tables import store
 
 CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
@@ -165,6 +166,9 @@
         self._attempts_exceeded = self._make_counter(
             "attempts_exceeded", "Shards called more often than allowed"
         )
+        self._slow_starts = self._make_counter(
+            "slow_starts", "Slow starts of backend servers, by cause"
+        )
         self._log_lines_left_out = self._make_counter("log_lines_left_out", "Log lines left out")
         self._answer_seconds = self._make_histogram("answer_seconds", "Time until an answer")
         self._call_seconds = self._make_histogram("call_seconds", "Time of a backend call")
@@ -204,6 +208,8 @@
             self._retries.add(0, reason=retry.value)
         for bound in data.Bound:
             self._calls_not_allowed.add(0, bound=bound.value)
+        for cause in slow_start.Cause:
+            self._slow_starts.add(0, cause=cause.value)
         for outcome in data.Outcome:
             for rank in data.Rank:
                 self._answers.add(0, outcome=outcome.value, rank=rank.value)
@@ -286,6 +292,10 @@
         """Counts shards that may have been called more often than the route allows."""
         self._attempts_exceeded.add(count)
 
+    def count_slow_start(self, cause: str) -> None:
+        """Counts the start of a backend server that receives a part of its usual load at first."""
+        self._slow_starts.add(1, cause=cause)
+
     def count_pause(self) -> None:
         """Counts a detected pause of the process."""
         self._pauses.add(1)
--- a/monsoonhoist/node/kernels.py
+++ b/monsoonhoist/node/kernels.py
@@ -1,15 +1,20 @@
 """Task that runs a kernel: the decision logic, without I/O, of an entry or an owner."""
 
 import asyncio
+import logging
 from collections.abc import Callable
 from typing import Protocol
 
+import msgspec
+
 from monsoonhoist import metrics
 from monsoonhoist.core import clock
 from monsoonhoist.kernels import traces
 from monsoonhoist.node import task
 from monsoonhoist.protocol import events
 
+_log = logging.getLogger(__name__)
+
 
 class EventKernel(Protocol):
     """Interface of the entry kernel and the owner kernel."""
@@ -71,6 +76,11 @@
                     self._counters.count_call_not_allowed(command.bound)
                 case events.CountLateReply():
                     self._counters.count_late_reply()
+                case events.SlowStartBegan():
+                    self._counters.count_slow_start(command.cause)
+                    _log.info("slow start began", extra=msgspec.structs.asdict(command))
+                case events.SlowStartEnded():
+                    _log.info("slow start ended", extra=msgspec.structs.asdict(command))
                 case _:
                     self._execute(command)
         self._set_timer()
--- a/monsoonhoist/protocol/events.py
+++ b/monsoonhoist/protocol/events.py
@@ -318,6 +318,36 @@
     """Counts a reply that was dropped because it was late or a duplicate."""
 
 
+class SlowStartBegan(msgspec.Struct, frozen=True, tag="slow-start-began"):
+    """Reports that a server receives a part of its usual load until it has shown what it can do.
+
+    Attributes:
+        server: The server.
+        cause: Why it starts slowly.
+        share: The part that it receives at first, from 0 to 1.
+    """
+
+    server: data.ServerId
+    cause: str
+    share: float
+
+
+class SlowStartEnded(msgspec.Struct, frozen=True, tag="slow-start-ended"):
+    """Reports that a server receives its usual load again.
+
+    Attributes:
+        server: The server.
+        age_seconds: Time since its slow start began.
+        calls: Number of its calls that have ended meanwhile.
+        latency_ratio: Their latency as a multiple of the route's median, smoothed.
+    """
+
+    server: data.ServerId
+    age_seconds: float
+    calls: int
+    latency_ratio: float
+
+
 Command = (
     SendMessage
     | Respond
@@ -327,4 +357,6 @@
     | CountRetry
     | CountCallNotAllowed
     | CountLateReply
+    | SlowStartBegan
+    | SlowStartEnded
 )
--- a/monsoonhoist/settings.py
+++ b/monsoonhoist/settings.py
@@ -16,7 +16,7 @@
 from monsoonhoist.fleet import watcher_selection
 from monsoonhoist.kernels import kernel
 from monsoonhoist.overload import budget
-from monsoonhoist.policy import registry
+from monsoonhoist.policy import pace, registry
 from monsoonhoist.shards import kernel_config
 from monsoonhoist.tables import ini
 
@@ -268,6 +268,17 @@
         return kernel.PolicyNames(**msgspec.structs.asdict(self))
 
 
+class PaceSection(ini.Model):
+    """``[pace]``: load of backend servers that start or recover.
+
+    Attributes:
+        slow_start: Whether a server that is new, is listed again or has failed receives a part of
+            its usual load, which grows as its responses allow.
+    """
+
+    slow_start: bool = False
+
+
 class Settings(ini.Model):
     """All settings of an instance, with one attribute for each section."""
 
@@ -279,6 +290,7 @@
     policy: PolicySection = PolicySection()
     listen: ListenSection = ListenSection()
     extra_calls: ExtraCallsSection = ExtraCallsSection()
+    pace: PaceSection = PaceSection()
 
     def kernel_options(self) -> kernel_config.KernelOptions:
         """Returns the options of the instance's kernels."""
@@ -290,7 +302,10 @@
             hedges_use_allowance=section.hedges_use_allowance,
         )
         return kernel_config.KernelOptions(
-            extra_calls, self.timing.leaving_grace_ms.total_seconds(), section.finish_latencies
+            extra_calls,
+            self.timing.leaving_grace_ms.total_seconds(),
+            section.finish_latencies,
+            pace.ResponsePace if self.pace.slow_start else None,
         )
 
 
--- a/monsoonhoist/shards/kernel_config.py
+++ b/monsoonhoist/shards/kernel_config.py
@@ -5,7 +5,7 @@
 
 from monsoonhoist.overload import budget
 from monsoonhoist.policy import balance, hedge, order, ownership
-from monsoonhoist.shards import subrequest
+from monsoonhoist.shards import slow_start, subrequest
 
 
 @dataclasses.dataclass(frozen=True)
@@ -19,11 +19,14 @@
         finish_latencies: Grace period for calls whose results are no longer needed: the owner
             cancels such a call once this time has passed since its start. A multiple of the
             route's median latency; 0 for no grace period.
+        make_pace: Creates the pace of a server that starts or recovers; None if servers do not
+            start slowly.
     """
 
     extra_calls: budget.BudgetOptions = budget.BudgetOptions()
     leaving_grace_seconds: float = 0.0
     finish_latencies: float = 0.0
+    make_pace: slow_start.MakePace | None = None
 
 
 @dataclasses.dataclass(frozen=True)
--- a/monsoonhoist/shards/owner.py
+++ b/monsoonhoist/shards/owner.py
@@ -25,6 +25,9 @@
 HEDGE_RETRY_SECONDS = 0.02
 # Share of its remaining time that a sub-request may wait for a server to become available.
 UNAVAILABLE_WAIT_SHARE = 0.25
+# Most sub-requests that one pass through a queue leaves waiting while a server of the shard starts
+# slowly. That server has free capacity for few of them, and each pass would cost the whole queue.
+PACED_DEFERRALS_MAX = 8
 
 
 class OwnerKernel:
@@ -101,6 +104,7 @@
                     action(commands)
         commands.extend(self._replies.flush(self._clock.monotonic()))
         commands.extend(self._call_requests.flush())
+        commands.extend(self._shards.starts.flush())
         return commands
 
     def _handle_view(self, event: events.ViewChanged, commands: list[events.Command]) -> None:
@@ -152,6 +156,8 @@
                 self._start_call(state, sub, candidates, commands)
             elif state.has_untried(sub, now) or self._await_server(state, sub, now):
                 deferred.append(sub)
+                if len(deferred) >= PACED_DEFERRALS_MAX and state.has_slow_start():
+                    break
             else:
                 self._fail(state, sub, state.refusal_without_server(sub, now), commands)
         for sub in deferred:
@@ -270,7 +276,8 @@
         affected = self.reports.record(call.server.server, event.report, commands)
         self._dispatch_all(affected, commands)
         hedge_policy = self._hedge_policies.policy_for(call.sub)
-        call.server.record_reply(latency, hedge_policy.median_seconds(), now)
+        median = hedge_policy.median_seconds()
+        call.server.record_reply(latency, median, event.report.load, now)
         call.server.update_holdings(event.holdings, now)
         hedge_policy.record(latency)
         if event.draining:
--- a/monsoonhoist/shards/server.py
+++ b/monsoonhoist/shards/server.py
@@ -1,8 +1,11 @@
 """The owner's state of one backend server: limits, health and latency."""
 
 import math
+from collections.abc import Sequence
 
-from monsoonhoist.core import data
+from monsoonhoist.core import data, exchange
+from monsoonhoist.policy import pace
+from monsoonhoist.shards import slow_start
 
 BACKOFF_MIN_SECONDS = 0.1
 BACKOFF_MAX_SECONDS = 5.0
@@ -38,17 +41,19 @@
     Args:
         server: The server's record in the table.
         limit_max: Upper bound of ``limit``.
-        is_added: Whether the server was added to a shard that already had servers.
+        starts: Makes the paces of servers that start.
 
     Attributes:
         server: The server's record in the table.
+        pace: Its slow start.
         latency_seconds: Smoothed latency of calls; 0 while unknown.
         holdings: Snapshots that the server last reported to hold; empty if unknown.
         started_at_by_call_id: Start of each call in flight, in monotonic seconds, oldest first.
     """
 
-    def __init__(self, server: data.Server, limit_max: int, is_added: bool = False):
+    def __init__(self, server: data.Server, limit_max: int, starts: slow_start.SlowStarts):
         self.server = server
+        self.pace = slow_start.ServerPace(server, starts)
         self.latency_seconds = 0.0
         self.holdings: tuple[data.Holding, ...] = ()
         self.started_at_by_call_id: dict[int, float] = {}
@@ -62,7 +67,7 @@
         self._wait_until = 0.0
         self._leaving_since: float | None = None
         self._is_unlisted = False
-        self._slowness = ADDED_SERVER_SLOWNESS if is_added else 1.0
+        self._slowness = 1.0
         self._slowness_updated_at = -math.inf
         self._failure_share = 0.0
         self._failure_share_updated_at = -math.inf
@@ -93,7 +98,12 @@
         self.mark_leaving(now)
         self._is_unlisted = True
 
-    def mark_in_service(self) -> None:
+    def mark_added(self, now: float) -> None:
+        """Records that the server was added to a shard that already had servers."""
+        self._slowness = ADDED_SERVER_SLOWNESS
+        self.pace.begin(slow_start.Cause.ADDED, now)
+
+    def mark_in_service(self, now: float) -> None:
         """Records that the table lists the server and does not mark it as leaving.
 
         A server that is listed again counts as added: what was learned before may be over.
@@ -106,6 +116,7 @@
             self._failure_share = 0.0
             self._backoff_until = 0.0
             self._consecutive_failures = 0
+            self.pace.begin(slow_start.Cause.LISTED, now)
 
     def is_available(self, now: float) -> bool:
         """Returns whether new calls may be sent to the server."""
@@ -176,9 +187,16 @@
         self._failure_share = before + (float(has_failed) - before) * FAILURE_WEIGHT
         self._failure_share_updated_at = now
 
-    def record_reply(self, latency_seconds: float, median_seconds: float, now: float) -> None:
-        """Updates limit, latency and slowness after a reply, and resets the failure count."""
+    def record_reply(
+        self,
+        latency_seconds: float,
+        median_seconds: float,
+        load: exchange.Load | None,
+        now: float,
+    ) -> None:
+        """Updates limit, latency, slowness and pace after a reply; resets the failure count."""
         self.record_outcome(False, now)
+        self.pace.record_reply(latency_seconds, median_seconds, load, now)
         self._consecutive_failures = 0
         self._successes += 1
         if self._limit < self._limit_max and self._successes % SUCCESSES_PER_LIMIT_STEP == 0:
@@ -189,6 +207,7 @@
 
     def record_unanswered(self, age_seconds: float, median_seconds: float, now: float) -> None:
         """Raises latency and slowness if a call without a reply took longer than they predict."""
+        self.pace.record_unanswered(age_seconds, median_seconds, now)
         if age_seconds > self.latency_seconds:
             self.latency_seconds += (age_seconds - self.latency_seconds) * LATENCY_WEIGHT
         if age_seconds > median_seconds * self.slowness(now, 0.0):
@@ -201,15 +220,17 @@
         self._backoff_until = now + min(BACKOFF_MAX_SECONDS, backoff)
         self._limit = 1
         self._successes = 0
+        self.pace.record_failure(now)
 
     def record_wrong_server(self, now: float) -> None:
         """Starts the longest backoff, because another server answers at this address."""
         self._backoff_until = now + BACKOFF_MAX_SECONDS
 
-    def record_shed(self) -> None:
+    def record_shed(self, now: float) -> None:
         """Lowers the limit by one after a refusal due to the server's load or connections."""
         self._limit = max(1, self._limit - 1)
         self._successes = 0
+        self.pace.record_refusal(now)
 
     def record_draining(self, now: float) -> None:
         """Makes the server unavailable for a fixed time after it reported that it is draining."""
@@ -225,3 +246,29 @@
             ratio = latency_seconds / median_seconds
             self._slowness = before + (ratio - before) * SLOWNESS_WEIGHT
             self._slowness_updated_at = now
+
+
+def select_by_pace(
+    states: Sequence[ServerState], query: data.QueryId, now: float
+) -> Sequence[ServerState]:
+    """Returns the servers that a query may be sent to, by the paces of those that start.
+
+    If all servers start, those with less than half of the largest share are left out.
+
+    Args:
+        states: Untried servers of the shard that are available.
+        query: The query.
+        now: The time, in monotonic seconds.
+    """
+    if not any(state.pace.is_starting for state in states):
+        return states
+    shares = [state.pace.share(now) for state in states]
+    largest = max(shares)
+    if largest < pace.FULL_SHARE:
+        return [state for state, share in zip(states, shares, strict=True) if share >= largest / 2]
+    position = pace.position_of(query)
+    return [
+        state
+        for state, share in zip(states, shares, strict=True)
+        if pace.may_receive(share, position, len(states))
+    ]
--- a/monsoonhoist/shards/shard.py
+++ b/monsoonhoist/shards/shard.py
@@ -7,7 +7,7 @@
 from monsoonhoist.core import data, limits
 from monsoonhoist.policy import balance, order
 from monsoonhoist.protocol import events, fanout
-from monsoonhoist.shards import server, server_notices, subrequest
+from monsoonhoist.shards import server, server_notices, slow_start, subrequest
 
 # A timeout starts a backoff of the server only if the call ran for at least this multiple of the
 # smoothed latency of the shard's fastest server.
@@ -31,6 +31,7 @@
         leaving_grace_seconds: How long a server that is leaving may still be called if no other
             server is available (as a last resort).
         notices: What servers have said about themselves.
+        starts: Makes the paces of servers that start.
 
     Attributes:
         pool: Pool of the shard.
@@ -48,6 +49,7 @@
         queue: order.Order[subrequest.SubRequest],
         leaving_grace_seconds: float,
         notices: server_notices.ServerNotices,
+        starts: slow_start.SlowStarts,
     ):
         self.pool = pool
         self.service = service
@@ -58,6 +60,7 @@
         self._servers: tuple[data.Server, ...] = ()
         self._leaving_grace_seconds = leaving_grace_seconds
         self._notices = notices
+        self._starts = starts
 
     def is_current(self, servers: tuple[data.Server, ...]) -> bool:
         """Returns whether ``update`` last applied this same tuple and kept no other server."""
@@ -83,7 +86,9 @@
             state = self.server_by_id.get(record.server_id)
             limit_max = share.calls_max(record)
             if state is None or not _is_same_process(state.server, record):
-                state = server.ServerState(record, limit_max, bool(self.server_by_id))
+                state = server.ServerState(record, limit_max, self._starts)
+                if self.server_by_id:
+                    state.mark_added(now)
             else:
                 state.update(record, limit_max)
             self._apply_notice(state, now)
@@ -111,7 +116,7 @@
         elif state.server.leaving:
             state.mark_leaving(now)
         else:
-            state.mark_in_service()
+            state.mark_in_service(now)
         state.wait_until(notice.wait_until)
 
     def push(self, sub: subrequest.SubRequest) -> None:
@@ -229,7 +234,7 @@
         elif event.reason is data.Refusal.WRONG_SERVER:
             call.server.record_wrong_server(now)
         elif event.reason in (data.Refusal.SHED, data.Refusal.CONNECTIONS):
-            call.server.record_shed()
+            call.server.record_shed(now)
         elif event.reason is data.Refusal.DRAINING:
             call.server.record_draining(now)
 
@@ -247,7 +252,8 @@
 
         Servers known not to hold the sub-request's snapshot are excluded.
         """
-        return [state for state in self._untried_servers(sub, now) if state.has_capacity()]
+        states = server.select_by_pace(self._untried_servers(sub, now), sub.query.query_id, now)
+        return [state for state in states if state.has_capacity()]
 
     def _untried_servers(self, sub: subrequest.SubRequest, now: float) -> list[server.ServerState]:
         """Returns the servers that a sub-request may be sent to and has not been sent to yet.
@@ -306,6 +312,10 @@
         """Returns whether an untried server may serve a sub-request, now or once it is free."""
         return bool(self._untried_servers(sub, now))
 
+    def has_slow_start(self) -> bool:
+        """Returns whether any server receives less than its usual load."""
+        return any(state.pace.is_starting for state in self.server_by_id.values())
+
     def has_capacity(self, now: float) -> bool:
         """Returns whether any server that is available or a last resort has free capacity."""
         grace = self._leaving_grace_seconds
--- a/monsoonhoist/shards/shard_table.py
+++ b/monsoonhoist/shards/shard_table.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterable
 
 from monsoonhoist.core import data, limits
-from monsoonhoist.shards import kernel_config, server_notices, shard, subrequest
+from monsoonhoist.shards import kernel_config, server_notices, shard, slow_start, subrequest
 
 ShardKey = tuple[data.PoolId, data.ServiceId]
 
@@ -18,10 +18,12 @@
 
     Attributes:
         notices: What servers have said about themselves.
+        starts: Makes the paces of servers that start.
     """
 
     def __init__(self, policies: kernel_config.OwnerPolicies, options: kernel_config.KernelOptions):
         self.notices = server_notices.ServerNotices()
+        self.starts = slow_start.SlowStarts(options.make_pace)
         self._policies = policies
         self._options = options
         self._tables = data.Tables({}, {})
@@ -49,7 +51,7 @@
             return None
         grace = self._options.leaving_grace_seconds
         queue = self._policies.make_order()
-        state = shard.ShardState(pool_id, service, queue, grace, self.notices)
+        state = shard.ShardState(pool_id, service, queue, grace, self.notices, self.starts)
         state.keys = shard.fixed_keys(pool, service)
         # It is unknown when leaving servers began to leave; their grace period counts as over.
         state.update(servers, self._limit_share, -math.inf)
--- /dev/null
+++ b/monsoonhoist/shards/slow_start.py
@@ -0,0 +1,130 @@
+"""Slow start of the servers of an owner: when it begins and ends, and what is reported about it."""
+
+import enum
+from collections.abc import Callable
+
+from monsoonhoist.core import data, exchange
+from monsoonhoist.policy import pace
+from monsoonhoist.protocol import events
+
+MakePace = Callable[[float, float], pace.Pace]
+
+# Factor of the share after a failure that starts a backoff, and after a refusal because of load.
+FAILURE_FACTOR = 0.3
+REFUSAL_FACTOR = 0.7
+
+
+class Cause(enum.Enum):
+    """Why a server starts slowly.
+
+    Attributes:
+        ADDED: It is new in its shard, or its process has started again.
+        LISTED: The table lists it again.
+        BACKOFF: A failure started a backoff.
+        COLD: It reports that it is cold.
+    """
+
+    ADDED = "added"
+    LISTED = "listed"
+    BACKOFF = "backoff"
+    COLD = "cold"
+
+
+class SlowStarts:
+    """Makes the paces of an owner's servers and collects the reports about them.
+
+    Args:
+        make_pace: Creates the pace of a server from its first share and the time; None if servers
+            do not start slowly.
+    """
+
+    def __init__(self, make_pace: MakePace | None):
+        self._make_pace = make_pace
+        self._reports: list[events.Command] = []
+
+    def make(self, server: data.Server, cause: Cause, share: float, now: float) -> pace.Pace | None:
+        """Returns the pace of a server that starts, or None if servers do not start slowly."""
+        if self._make_pace is None:
+            return None
+        self._reports.append(events.SlowStartBegan(server.server_id, cause.value, share))
+        return self._make_pace(share, now)
+
+    def report_end(self, server: data.Server, ended: pace.Pace, now: float) -> None:
+        """Reports that a server has reached its full share."""
+        seconds = round(now - ended.started_at, 3)
+        ratio = round(ended.latency_ratio, 2)
+        self._reports.append(events.SlowStartEnded(server.server_id, seconds, ended.calls, ratio))
+
+    def flush(self) -> list[events.Command]:
+        """Removes and returns the reports."""
+        if not self._reports:
+            return []
+        reports, self._reports = self._reports, []
+        return reports
+
+
+class ServerPace:
+    """Slow start of one server.
+
+    Args:
+        server: The server.
+        starts: Makes paces and collects reports.
+
+    """
+
+    def __init__(self, server: data.Server, starts: SlowStarts):
+        self._server = server
+        self._starts = starts
+        self._pace: pace.Pace | None = None
+
+    def begin(self, cause: Cause, now: float, share: float = pace.INITIAL_SHARE) -> None:
+        """Lowers the share of a server that starts."""
+        if self._pace is None:
+            self._pace = self._starts.make(self._server, cause, share, now)
+        elif share < self._pace.share:
+            self._pace.set_share(share)
+
+    @property
+    def is_starting(self) -> bool:
+        """Whether the server receives less than its usual load."""
+        return self._pace is not None
+
+    def share(self, now: float) -> float:
+        """Returns the part of its usual load that the server receives, from 0 to 1."""
+        if self._pace is None:
+            return pace.FULL_SHARE
+        return self._pace.share_at(now)
+
+    def record_reply(
+        self, latency_seconds: float, median_seconds: float, load: exchange.Load | None, now: float
+    ) -> None:
+        """Updates the share after a reply."""
+        if self._pace is None:
+            return
+        ratio = latency_seconds / median_seconds if median_seconds > 0.0 else 0.0
+        self._pace.record_reply(pace.Sample(latency_seconds, ratio, load), now)
+        self._apply(now)
+
+    def record_unanswered(self, age_seconds: float, median_seconds: float, now: float) -> None:
+        """Updates the share after a call of which only a lower bound of its latency is known."""
+        if self._pace is not None and age_seconds > median_seconds > 0.0:
+            self.record_reply(age_seconds, median_seconds, None, now)
+
+    def record_failure(self, now: float) -> None:
+        """Lowers the share after a failure that starts a backoff."""
+        if self._pace is None:
+            self.begin(Cause.BACKOFF, now, FAILURE_FACTOR)
+        else:
+            self._pace.record_failure(FAILURE_FACTOR, now)
+            self._apply(now)
+
+    def record_refusal(self, now: float) -> None:
+        """Lowers the share of a server that starts after a refusal because of load."""
+        if self._pace is not None:
+            self._pace.record_failure(REFUSAL_FACTOR, now)
+            self._apply(now)
+
+    def _apply(self, now: float) -> None:
+        if self._pace.share >= pace.FULL_SHARE:
+            self._starts.report_end(self._server, self._pace, now)
+            self._pace = None
