Read what servers and the configuration say about warm-up

Cause: WarmupS and WarmupPerS of a service, WarmupLeftMs of a server's item and X-Cold-Ms of its responses are not read, so that the owner cannot know that a server is cold.

Change: data.Server gets warm_up_seconds, warm_up_rate and cold_ms, exchange.ServerReport gets cold_ms. Nothing follows from them yet. The times that servers state are bounded to one hour.

Evidence: four new examples in features/server_reports.feature; layers and malformed input pass.

--- a/features/layers.feature
+++ b/features/layers.feature
@@ -19,6 +19,8 @@
       | TopK              |
       | top_k             |
       | WarmupLeftMs      |
+      | WarmupPerS        |
+      | X-Cold-Ms         |
       | op/config         |
       | servers/          |
       | /api/ready        |
--- a/features/server_reports.feature
+++ b/features/server_reports.feature
@@ -72,6 +72,10 @@
       | 503    | Retry-After    | soon            | wait_seconds | 0.0      |
       | 503    | Retry-After    | nan             | wait_seconds | 0.0      |
       | 200    | Retry-After    | 3               | wait_seconds | 0.0      |
+      | 200    | X-Cold-Ms      | 2500            | cold_ms      | 2500     |
+      | 503    | x-cold-ms      | 0               | cold_ms      | 0        |
+      | 200    | X-Cold-Ms      | -1              | cold_ms      | None     |
+      | 200    | X-Cold-Ms      | 1e9             | cold_ms      | None     |
 
   Scenario: The state of services that the tables no longer define is discarded
     Given the shards of an owner and their budgets, after work for 40 services in turn
--- a/monsoonhoist/core/data.py
+++ b/monsoonhoist/core/data.py
@@ -214,6 +214,9 @@
         leaving: Whether the operators are taking it out of service.
         health_path: Path of its health check; empty if it has none.
         incarnation: Start of its process, in milliseconds since the Unix epoch; 0 if unknown.
+        warm_up_seconds: How long it is cold after a start while there is traffic; 0 if not stated.
+        warm_up_rate: Requests per second that it may receive while it is cold; 0 for no limit.
+        cold_ms: How long it stays cold, as it has published; None if it has published nothing.
     """
 
     server_id: ServerId
@@ -225,6 +228,9 @@
     leaving: bool
     health_path: str = ""
     incarnation: int = 0
+    warm_up_seconds: float = 0.0
+    warm_up_rate: float = 0.0
+    cold_ms: int | None = None
 
 
 class Pool(msgspec.Struct, frozen=True):
--- a/monsoonhoist/core/exchange.py
+++ b/monsoonhoist/core/exchange.py
@@ -59,11 +59,13 @@
         wait_seconds: How long the server is to receive no requests from this instance, because it
             has refused one; 0 for no wait.
         load: Load of the server; None if it reports none.
+        cold_ms: How long the server stays cold; None if it does not say.
     """
 
     is_leaving: bool = False
     wait_seconds: float = 0.0
     load: Load | None = None
+    cold_ms: int | None = None
 
 
 NO_REPORT = ServerReport()
--- a/monsoonhoist/platform/backend_protocol.py
+++ b/monsoonhoist/platform/backend_protocol.py
@@ -173,6 +173,7 @@
         is_leaving=is_leaving,
         wait_seconds=_parse_wait_seconds(wait_text) if status == STATUS_UNAVAILABLE else 0.0,
         load=_parse_load(value_by_name.get(wire_names.LOAD_HEADER.lower(), "")),
+        cold_ms=_parse_count(value_by_name.get(wire_names.COLD_HEADER.lower(), "")),
     )
 
 
@@ -200,6 +201,11 @@
     return exchange.Load(*(int(number) for number in numbers))
 
 
+def _parse_count(text: str) -> int | None:
+    """Returns a whole number, or None if the text is none."""
+    return int(text) if _COUNT_PATTERN.fullmatch(text) else None
+
+
 def _parse_wait_seconds(text: str) -> float:
     """Returns how long a server that is full wants nothing; 0 if the text is no positive number."""
     try:
--- a/monsoonhoist/platform/store_format.py
+++ b/monsoonhoist/platform/store_format.py
@@ -1,6 +1,7 @@
 """Table format of the platform's store: decodes the configuration and the servers' items."""
 
 import datetime
+import math
 from collections.abc import Collection, Iterable, Mapping
 
 import msgspec
@@ -182,6 +183,7 @@
         connections=store_records.UNLIMITED_CONNECTIONS,
         leaving=server_value.state == "draining",
         incarnation=server_value.born,
+        cold_ms=_bound_cold_ms(server_value.warmup_left_ms),
     )
     return store.ParsedValue((), server)
 
@@ -189,14 +191,25 @@
 def _apply_service_config(
     server: data.Server, service_config: store_records.ServiceConfig | None
 ) -> data.Server:
-    """Returns a server with its service's connection limit and health check path."""
+    """Returns a server with its service's connection limit, health check path and warm-up."""
     if service_config is None:
         return server
     return msgspec.structs.replace(
-        server, connections=max(1, service_config.max_conns), health_path=service_config.health_path
+        server,
+        connections=max(1, service_config.max_conns),
+        health_path=service_config.health_path,
+        warm_up_seconds=service_config.warm_up_seconds,
+        warm_up_rate=service_config.warm_up_rate,
     )
 
 
+def _bound_cold_ms(stated_ms: float | None) -> int | None:
+    """Returns how long a server says that it stays cold, in whole milliseconds within bounds."""
+    if stated_ms is None:
+        return None
+    return math.ceil(min(max(0.0, stated_ms), store_records.COLD_MAX_SECONDS * 1000.0))
+
+
 def _service_sets(route_config: store_records.RouteConfig) -> Iterable[tuple[str, ...]]:
     """Returns the sets of services of a route; each request is sent to one of the sets.
 
--- a/monsoonhoist/platform/store_records.py
+++ b/monsoonhoist/platform/store_records.py
@@ -15,6 +15,9 @@
 CONNECTIONS_MAX = 1_000_000
 # Upper bound of numbers that are sent to other instances.
 NUMBER_MAX = 2**62
+# Longest time that a server is believed to stay cold, and most requests per second of a cold one.
+COLD_MAX_SECONDS = 3600
+WARM_UP_RATE_MAX = 1_000_000
 # Longest timeout and latency goal of a route: one day.
 DURATION_MAX_MS = 86_400_000
 # Ids are sent in a header, and paths in a request line, so that they contain neither spaces nor
@@ -70,11 +73,15 @@
         name: Name of the service.
         max_conns: Number of connections that each of its servers accepts.
         health_path: Path of the health check; empty for none.
+        warm_up_seconds: How long a server is cold after a start while there is traffic.
+        warm_up_rate: Requests per second that a cold server may receive; 0 for no limit.
     """
 
     name: str
     max_conns: int = UNLIMITED_CONNECTIONS
     health_path: str = ""
+    warm_up_seconds: float = msgspec.field(name="WarmupS", default=0.0)
+    warm_up_rate: float = msgspec.field(name="WarmupPerS", default=0.0)
 
 
 class LimitsConfig(msgspec.Struct, frozen=True, rename="pascal"):
@@ -104,7 +111,7 @@
         zone: Availability zone.
         slots: Number of requests that it processes concurrently.
         state: ``ready`` or ``draining``.
-        warmup_left_ms: Remaining time of its warm-up, in milliseconds, which is not used.
+        warmup_left_ms: Remaining time of its warm-up, in milliseconds; None if it is not stated.
         born: Start of its process, in milliseconds since the Unix epoch; 0 if it is not stated.
     """
 
@@ -113,7 +120,7 @@
     zone: str
     slots: int
     state: str
-    warmup_left_ms: float = 0
+    warmup_left_ms: float | None = None
     born: int = msgspec.field(name="born", default=0)
 
 
@@ -143,6 +150,10 @@
         place = diagnostics.Place(file, f"service {service_config.name}")
         if not 0 <= service_config.max_conns <= CONNECTIONS_MAX:
             yield diagnostics.Finding(place, f"MaxConns is not from 0 to {CONNECTIONS_MAX}")
+        if not 0 <= service_config.warm_up_seconds <= COLD_MAX_SECONDS:
+            yield diagnostics.Finding(place, f"WarmupS is not from 0 to {COLD_MAX_SECONDS}")
+        if not 0 <= service_config.warm_up_rate <= WARM_UP_RATE_MAX:
+            yield diagnostics.Finding(place, f"WarmupPerS is not from 0 to {WARM_UP_RATE_MAX}")
         path = service_config.health_path
         if path and not _TOKEN_PATTERN.fullmatch(path):
             yield diagnostics.Finding(place, f"HealthPath {path!r} is not a path")
--- a/monsoonhoist/platform/wire_names.py
+++ b/monsoonhoist/platform/wire_names.py
@@ -12,9 +12,10 @@
 MISSING_SHARDS_HEADER = "X-Missing-Parts"
 # Header of a backend server that refused a request without running any of it.
 NOT_RUN_HEADER = "X-Not-Run"
-# Headers in which a backend server describes itself: its load, that it is leaving, and, in a
-# refusal, for how many seconds it is to receive nothing.
+# Headers in which a backend server describes itself: its load, how many milliseconds it stays
+# cold, that it is leaving, and, in a refusal, for how many seconds it is to receive nothing.
 LOAD_HEADER = "X-Backend-Load"
+COLD_HEADER = "X-Cold-Ms"
 LEAVING_HEADER = "Server-Leaving"
 LEAVING_VALUE = "1"
 WAIT_HEADER = "Retry-After"
