Limit the rate of calls to cold servers over all instances

Cause: a cold server of a service with WarmupPerS crashes when all instances together send more than WarmupPerS x ColdExcess + ColdSlack requests in a second, and nothing limits them.

Change: overload.cold_quota divides the requests among all instances known within ten minutes, without messages; the owner of a shard uses the quotas of its cell. shards.cold_servers keeps how long a server stays cold: its latest report wins, and without one it is cold for WarmupS when it is first listed or has started again. Calls of all kinds and health checks count. What exceeds the quota goes to other servers; if all servers of a shard are limited, it waits, or is refused at once in the order of the queue. [pace] cold_excess and cold_slack come from the template where they are given; without them only the stated rate is used.

--- a/bench/paces.py
+++ b/bench/paces.py
@@ -128,6 +128,7 @@
     Scenario("fails, returns cold for 8 s", True, make_cold_by_time(4.0, 8.0)),
     Scenario("unlisted, returns cold for 8 s", False, make_cold_by_time(4.0, 8.0)),
     Scenario("the same, reports no pace", False, make_cold_by_time(4.0, 8.0), has_pace=False),
+    Scenario("unlisted, returns cold for 16 s", False, make_cold_by_time(4.0, 16.0)),
     Scenario("unlisted, cold for 40 calls", False, make_cold_by_calls(6.0, 40)),
 )
 
@@ -437,12 +438,13 @@
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--load", type=float, default=0.3)
     parser.add_argument("--pace", default="", help="name of the only pace to run")
+    parser.add_argument("--scenario", default="", help="part of the name of the scenarios to run")
     options = parser.parse_args()
     print("| scenario | pace | s to share | first second | failures | late | p99 ms |")
     print("|---|---|---|---|---|---|---|")
     for scenario in SCENARIOS:
         for name, make_pace in PACE_BY_NAME.items():
-            if options.pace not in ("", name):
+            if options.pace not in ("", name) or options.scenario not in scenario.name:
                 continue
             summary = Simulation(scenario, make_pace, options.seed, options.load).run()
             print(
--- a/monsoonhoist/metrics.py
+++ b/monsoonhoist/metrics.py
@@ -169,6 +169,12 @@
         self._slow_starts = self._make_counter(
             "slow_starts", "Slow starts of backend servers, by cause"
         )
+        self._cold_servers = self._make_counter(
+            "cold_servers", "Backend servers that have become cold"
+        )
+        self._quota_refusals = self._make_counter(
+            "quota_refusals", "Sub-requests refused because of quotas for cold servers"
+        )
         self._log_lines_left_out = self._make_counter("log_lines_left_out", "Log lines left out")
         self._answer_seconds = self._make_histogram("answer_seconds", "Time until an answer")
         self._call_seconds = self._make_histogram("call_seconds", "Time of a backend call")
@@ -217,6 +223,7 @@
             for source in TABLE_VALUE_SOURCES:
                 self._table_values.add(0, result=acceptance.value, source=source)
         unlabelled = (self._calls, self._sub_requests, self._late_replies, self._pauses)
+        unlabelled = (*unlabelled, self._cold_servers, self._quota_refusals)
         for counter in (*unlabelled, self._log_lines_left_out, self._attempts_exceeded):
             counter.add(0)
 
@@ -296,6 +303,14 @@
         """Counts the start of a backend server that receives a part of its usual load at first."""
         self._slow_starts.add(1, cause=cause)
 
+    def count_cold_server(self) -> None:
+        """Counts a backend server that has become cold."""
+        self._cold_servers.add(1)
+
+    def count_quota_refusal(self) -> None:
+        """Counts a sub-request that was refused because of the quotas for cold servers."""
+        self._quota_refusals.add(1)
+
     def count_pause(self) -> None:
         """Counts a detected pause of the process."""
         self._pauses.add(1)
--- a/monsoonhoist/node/kernels.py
+++ b/monsoonhoist/node/kernels.py
@@ -79,6 +79,11 @@
                 case events.SlowStartBegan():
                     self._counters.count_slow_start(command.cause)
                     _log.info("slow start began", extra=msgspec.structs.asdict(command))
+                case events.ServerTurnedCold():
+                    self._counters.count_cold_server()
+                    _log.info("server is cold", extra=msgspec.structs.asdict(command))
+                case events.CountQuotaRefusal():
+                    self._counters.count_quota_refusal()
                 case events.SlowStartEnded():
                     _log.info("slow start ended", extra=msgspec.structs.asdict(command))
                 case _:
--- a/monsoonhoist/node/views.py
+++ b/monsoonhoist/node/views.py
@@ -8,7 +8,7 @@
 
 from monsoonhoist import settings
 from monsoonhoist.core import clock, data, placement, sliding_maximum
-from monsoonhoist.fleet import cells, membership
+from monsoonhoist.fleet import cells, known_instances, membership
 from monsoonhoist.node import peers, replication
 from monsoonhoist.protocol import events
 
@@ -67,6 +67,7 @@
         self._clock = time_source
         self._published_at = -math.inf
         self._pending_refresh: asyncio.TimerHandle | None = None
+        self._known = known_instances.KnownInstances(time_source, FLEET_SIZE_HOLD_SECONDS)
         self._fleet_size_max = sliding_maximum.SlidingMaximum(time_source, FLEET_SIZE_HOLD_SECONDS)
 
     def refresh(self) -> None:
@@ -110,7 +111,13 @@
             self._peer_streams.set_neighbours(neighbours)
         previous = self.view
         self.view = events.ViewChanged(
-            tables, live, cell.members, cell.count, fleet_size, self._make_topology(cell)
+            tables,
+            live,
+            cell.members,
+            cell.count,
+            fleet_size,
+            self._make_topology(cell),
+            self._find_known(tables),
         )
         self._published_at = self._clock.monotonic()
         if previous is not None and _decides_alike(previous, self.view):
@@ -118,6 +125,16 @@
         for notify in self._subscribers:
             notify(self.view)
 
+    def _find_known(self, tables: data.Tables) -> tuple[data.InstanceId, ...]:
+        """Returns the instances known until recently, if a service states a rate for cold servers.
+
+        Without such a service they decide nothing, and views that differ in them are not published.
+        """
+        local = self._members.local_member.instance
+        others = (member.instance for member in self._members.other_members())
+        known = self._known.update((local, *others))
+        return known if _has_warm_up_rate(tables) else ()
+
     def _make_topology(self, cell: cells.CellView) -> placement.Topology:
         """Returns where the instances of the cell are, and what they can do."""
         cell_members = set(cell.members)
@@ -156,4 +173,14 @@
         and first.cell == second.cell
         and first.cells == second.cells
         and first.topology == second.topology
+        and first.known_instances == second.known_instances
+    )
+
+
+def _has_warm_up_rate(tables: data.Tables) -> bool:
+    """Returns whether any service states how many requests its cold servers bear."""
+    return any(
+        servers and servers[0].warm_up_rate > 0.0
+        for pool in tables.pool_by_id.values()
+        for servers in pool.servers_by_service.values()
     )
--- a/monsoonhoist/protocol/events.py
+++ b/monsoonhoist/protocol/events.py
@@ -23,6 +23,8 @@
         fleet_size: Number of instances among which the budgets of extra calls are divided,
             including those known until recently; 0 for the number of live instances.
         topology: Where the instances of the cell and the servers are.
+        known_instances: All instances known until recently, which share the quotas for cold
+            servers, sorted; empty for the live instances.
     """
 
     tables: data.Tables
@@ -31,6 +33,7 @@
     cells: int = 0
     fleet_size: int = 0
     topology: placement.Topology = placement.NO_TOPOLOGY
+    known_instances: tuple[data.InstanceId, ...] = ()
 
     @property
     def budget_share(self) -> float:
@@ -348,6 +351,28 @@
     latency_ratio: float
 
 
+class ServerTurnedCold(msgspec.Struct, frozen=True, tag="server-turned-cold"):
+    """Reports that a server which this owner calls has become cold.
+
+    Attributes:
+        server: The server.
+        cold_seconds: How long it stays cold.
+        rate: Requests per second that its service states for a cold server; 0 for no limit.
+        quota: Calls that this instance may send at a time; 0 without a limit.
+        instances: Number of instances among which the rate is divided.
+    """
+
+    server: data.ServerId
+    cold_seconds: float
+    rate: float
+    quota: int
+    instances: int
+
+
+class CountQuotaRefusal(msgspec.Struct, frozen=True, tag="count-quota-refusal"):
+    """Counts a sub-request that was refused because of the quotas for cold servers."""
+
+
 Command = (
     SendMessage
     | Respond
@@ -359,4 +384,6 @@
     | CountLateReply
     | SlowStartBegan
     | SlowStartEnded
+    | ServerTurnedCold
+    | CountQuotaRefusal
 )
--- a/monsoonhoist/settings.py
+++ b/monsoonhoist/settings.py
@@ -15,7 +15,7 @@
 from monsoonhoist.core import data, diagnostics
 from monsoonhoist.fleet import watcher_selection
 from monsoonhoist.kernels import kernel
-from monsoonhoist.overload import budget
+from monsoonhoist.overload import budget, cold_quota
 from monsoonhoist.policy import pace, registry
 from monsoonhoist.shards import kernel_config
 from monsoonhoist.tables import ini
@@ -274,9 +274,14 @@
     Attributes:
         slow_start: Whether a server that is new, is listed again or has failed receives a part of
             its usual load, which grows as its responses allow.
+        cold_excess: Requests that a cold server bears in a second, as a multiple of the rate that
+            its service states.
+        cold_slack: Requests that it bears in addition.
     """
 
     slow_start: bool = False
+    cold_excess: Annotated[float, msgspec.Meta(ge=0, le=1000)] = 1.0
+    cold_slack: Annotated[float, msgspec.Meta(ge=0, le=1_000_000)] = 0.0
 
 
 class Settings(ini.Model):
@@ -306,6 +311,7 @@
             self.timing.leaving_grace_ms.total_seconds(),
             section.finish_latencies,
             pace.ResponsePace if self.pace.slow_start else None,
+            cold_quota.ColdOptions(self.pace.cold_excess, self.pace.cold_slack),
         )
 
 
--- a/monsoonhoist/shards/kernel_config.py
+++ b/monsoonhoist/shards/kernel_config.py
@@ -3,7 +3,7 @@
 import dataclasses
 from collections.abc import Callable
 
-from monsoonhoist.overload import budget
+from monsoonhoist.overload import budget, cold_quota
 from monsoonhoist.policy import balance, hedge, order, ownership
 from monsoonhoist.shards import slow_start, subrequest
 
@@ -21,12 +21,14 @@
             route's median latency; 0 for no grace period.
         make_pace: Creates the pace of a server that starts or recovers; None if servers do not
             start slowly.
+        cold: Requests that cold servers bear, where their service states a rate.
     """
 
     extra_calls: budget.BudgetOptions = budget.BudgetOptions()
     leaving_grace_seconds: float = 0.0
     finish_latencies: float = 0.0
     make_pace: slow_start.MakePace | None = None
+    cold: cold_quota.ColdOptions = cold_quota.ColdOptions()
 
 
 @dataclasses.dataclass(frozen=True)
--- a/monsoonhoist/shards/owner.py
+++ b/monsoonhoist/shards/owner.py
@@ -8,6 +8,7 @@
 from monsoonhoist.protocol import events, fanout, messages
 from monsoonhoist.shards import (
     call_requests,
+    cold_waits,
     hedging,
     kernel_config,
     open_work,
@@ -66,6 +67,7 @@
         )
         self._replies = replies.ReplyCollector(instance, self._work.has_query)
         self._call_requests = call_requests.CallRequestCollector()
+        self._quota_waits = cold_waits.QuotaWaits(self._timers, self._dispatch, self._fail)
         self.reports = server_reports.ServerReports(instance, time_source, self._shards)
 
     @property
@@ -110,7 +112,10 @@
     def _handle_view(self, event: events.ViewChanged, commands: list[events.Command]) -> None:
         now = self._clock.monotonic()
         limit_share = self._policies.ownership.limit_share(event.cells or len(event.instances))
-        self._dispatch_all(self._shards.update(event.tables, limit_share, now), commands)
+        turned_cold = self._shards.cold.update(event, self._instance, now)
+        changed = self._shards.update(event.tables, limit_share, now)
+        self._shards.mark_cold(turned_cold, now)
+        self._dispatch_all(changed, commands)
         self.reports.set_cell(event.cell)
         self._shards.prune(self._work.sub_requests(), now)
         self._hedge_policies.retain(event.tables.route_by_id)
@@ -156,13 +161,16 @@
                 self._start_call(state, sub, candidates, commands)
             elif state.has_untried(sub, now) or self._await_server(state, sub, now):
                 deferred.append(sub)
-                if len(deferred) >= PACED_DEFERRALS_MAX and state.has_slow_start():
+                if len(deferred) >= PACED_DEFERRALS_MAX and server.is_any_starting(
+                    state.server_by_id.values()
+                ):
                     break
             else:
                 self._fail(state, sub, state.refusal_without_server(sub, now), commands)
         for sub in deferred:
             state.push(sub)
         self._refuse_without_server(state, now, commands)
+        self._quota_waits.update(state, now, commands)
 
     def _await_server(
         self, state: shard.ShardState, sub: subrequest.SubRequest, now: float
@@ -205,6 +213,8 @@
         chosen = shard.choose_server(
             self._policies.balance, candidates, self._zone, hedge_policy.median_seconds(), now
         )
+        if chosen.cold is not None:
+            chosen.cold.quota.record_call(now)
         call = subrequest.Call(next(self._call_ids), sub, chosen, now)
         self._work.add_call(call)
         choices = shard.describe_choices(candidates, hedge_policy.median_seconds(), now)
--- a/monsoonhoist/shards/server.py
+++ b/monsoonhoist/shards/server.py
@@ -1,11 +1,11 @@
 """The owner's state of one backend server: limits, health and latency."""
 
 import math
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 
 from monsoonhoist.core import data, exchange
 from monsoonhoist.policy import pace
-from monsoonhoist.shards import slow_start
+from monsoonhoist.shards import cold_servers, slow_start
 
 BACKOFF_MIN_SECONDS = 0.1
 BACKOFF_MAX_SECONDS = 5.0
@@ -46,6 +46,7 @@
     Attributes:
         server: The server's record in the table.
         pace: Its slow start.
+        cold: Its warm-up; None while nothing is known of it.
         latency_seconds: Smoothed latency of calls; 0 while unknown.
         holdings: Snapshots that the server last reported to hold; empty if unknown.
         started_at_by_call_id: Start of each call in flight, in monotonic seconds, oldest first.
@@ -54,6 +55,7 @@
     def __init__(self, server: data.Server, limit_max: int, starts: slow_start.SlowStarts):
         self.server = server
         self.pace = slow_start.ServerPace(server, starts)
+        self.cold = starts.find_cold(server)
         self.latency_seconds = 0.0
         self.holdings: tuple[data.Holding, ...] = ()
         self.started_at_by_call_id: dict[int, float] = {}
@@ -137,9 +139,16 @@
         """Whether the table marks the server as leaving or no longer lists it."""
         return self._leaving_since is not None
 
-    def has_capacity(self) -> bool:
-        """Returns whether one more call in flight is within the limit."""
-        return len(self.started_at_by_call_id) < self._limit
+    def has_capacity(self, now: float) -> bool:
+        """Returns whether one more call is within the limit and, if it is cold, within a quota."""
+        if len(self.started_at_by_call_id) >= self._limit:
+            return False
+        return self.cold is None or self.cold.may_call(now)
+
+    def mark_cold(self, cold: cold_servers.ColdState, now: float) -> None:
+        """Records that the server has become cold."""
+        self.cold = cold
+        self.pace.begin(slow_start.Cause.COLD, now)
 
     def may_hold(self, snapshot: data.Snapshot, now: float) -> bool:
         """Returns False only if a recent report shows that the server lacks the snapshot."""
@@ -248,6 +257,11 @@
             self._slowness_updated_at = now
 
 
+def is_any_starting(states: Iterable[ServerState]) -> bool:
+    """Returns whether any of some servers receives less than its usual load."""
+    return any(state.pace.is_starting for state in states)
+
+
 def select_by_pace(
     states: Sequence[ServerState], query: data.QueryId, now: float
 ) -> Sequence[ServerState]:
@@ -260,7 +274,7 @@
         query: The query.
         now: The time, in monotonic seconds.
     """
-    if not any(state.pace.is_starting for state in states):
+    if not is_any_starting(states):
         return states
     shares = [state.pace.share(now) for state in states]
     largest = max(shares)
--- a/monsoonhoist/shards/server_reports.py
+++ b/monsoonhoist/shards/server_reports.py
@@ -33,9 +33,18 @@
         self._cell = cell
 
     def may_check(self, server: data.Server) -> bool:
-        """Returns whether a health check may be sent to a server now."""
+        """Returns whether a health check may be sent to a server now, and counts it if so."""
+        now = self._clock.monotonic()
         notice = self._shards.notices.find(server)
-        return notice.leaving_since is None and self._clock.monotonic() >= notice.wait_until
+        if notice.leaving_since is not None or now < notice.wait_until:
+            return False
+        cold = self._shards.cold.find(server)
+        if cold is None or not cold.is_limited(now):
+            return True
+        if not cold.may_call(now):
+            return False
+        cold.quota.record_call(now)
+        return True
 
     def record(
         self,
@@ -48,9 +57,13 @@
         Returns:
             The shards that are affected.
         """
+        now = self._clock.monotonic()
+        if report.cold_ms is not None and self._shards.cold.record_report(
+            server, report.cold_ms, now
+        ):
+            self._shards.mark_cold((server.server_id,), now)
         if not report.is_leaving and report.wait_seconds <= 0.0:
             return []
-        now = self._clock.monotonic()
         notices = self._shards.notices
         was_leaving = notices.find(server).leaving_since is not None
         if not notices.record(server, report, now):
--- a/monsoonhoist/shards/shard.py
+++ b/monsoonhoist/shards/shard.py
@@ -253,7 +253,7 @@
         Servers known not to hold the sub-request's snapshot are excluded.
         """
         states = server.select_by_pace(self._untried_servers(sub, now), sub.query.query_id, now)
-        return [state for state in states if state.has_capacity()]
+        return [state for state in states if state.has_capacity(now)]
 
     def _untried_servers(self, sub: subrequest.SubRequest, now: float) -> list[server.ServerState]:
         """Returns the servers that a sub-request may be sent to and has not been sent to yet.
@@ -298,7 +298,7 @@
         return [
             state
             for state in self.server_by_id.values()
-            if state.has_capacity()
+            if state.has_capacity(now)
             and state.is_available(now)
             and state.may_hold(sub.snapshot, now)
         ]
@@ -312,15 +312,12 @@
         """Returns whether an untried server may serve a sub-request, now or once it is free."""
         return bool(self._untried_servers(sub, now))
 
-    def has_slow_start(self) -> bool:
-        """Returns whether any server receives less than its usual load."""
-        return any(state.pace.is_starting for state in self.server_by_id.values())
-
     def has_capacity(self, now: float) -> bool:
         """Returns whether any server that is available or a last resort has free capacity."""
         grace = self._leaving_grace_seconds
         return any(
-            state.has_capacity() and (state.is_available(now) or state.is_last_resort(now, grace))
+            state.has_capacity(now)
+            and (state.is_available(now) or state.is_last_resort(now, grace))
             for state in self.server_by_id.values()
         )
 
--- a/monsoonhoist/shards/shard_table.py
+++ b/monsoonhoist/shards/shard_table.py
@@ -4,7 +4,14 @@
 from collections.abc import Iterable
 
 from monsoonhoist.core import data, limits
-from monsoonhoist.shards import kernel_config, server_notices, shard, slow_start, subrequest
+from monsoonhoist.shards import (
+    cold_servers,
+    kernel_config,
+    server_notices,
+    shard,
+    slow_start,
+    subrequest,
+)
 
 ShardKey = tuple[data.PoolId, data.ServiceId]
 
@@ -19,11 +26,13 @@
     Attributes:
         notices: What servers have said about themselves.
         starts: Makes the paces of servers that start.
+        cold: Cold servers, and the quotas for them.
     """
 
     def __init__(self, policies: kernel_config.OwnerPolicies, options: kernel_config.KernelOptions):
         self.notices = server_notices.ServerNotices()
-        self.starts = slow_start.SlowStarts(options.make_pace)
+        self.cold = cold_servers.ColdServers(policies.ownership, options.cold)
+        self.starts = slow_start.SlowStarts(options.make_pace, self.cold)
         self._policies = policies
         self._options = options
         self._tables = data.Tables({}, {})
@@ -80,6 +89,19 @@
             state for state in self._state_by_key.values() if state.apply_notice(server_id, now)
         ]
 
+    def mark_cold(self, server_ids: Iterable[data.ServerId], now: float) -> None:
+        """Applies that servers have become cold to the shards that have them."""
+        for server_id in server_ids:
+            shards = self._state_by_key.values()
+            found = [
+                state.server_by_id[server_id] for state in shards if server_id in state.server_by_id
+            ]
+            cold = self.cold.find(found[0].server) if found else None
+            if cold is not None:
+                self.starts.report(cold.describe(now))
+                for server_state in found:
+                    server_state.mark_cold(cold, now)
+
     def prune(self, open_subs: Iterable[subrequest.SubRequest], now: float) -> None:
         """Removes old notices, and shards without work that the tables no longer define.
 
--- a/monsoonhoist/shards/slow_start.py
+++ b/monsoonhoist/shards/slow_start.py
@@ -6,6 +6,7 @@
 from monsoonhoist.core import data, exchange
 from monsoonhoist.policy import pace
 from monsoonhoist.protocol import events
+from monsoonhoist.shards import cold_servers
 
 MakePace = Callable[[float, float], pace.Pace]
 
@@ -36,10 +37,12 @@
     Args:
         make_pace: Creates the pace of a server from its first share and the time; None if servers
             do not start slowly.
+        cold: Cold servers; None if their quotas do not apply.
     """
 
-    def __init__(self, make_pace: MakePace | None):
+    def __init__(self, make_pace: MakePace | None, cold: cold_servers.ColdServers | None = None):
         self._make_pace = make_pace
+        self._cold = cold
         self._reports: list[events.Command] = []
 
     def make(self, server: data.Server, cause: Cause, share: float, now: float) -> pace.Pace | None:
@@ -49,6 +52,14 @@
         self._reports.append(events.SlowStartBegan(server.server_id, cause.value, share))
         return self._make_pace(share, now)
 
+    def find_cold(self, server: data.Server) -> cold_servers.ColdState | None:
+        """Returns what is known of a server's warm-up, or None."""
+        return self._cold.find(server) if self._cold is not None else None
+
+    def report(self, command: events.Command) -> None:
+        """Adds a report."""
+        self._reports.append(command)
+
     def report_end(self, server: data.Server, ended: pace.Pace, now: float) -> None:
         """Reports that a server has reached its full share."""
         seconds = round(now - ended.started_at, 3)
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -9,6 +9,7 @@
 import json
 import os
 import pathlib
+import re
 import signal
 import subprocess
 import sys
@@ -39,6 +40,8 @@
 MAX_CONNECTIONS = 30
 SLOTS = 4
 CALL_TIMEOUT_SECONDS = 10.0
+# Section of the template of settings.
+_SECTION = re.compile(r"{{#([^}]+)}}(.*?){{/\1}}", re.DOTALL)
 
 
 class Reply:
@@ -354,6 +357,8 @@
         "Bounds.RetryWindowS": "10",
         **(value_by_placeholder or {}),
     }
+    # A section renders its content only where its value is given.
+    template = _SECTION.sub(lambda found: found[2] if found[1] in values else "", template)
     for name, value in values.items():
         template = template.replace("{{" + name + "}}", value)
     return template.replace("[spread]\n", f"[spread]\ncell_size = {cell_size}\n")
