--- a/monsoonhoist/metrics.py
+++ b/monsoonhoist/metrics.py
@@ -14,6 +14,7 @@
 from typing import Protocol
 
 from monsoonhoist.core import data
+from monsoonhoist.shards import slow_start
 from monsoonhoist.tables import store
 
 CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
@@ -168,6 +169,15 @@
         self._attempts_exceeded = self._make_counter(
             "attempts_exceeded", "Shards called more often than allowed"
         )
+        self._slow_starts = self._make_counter(
+            "slow_starts", "Slow starts of backend servers, by cause"
+        )
+        self._cold_servers = self._make_counter(
+            "cold_servers", "Backend servers that have become cold"
+        )
+        self._quota_refusals = self._make_counter(
+            "quota_refusals", "Sub-requests refused because of quotas for cold servers"
+        )
         self._log_lines_left_out = self._make_counter("log_lines_left_out", "Log lines left out")
         self._answer_seconds = self._make_histogram("answer_seconds", "Time until an answer")
         self._call_seconds = self._make_histogram("call_seconds", "Time of a backend call")
@@ -207,6 +217,8 @@
             self._retries.add(0, reason=retry.value)
         for bound in data.Bound:
             self._calls_not_allowed.add(0, bound=bound.value)
+        for cause in slow_start.Cause:
+            self._slow_starts.add(0, cause=cause.value)
         for outcome in data.Outcome:
             for rank in data.Rank:
                 self._answers.add(0, outcome=outcome.value, rank=rank.value)
@@ -215,6 +227,7 @@
                 self._table_values.add(0, result=acceptance.value, source=source)
         unlabelled = (self._calls, self._sub_requests, self._late_replies, self._pauses)
         unlabelled += (self._ended_connections,)
+        unlabelled = (*unlabelled, self._cold_servers, self._quota_refusals)
         for counter in (*unlabelled, self._log_lines_left_out, self._attempts_exceeded):
             counter.add(0)
 
@@ -290,6 +303,18 @@
         """Counts shards that may have been called more often than the route allows."""
         self._attempts_exceeded.add(count)
 
+    def count_slow_start(self, cause: str) -> None:
+        """Counts the start of a backend server that receives a part of its usual load at first."""
+        self._slow_starts.add(1, cause=cause)
+
+    def count_cold_server(self) -> None:
+        """Counts a backend server that has become cold."""
+        self._cold_servers.add(1)
+
+    def count_quota_refusal(self) -> None:
+        """Counts a sub-request that was refused because of the quotas for cold servers."""
+        self._quota_refusals.add(1)
+
     def count_pause(self) -> None:
         """Counts a detected pause of the process."""
         self._pauses.add(1)
--- a/monsoonhoist/shards/owner.py
+++ b/monsoonhoist/shards/owner.py
@@ -8,6 +8,7 @@
 from monsoonhoist.protocol import events, fanout, messages
 from monsoonhoist.shards import (
     call_requests,
+    cold_waits,
     hedging,
     kernel_config,
     open_work,
@@ -25,6 +26,9 @@
 HEDGE_RETRY_SECONDS = 0.02
 # Share of its remaining time that a sub-request may wait for a server to become available.
 UNAVAILABLE_WAIT_SHARE = 0.25
+# Most sub-requests that one pass through a queue leaves waiting while a server of the shard starts
+# slowly. That server has free capacity for few of them, and each pass would cost the whole queue.
+PACED_DEFERRALS_MAX = 8
 
 
 class OwnerKernel:
@@ -63,6 +67,7 @@
         )
         self._replies = replies.ReplyCollector(instance, self._work.has_query)
         self._call_requests = call_requests.CallRequestCollector()
+        self._quota_waits = cold_waits.QuotaWaits(self._timers, self._dispatch, self._fail)
         self.reports = server_reports.ServerReports(instance, time_source, self._shards)
 
     @property
@@ -101,12 +106,16 @@
                     action(commands)
         commands.extend(self._replies.flush(self._clock.monotonic()))
         commands.extend(self._call_requests.flush())
+        commands.extend(self._shards.starts.flush())
         return commands
 
     def _handle_view(self, event: events.ViewChanged, commands: list[events.Command]) -> None:
         now = self._clock.monotonic()
         limit_share = self._policies.ownership.limit_share(event.cells or len(event.instances))
-        self._dispatch_all(self._shards.update(event.tables, limit_share, now), commands)
+        turned_cold = self._shards.cold.update(event, self._instance, now)
+        changed = self._shards.update(event.tables, limit_share, now)
+        self._shards.mark_cold(turned_cold, now)
+        self._dispatch_all(changed, commands)
         self.reports.set_cell(event.cell)
         self._shards.prune(self._work.sub_requests(), now)
         self._hedge_policies.retain(event.tables.route_by_id)
@@ -152,11 +161,16 @@
                 self._start_call(state, sub, candidates, commands)
             elif state.has_untried(sub, now) or self._await_server(state, sub, now):
                 deferred.append(sub)
+                if len(deferred) >= PACED_DEFERRALS_MAX and server.is_any_starting(
+                    state.server_by_id.values()
+                ):
+                    break
             else:
                 self._fail(state, sub, state.refusal_without_server(sub, now), commands)
         for sub in deferred:
             state.push(sub)
         self._refuse_without_server(state, now, commands)
+        self._quota_waits.update(state, now, commands)
 
     def _await_server(
         self, state: shard.ShardState, sub: subrequest.SubRequest, now: float
@@ -199,6 +213,8 @@
         chosen = shard.choose_server(
             self._policies.balance, candidates, self._zone, hedge_policy.median_seconds(), now
         )
+        if chosen.cold is not None:
+            chosen.cold.quota.record_call(now)
         call = subrequest.Call(next(self._call_ids), sub, chosen, now)
         self._work.add_call(call)
         choices = shard.describe_choices(candidates, hedge_policy.median_seconds(), now)
@@ -270,7 +286,8 @@
         affected = self.reports.record(call.server.server, event.report, commands)
         self._dispatch_all(affected, commands)
         hedge_policy = self._hedge_policies.policy_for(call.sub)
-        call.server.record_reply(latency, hedge_policy.median_seconds(), now)
+        median = hedge_policy.median_seconds()
+        call.server.record_reply(latency, median, event.report.load, now)
         call.server.update_holdings(event.holdings, now)
         hedge_policy.record(latency)
         if event.draining:
--- a/monsoonhoist/shards/shard.py
+++ b/monsoonhoist/shards/shard.py
@@ -7,7 +7,7 @@
 from monsoonhoist.core import data, limits
 from monsoonhoist.policy import balance, order
 from monsoonhoist.protocol import events, fanout
-from monsoonhoist.shards import server, server_notices, subrequest
+from monsoonhoist.shards import server, server_notices, slow_start, subrequest
 
 # A timeout starts a backoff of the server only if the call ran for at least this multiple of the
 # smoothed latency of the shard's fastest server.
@@ -31,6 +31,7 @@
         leaving_grace_seconds: How long a server that is leaving may still be called if no other
             server is available (as a last resort).
         notices: What servers have said about themselves.
+        starts: Makes the paces of servers that start.
 
     Attributes:
         pool: Pool of the shard.
@@ -48,6 +49,7 @@
         queue: order.Order[subrequest.SubRequest],
         leaving_grace_seconds: float,
         notices: server_notices.ServerNotices,
+        starts: slow_start.SlowStarts,
     ):
         self.pool = pool
         self.service = service
@@ -58,6 +60,7 @@
         self._servers: tuple[data.Server, ...] = ()
         self._leaving_grace_seconds = leaving_grace_seconds
         self._notices = notices
+        self._starts = starts
 
     def is_current(self, servers: tuple[data.Server, ...]) -> bool:
         """Returns whether ``update`` last applied this same tuple and kept no other server."""
@@ -88,16 +91,18 @@
             state = self.server_by_id.get(record.server_id)
             limit_max = share.calls_max(record)
             if state is None or not _is_same_process(state.server, record):
-                state = server.ServerState(record, limit_max, bool(self.server_by_id))
+                state = server.ServerState(record, limit_max, self._starts)
+                if self.server_by_id:
+                    state.mark_added(now)
             else:
                 state.update(record, limit_max)
-            state.set_evacuated(record.zone in evacuated_zones)
+            state.set_evacuated(record.zone in evacuated_zones, now)
             self._apply_notice(state, now)
             state_by_id[record.server_id] = state
         for server_id, state in self.server_by_id.items():
             if server_id not in state_by_id:
                 state.mark_unlisted(now)
-                state.set_evacuated(state.server.zone in evacuated_zones)
+                state.set_evacuated(state.server.zone in evacuated_zones, now)
                 if state.is_last_resort(now, self._leaving_grace_seconds):
                     state_by_id[server_id] = state
         self.server_by_id = state_by_id
@@ -118,7 +123,7 @@
         elif state.server.leaving:
             state.mark_leaving(now)
         else:
-            state.mark_in_service()
+            state.mark_in_service(now)
         state.wait_until(notice.wait_until)
 
     def push(self, sub: subrequest.SubRequest) -> None:
@@ -236,7 +241,7 @@
         elif event.reason is data.Refusal.WRONG_SERVER:
             call.server.record_wrong_server(now)
         elif event.reason in (data.Refusal.SHED, data.Refusal.CONNECTIONS):
-            call.server.record_shed()
+            call.server.record_shed(now)
         elif event.reason is data.Refusal.DRAINING:
             call.server.record_draining(now)
 
@@ -254,7 +259,8 @@
 
         Servers known not to hold the sub-request's snapshot are excluded.
         """
-        return [state for state in self._untried_servers(sub, now) if state.has_capacity()]
+        states = server.select_by_pace(self._untried_servers(sub, now), sub.query.query_id, now)
+        return [state for state in states if state.has_capacity(now)]
 
     def _untried_servers(self, sub: subrequest.SubRequest, now: float) -> list[server.ServerState]:
         """Returns the servers that a sub-request may be sent to and has not been sent to yet.
@@ -299,7 +305,7 @@
         return [
             state
             for state in self.server_by_id.values()
-            if state.has_capacity()
+            if state.has_capacity(now)
             and state.is_available(now)
             and state.may_hold(sub.snapshot, now)
         ]
@@ -317,7 +323,8 @@
         """Returns whether any server that is available or a last resort has free capacity."""
         grace = self._leaving_grace_seconds
         return any(
-            state.has_capacity() and (state.is_available(now) or state.is_last_resort(now, grace))
+            state.has_capacity(now)
+            and (state.is_available(now) or state.is_last_resort(now, grace))
             for state in self.server_by_id.values()
         )
 
--- a/monsoonhoist/shards/shard_table.py
+++ b/monsoonhoist/shards/shard_table.py
@@ -4,7 +4,14 @@
 from collections.abc import Iterable
 
 from monsoonhoist.core import data, limits
-from monsoonhoist.shards import kernel_config, server_notices, shard, subrequest
+from monsoonhoist.shards import (
+    cold_servers,
+    kernel_config,
+    server_notices,
+    shard,
+    slow_start,
+    subrequest,
+)
 
 ShardKey = tuple[data.PoolId, data.ServiceId]
 
@@ -18,10 +25,14 @@
 
     Attributes:
         notices: What servers have said about themselves.
+        starts: Makes the paces of servers that start.
+        cold: Cold servers, and the quotas for them.
     """
 
     def __init__(self, policies: kernel_config.OwnerPolicies, options: kernel_config.KernelOptions):
         self.notices = server_notices.ServerNotices()
+        self.cold = cold_servers.ColdServers(policies.ownership, options.cold)
+        self.starts = slow_start.SlowStarts(options.make_pace, self.cold)
         self._policies = policies
         self._options = options
         self._tables = data.Tables({}, {})
@@ -49,7 +60,7 @@
             return None
         grace = self._options.leaving_grace_seconds
         queue = self._policies.make_order()
-        state = shard.ShardState(pool_id, service, queue, grace, self.notices)
+        state = shard.ShardState(pool_id, service, queue, grace, self.notices, self.starts)
         state.keys = shard.fixed_keys(pool, service)
         # It is unknown when leaving servers began to leave; their grace period counts as over.
         state.update(servers, self._limit_share, -math.inf, self._tables.evacuated_zones)
@@ -80,6 +91,19 @@
             state for state in self._state_by_key.values() if state.apply_notice(server_id, now)
         ]
 
+    def mark_cold(self, server_ids: Iterable[data.ServerId], now: float) -> None:
+        """Applies that servers have become cold to the shards that have them."""
+        for server_id in server_ids:
+            shards = self._state_by_key.values()
+            found = [
+                state.server_by_id[server_id] for state in shards if server_id in state.server_by_id
+            ]
+            cold = self.cold.find(found[0].server) if found else None
+            if cold is not None:
+                self.starts.report(cold.describe(now))
+                for server_state in found:
+                    server_state.mark_cold(cold, now)
+
     def prune(self, open_subs: Iterable[subrequest.SubRequest], now: float) -> None:
         """Removes old notices, and shards without work that the tables no longer define.
 
