Test what untrusted callers make an instance hold

Callers can end a process by exhausting its memory or descriptors. Crowds and bounds are fixed here.

--- a/features/environment.py
+++ b/features/environment.py
@@ -1,6 +1,7 @@
 """Fixtures and hooks of behave that all features share."""
 
 import base64
+import sys
 
 import behave
 
@@ -27,6 +28,18 @@
         pools=("allocator", "boathouse"), relayed_server="boathouse-a"
     ),
     "site_zurichsee": site.SiteOptions(pools=("allocator", "boathouse")),
+    # Memory and descriptors of the machine are not in the native settings of all versions, so that
+    # the descriptors are limited for the process, and the memory by the defaults.
+    "site_untrusted": site.SiteOptions(
+        pools=("allocator",),
+        instances=2,
+        settings="[limits]\nbody_bytes = 4194304\n"
+        "[timing]\nbalancer_lag_ms = 300\ncaller_body_ms = 20000\n",
+        program=(
+            *("bash", "-c", 'ulimit -n 400; exec "$@"', "monsoonhoist"),
+            *(sys.executable, "-m", "monsoonhoist"),
+        ),
+    ),
     "site_tasmania": site.SiteOptions(
         example="tasmania-south",
         zones=("hobart", "huon", "derwent-valley", "tasman"),
@@ -36,6 +49,18 @@
 
 # Cell size of the deployment on the users' platform; 0 to derive it from the tables.
 CELL_SIZE_BY_TAG = {"fleet": 0, "fleet_cell": fleet.INSTANCE_COUNT}
+# Options of a small deployment on machines with little memory and few descriptors.
+UNTRUSTED_TAG = "fleet_untrusted"
+UNTRUSTED_OPTIONS = {
+    "instances": 2,
+    "value_by_placeholder": {"Limits.MemoryLimitMb": "160", "Limits.MaxFds": "600"},
+    "request_limits": {
+        "MaxBodyBytes": 262_144,
+        "MaxHeaderBytes": 16_384,
+        "HeaderTimeoutMs": 1_500,
+        "IdleTimeoutMs": 20_000,
+    },
+}
 
 
 @behave.fixture
@@ -49,9 +74,9 @@
 
 
 @behave.fixture
-def running_fleet(context, cell_size):
+def running_fleet(context, cell_size, **options):
     """Starts a deployment on the users' platform and stops it after the feature."""
-    context.fleet = fleet.Fleet(cell_size)
+    context.fleet = fleet.Fleet(cell_size, **options)
     try:
         yield context.fleet.start()
     finally:
@@ -62,6 +87,8 @@
     """Starts the deployment of a tag."""
     if tag in CELL_SIZE_BY_TAG:
         behave.use_fixture(running_fleet, context, CELL_SIZE_BY_TAG[tag])
+    if tag == UNTRUSTED_TAG:
+        behave.use_fixture(running_fleet, context, 0, **UNTRUSTED_OPTIONS)
     if tag in SITE_OPTIONS_BY_TAG:
         behave.use_fixture(running_site, context, SITE_OPTIONS_BY_TAG[tag])
 
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -66,10 +66,13 @@
         cell_size: Number of instances that share the calls to backend servers, all in one zone.
             With 0 it is derived from the tables, and each instance is in a zone of its own.
         instances: Number of instances.
+        value_by_placeholder: Values of placeholders of the settings that replace the usual ones.
+        request_limits: Limits of callers' requests in the configuration; empty for none.
 
     Attributes:
         instances: Number of instances.
         cell_size: Number of instances that share the calls to backend servers; 0 if derived.
+        request_limits: Limits of callers' requests in the configuration; empty for none.
         folder: Temporary folder with settings and logs.
         store: Stand-in of the store; set by ``start``.
         server_by_name: Backend servers, two for each service.
@@ -77,8 +80,16 @@
         version: Version of the latest published configuration.
     """
 
-    def __init__(self, cell_size: int = 0, instances: int = INSTANCE_COUNT) -> None:
+    def __init__(
+        self,
+        cell_size: int = 0,
+        instances: int = INSTANCE_COUNT,
+        value_by_placeholder: dict[str, str] | None = None,
+        request_limits: dict[str, int] | None = None,
+    ) -> None:
         self.instances = instances
+        self.request_limits = request_limits or {}
+        self._value_by_placeholder = value_by_placeholder
         self.cell_size = cell_size
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="monsoonhoist-fleet-"))
         self.server_by_name: dict[str, shards.ShardServer] = {}
@@ -105,7 +116,7 @@
 
     def settings_of(self, number: int) -> str:
         """Returns the settings of an instance."""
-        return settings_text(number, self.cell_size)
+        return settings_text(number, self.cell_size, self._value_by_placeholder)
 
     async def _start_stand_ins(self) -> None:
         """Starts the store and the backend servers, and registers the servers with the store."""
@@ -171,12 +182,18 @@
         else:
             self.call_in_thread(lambda: self._register_server(name, state))
 
-    def publish(self, gathered: tuple[str, ...] = SHARDS, extra: tuple[dict, ...] = ()) -> int:
+    def publish(
+        self,
+        gathered: tuple[str, ...] = SHARDS,
+        extra: tuple[dict, ...] = (),
+        request_limits: dict[str, int] | None = None,
+    ) -> int:
         """Writes a configuration with a newer version to the store and returns the version.
 
         Args:
             gathered: Services of the gathered route, each of which is a shard.
             extra: Further routes.
+            request_limits: Limits of callers' requests; None for those of the deployment.
         """
         # Versions need not be consecutive.
         self.version += 3
@@ -203,6 +220,9 @@
             for name in (*SHARDS, *SPARE_SHARDS, PLAIN_SERVICE)
         ]
         config = {"Version": self.version, "Routes": routes, "Services": services}
+        limits = self.request_limits if request_limits is None else request_limits
+        if limits:
+            config["Limits"] = limits
         self.call_in_thread(lambda: self.store.put("op/config", json.dumps(config).encode()))
         return self.version
 
@@ -349,6 +369,8 @@
         "Bootstrap": "false",
         "Limits.CpuShare": "1",
         "Limits.Cores": "1",
+        "Limits.MemoryLimitMb": "300",
+        "Limits.MaxFds": "4096",
         "Bounds.RetryRatio": "0.2",
         "Bounds.RetrySlack": "50",
         "Bounds.RetryWindowS": "10",
