Keep the configuration's limits for callers' requests in the tables

The limits of bodies, heads and times that operators publish were decoded and dropped. data.Tables has request_limits now, which the platform's format fills; values that are not above 0 state no limit, so that a configuration without limits keeps its meaning. Nothing uses the limits yet.

--- a/monsoonhoist/core/data.py
+++ b/monsoonhoist/core/data.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from monsoonhoist.core import exchange
+from monsoonhoist.core import caller_limits, exchange
 
 InstanceId = NewType("InstanceId", str)
 Incarnation = NewType("Incarnation", int)
@@ -248,10 +248,17 @@
 
 
 class Tables(msgspec.Struct, frozen=True):
-    """The route and pool tables in force, built from the accepted table values."""
+    """The route and pool tables in force, built from the accepted table values.
+
+    Attributes:
+        route_by_id: The routes.
+        pool_by_id: The pools.
+        request_limits: Limits for callers' requests and connections.
+    """
 
     route_by_id: dict[RouteId, Route]
     pool_by_id: dict[PoolId, Pool]
+    request_limits: caller_limits.RequestLimits = caller_limits.RequestLimits()
 
 
 class Member(msgspec.Struct, frozen=True, array_like=True):
--- a/monsoonhoist/platform/store_format.py
+++ b/monsoonhoist/platform/store_format.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from monsoonhoist import decoding, errors
-from monsoonhoist.core import data, diagnostics, hashing
+from monsoonhoist.core import caller_limits, data, diagnostics, hashing
 from monsoonhoist.platform import store_records, wire_names
 from monsoonhoist.tables import store
 
@@ -73,7 +73,7 @@
             pool_id: _replace_servers(pool, servers_by_service)
             for pool_id, pool in tables.pool_by_id.items()
         }
-        return data.Tables(tables.route_by_id, pool_by_id)
+        return msgspec.structs.replace(tables, pool_by_id=pool_by_id)
 
     def _build_tables(
         self, config: store_records.ConfigValue, content_by_key: Mapping[data.TableKey, object]
@@ -96,7 +96,9 @@
             data.RouteId(route_config.name): _make_route(route_config, self._hedge_budget)
             for route_config in config.routes
         }
-        return data.Tables(route_by_id, pool_by_id)
+        return data.Tables(
+            route_by_id, pool_by_id, request_limits=_make_request_limits(config.limits)
+        )
 
     def _update_keys_by_service(
         self,
@@ -235,6 +237,22 @@
     )
 
 
+def _make_request_limits(limits: store_records.LimitsConfig) -> caller_limits.RequestLimits:
+    """Returns the limits for callers' requests; values that are not above 0 state no limit."""
+    return caller_limits.RequestLimits(
+        body_bytes=max(0, limits.max_body_bytes),
+        head_bytes=max(0, limits.max_header_bytes),
+        head_timeout=_make_timeout(limits.header_timeout_ms),
+        idle_timeout=_make_timeout(limits.idle_timeout_ms),
+    )
+
+
+def _make_timeout(milliseconds: float) -> datetime.timedelta | None:
+    if not milliseconds > 0:
+        return None
+    return datetime.timedelta(milliseconds=min(milliseconds, store_records.DURATION_MAX_MS))
+
+
 def _make_route(route_config: store_records.RouteConfig, hedge_budget: float) -> data.Route:
     is_gathered = bool(route_config.gather)
     pools = [_make_pool_id(services, is_gathered) for services in _service_sets(route_config)]
--- a/monsoonhoist/platform/store_records.py
+++ b/monsoonhoist/platform/store_records.py
@@ -78,7 +78,7 @@
 
 
 class LimitsConfig(msgspec.Struct, frozen=True, rename="pascal"):
-    """Limits for callers' requests and connections, in bytes and milliseconds; not used."""
+    """Limits for callers' requests and connections, in bytes and milliseconds; 0 for none."""
 
     max_header_bytes: int = 0
     max_body_bytes: int = 0
