Decide which callers go when they hold too much or are too many

held_bytes gives callers and servers an account each, whose limits follow from the memory of the machine: a quarter each of what a process without callers leaves, since counted bytes exist twice while they are passed on. An entry that holds nothing is dropped, so that of equal holders the one that has held something for longest is named. open_connections limits the open connections of callers to a share of the descriptors and names the one that has been waited for longest; requests in progress are left alone. Neither does I/O, and nothing uses them yet.

--- /dev/null
+++ b/features/caller_limits.feature
@@ -0,0 +1,35 @@
+Feature: Limits on what callers hold
+  Decisions without a network, with crowds of callers as in features/untrusted_callers.feature.
+
+  # Guards against crowds that each stay small: 150 callers of 2 MB on a machine of 160 MB.
+  Scenario: A crowd of stalled bodies stays within the account, and small requests are not ended
+    Given the account of the callers on a machine of 160 MB
+    When 150 callers have each sent 2000000 bytes in pieces, and 20 others 3000 bytes
+    Then the account has never held more than 25000000 bytes
+    And none of the 20 callers has been ended
+
+  Scenario Outline: The accounts follow from the memory of the machine
+    Then the accounts on a machine of <memory> MB have <callers> bytes for callers and <servers> for servers
+
+    Examples:
+      | memory | callers   | servers  |
+      | 0      | 33554432  | 67108864 |
+      | 64     | 8388608   | 8388608  |
+      | 152    | 23000000  | 23000000 |
+      | 552    | 123000000 | 67108864 |
+
+  # Guards against a crowd that takes the connections of callers whose requests are in progress.
+  Scenario: Of too many connections, the one waited for longest is closed
+    Given at most 3 open connections
+    When the connections "a", "b" and "c" are opened, and "a" begins a request
+    And the connection "d" is opened
+    Then "b" is to be closed
+    When "b" is closed, and the request of "a" is answered
+    And the connection "e" is opened
+    Then "c" is to be closed
+    When "c" is closed, and "a", "d" and "e" begin requests
+    And the connection "f" is opened
+    Then "f" is to be closed
+
+  Scenario: Connections leave descriptors for servers and others
+    Then of 1535 descriptors, callers get 667 and idle connections to servers 534
