Limit what callers make an instance hold, in both dialects

Callers could end a process: bodies were limited to 16 MiB each and not together, the native dialect kept up to 128 MiB for paths that are not for queries, heads could take 75 s, answers that nobody read were kept, and connections could use all descriptors.

Both dialects now serve callers over CallerConnections. A stream counts the bytes of a request from the first byte of its head, and of an answer until the caller has taken them; if all callers together hold too much, the largest holder is refused (while its body is read) or closed. A body over the limit gets 413 when it is announced or exceeded, and the rest is dropped for at most 1 s and 4 MiB. A head over the limit gets 431. Heads have a time of their own, and bodies and answers on which nothing moves for the idle time are closed. Open connections are limited to half of the descriptors beyond the 200 for files. The load balancer and operators have 64 connections of their own, with the same account. The limits are the configuration's where it has them; without, the settings and the times as before hold. Responses of servers get the other half of the memory, and idle connections to servers are limited by the descriptors too.

The test of an uncaught exception builds its node with whole settings now, since the server reads more of them; what it checks is unchanged.

--- a/features/steps/odd_requests.py
+++ b/features/steps/odd_requests.py
@@ -8,7 +8,7 @@
 from tornado import testing
 
 from features.steps import generated_input
-from monsoonhoist import settings
+from monsoonhoist import metrics, settings
 from monsoonhoist.core import clock, data, diagnostics
 from monsoonhoist.kernels import traces
 from monsoonhoist.node import phases, web
@@ -39,9 +39,14 @@
 def make_failing_node(context):
     """Makes the part of a node that the HTTP server uses."""
     context.node = types.SimpleNamespace(
-        config=types.SimpleNamespace(
-            limits=settings.LimitsSection(), timing=settings.TimingSection()
+        config=settings.Settings(
+            instance=settings.InstanceSection(
+                name="n", deployment="d", zone="z", host="127.0.0.1", http_port=1, peer_port=2
+            ),
+            platform=settings.PlatformSection(),
         ),
+        counters=metrics.Metrics(data.InstanceId("n")),
+        replicator=types.SimpleNamespace(store=types.SimpleNamespace(tables=data.Tables({}, {}))),
         phase=phases.Phase.READY,
         pending_queries=FailingQueries(),
         active=0,
--- a/monsoonhoist/metrics.py
+++ b/monsoonhoist/metrics.py
@@ -166,6 +166,9 @@
             "attempts_exceeded", "Shards called more often than allowed"
         )
         self._log_lines_left_out = self._make_counter("log_lines_left_out", "Log lines left out")
+        self._callers_closed = self._make_counter(
+            "callers_closed", "Connections of callers that were closed or refused, by reason"
+        )
         self._answer_seconds = self._make_histogram("answer_seconds", "Time until an answer")
         self._call_seconds = self._make_histogram("call_seconds", "Time of a backend call")
         self._start_at_zero()
@@ -274,6 +277,10 @@
         """Counts a reply dropped as late or duplicate."""
         self._late_replies.add(1)
 
+    def count_caller_closed(self, reason: str) -> None:
+        """Counts a caller's connection that was closed or refused for a reason."""
+        self._callers_closed.add(1, reason=reason)
+
     def count_log_lines_left_out(self, count: int) -> None:
         """Counts log lines that were dropped."""
         self._log_lines_left_out.add(count)
--- a/monsoonhoist/node/curl.py
+++ b/monsoonhoist/node/curl.py
@@ -35,7 +35,7 @@
 # Bytes that a response must hold before it is counted with the others in progress, so that short
 # responses, which are most, are not.
 COUNTED_BYTES_MIN = 4_096
-# Most connections that curl keeps for reuse, to all servers together.
+# Most connections that curl keeps for reuse, to all servers together, if descriptors allow.
 IDLE_CONNECTIONS_MAX = 4096
 # Encoding of request lines and header fields, which keeps all bytes.
 HEADER_ENCODING = "latin-1"
@@ -217,12 +217,14 @@
         idle_timeout: Idle time after which a connection is not reused.
         responses_bytes_max: Most bytes that the responses in progress may hold together. If there
             are more, the call with the longest is ended.
+        idle_connections_max: Most connections that are kept for reuse.
     """
 
     def __init__(
         self,
         idle_timeout: datetime.timedelta,
         responses_bytes_max: int = RESPONSES_BYTES_MAX,
+        idle_connections_max: int = IDLE_CONNECTIONS_MAX,
     ):
         self._held: held_bytes.HeldBytes[Transfer] = held_bytes.HeldBytes(responses_bytes_max)
         self._idle_seconds = max(1, round(idle_timeout.total_seconds()))
@@ -230,7 +232,8 @@
         self._multi = pycurl.CurlMulti()
         self._multi.setopt(pycurl.M_SOCKETFUNCTION, self._watch_socket)
         self._multi.setopt(pycurl.M_TIMERFUNCTION, self._set_timer)
-        self._multi.setopt(pycurl.M_MAXCONNECTS, IDLE_CONNECTIONS_MAX)
+        kept_max = min(idle_connections_max, IDLE_CONNECTIONS_MAX)
+        self._multi.setopt(pycurl.M_MAXCONNECTS, kept_max)
         self._timer: asyncio.TimerHandle | None = None
         self._transfer_by_handle: dict[pycurl.Curl, Transfer] = {}
         self._idle_handles: collections.deque[pycurl.Curl] = collections.deque()
--- a/monsoonhoist/node/http_servers.py
+++ b/monsoonhoist/node/http_servers.py
@@ -3,7 +3,9 @@
 import asyncio
 import logging
 
-from tornado import httpserver, httputil
+from tornado import httpserver, httputil, iostream
+
+from monsoonhoist.node import caller_connections, caller_options
 
 # Interval at which a server that closes checks whether its answers have been sent.
 FLUSH_CHECK_SECONDS = 0.01
@@ -14,17 +16,32 @@
 class FlushingServer(httpserver.HTTPServer):
     """HTTP server that closes its connections once what was written on them has been sent."""
 
-    def initialize(self, *args: object, **kwargs: object) -> None:
-        """Creates the server; the arguments are those of Tornado's."""
+    def initialize(
+        self, *args: object, callers: caller_connections.CallerConnections, **kwargs: object
+    ) -> None:
+        """Creates the server; the arguments are those of Tornado's, and the callers' connections.
+
+        Limits of sizes and times are those of ``callers``.
+        """
         self._open_connections: set[object] = set()
-        super().initialize(*args, **kwargs)
+        self._callers = callers
+        super().initialize(*args, max_body_size=caller_options.BODY_BYTES_MAX, **kwargs)
+
+    def handle_stream(self, stream: iostream.IOStream, address: tuple) -> None:
+        """Serves a new connection."""
+        super().handle_stream(self._callers.adopt(stream), address)
 
     def start_request(
         self, server_conn: object, request_conn: httputil.HTTPConnection
     ) -> httputil.HTTPMessageDelegate:
-        """Registers the connection of a request."""
+        """Registers the connection of a request, before the request is read."""
         self._open_connections.add(server_conn)
-        return super().start_request(server_conn, request_conn)
+        options = self._callers.options
+        # Tornado's timeout covers the idle time and the head; the head has a check of its own.
+        self.conn_params.header_timeout = options.idle_seconds_max() + options.head_seconds_max()
+        self.conn_params.max_header_size = options.head_bytes_max()
+        delegate = super().start_request(server_conn, request_conn)
+        return self._callers.begin_message(server_conn.stream, request_conn, delegate)
 
     def on_close(self, server_conn: object) -> None:
         """Forgets a connection."""
--- a/monsoonhoist/node/node.py
+++ b/monsoonhoist/node/node.py
@@ -90,7 +90,7 @@
         self._entry = self._make_task(traces.Role.ENTRY, self._kernel.entry)
         self._owner = self._make_task(traces.Role.OWNER, self._kernel.owner)
         self.dialect = dialect.make_dialect(config)
-        self._driver = curl.CurlDriver(config.timing.backend_idle_ms, config.limits.response_bytes)
+        self._driver = curl.CurlDriver(config.timing.backend_idle_ms, *config.driver_limits())
         protocol = self.dialect.make_protocol()
         self._backends = backends.BackendTask(
             f"{self.name}.{incarnation}",
--- a/monsoonhoist/node/web.py
+++ b/monsoonhoist/node/web.py
@@ -1,20 +1,20 @@
 """HTTP interface of the native dialect for callers, the load balancer and operators."""
 
+import datetime
+import functools
 import logging
 
 import msgspec
-from tornado import web
+from tornado import httputil, web
 
 from monsoonhoist import decoding, errors, metrics
-from monsoonhoist.core import data
-from monsoonhoist.node import http_servers, node, phases, status
+from monsoonhoist.core import data, exchange
+from monsoonhoist.node import caller_connections, caller_options, http_servers, node, phases, status
 from monsoonhoist.overload import retry_after
 from monsoonhoist.queries import answer_builder
 
 MS_PER_SECOND = 1000
-# Larger than any accepted body, so that the handler, not Tornado, refuses a body with a reason.
-SERVER_BODY_BYTES_MAX = 134_217_728
-IDLE_TIMEOUT_SECONDS = 60
+IDLE_TIMEOUT = datetime.timedelta(seconds=60)
 STATUS_INTERNAL_ERROR = 500
 
 _log = logging.getLogger(__name__)
@@ -69,7 +69,7 @@
 
 @web.stream_request_body
 class CallerHandler(BaseHandler):
-    """Base class of the handlers for callers; reads the body up to its size limit."""
+    """Base class of the handlers for callers; reads the body, whose size the server limits."""
 
     def initialize(self, local_node: node.Node) -> None:
         """Creates an empty body buffer."""
@@ -77,19 +77,14 @@
         self._body = bytearray()
         self._may_have_run = False
 
-    def prepare(self) -> None:
-        """Refuses a request whose Content-Length exceeds the size limit."""
-        length = self.request.headers.get("Content-Length", "0")
-        if length.isdecimal() and int(length) > self._node.config.limits.body_bytes:
-            self._refuse_body()
-
     def data_received(self, chunk: bytes) -> None:
-        """Appends a chunk to the body; refuses a body that exceeds the size limit."""
-        if self._finished:
-            return
+        """Appends a chunk to the body."""
         self._body.extend(chunk)
-        if len(self._body) > self._node.config.limits.body_bytes:
-            self._refuse_body()
+
+    def on_connection_close(self) -> None:
+        """Drops the body of a request that will not be completed."""
+        super().on_connection_close()
+        self._body.clear()
 
     def make_error_answer(self, status_code: int) -> data.Answer:
         """Returns the answer for an error, which is unknown once the request has been started."""
@@ -111,13 +106,9 @@
 
     def send_answer(self, answer: data.Answer) -> None:
         """Sends an answer with the HTTP status for its outcome and reason."""
-        status_code = _STATUS_BY_OUTCOME[answer.outcome]
-        if answer.outcome is data.Outcome.NOT_RUN:
-            status_code = _STATUS_BY_REFUSAL.get(answer.reason, status_code)
+        status_code = find_status(answer)
         if status_code in (429, 503):
-            key = answer.request_id or self._node.pending_queries.next_id()
-            seconds = retry_after.delay_seconds(answer.reason, key, answer.wait_ms / MS_PER_SECOND)
-            self.set_header("Retry-After", str(max(1, round(seconds))))
+            self.set_header("Retry-After", _retry_after(self._node, answer))
         self.send_json(status_code, answer)
 
     def refuse_if_unavailable(self) -> bool:
@@ -130,12 +121,6 @@
             return True
         return False
 
-    def _refuse_body(self) -> None:
-        limit = self._node.config.limits.body_bytes
-        detail = f"the body is larger than {limit} bytes"
-        self.set_header("Connection", "close")
-        self.refuse(_NO_REQUEST, data.Refusal.BODY_TOO_LARGE, detail)
-
 
 class QueryHandler(CallerHandler):
     """``POST /v1/query/ROUTE``: runs a query on a route."""
@@ -146,6 +131,7 @@
             return
         try:
             request = read_request(bytes(self._body), self._node.config.limits.results)
+            self._body.clear()
         except errors.RequestError as error:
             self.refuse(_NO_REQUEST, error.refusal, str(error))
             return
@@ -250,6 +236,37 @@
     return request
 
 
+def find_status(answer: data.Answer) -> int:
+    """Returns the HTTP status for an answer's outcome and reason."""
+    status_code = _STATUS_BY_OUTCOME[answer.outcome]
+    if answer.outcome is data.Outcome.NOT_RUN:
+        return _STATUS_BY_REFUSAL.get(answer.reason, status_code)
+    return status_code
+
+
+def _retry_after(local_node: node.Node, answer: data.Answer) -> str:
+    """Returns the time in seconds after which a refused request may be sent again."""
+    key = answer.request_id or local_node.pending_queries.next_id()
+    seconds = retry_after.delay_seconds(answer.reason, key, answer.wait_ms / MS_PER_SECOND)
+    return str(max(1, round(seconds)))
+
+
+def make_refusal(
+    local_node: node.Node, reason: data.Refusal, headers: httputil.HTTPHeaders
+) -> exchange.Response:
+    """Counts the refusal of a request that was not read whole, and returns its response."""
+    detail = "the requests being read hold too much memory"
+    if reason is data.Refusal.BODY_TOO_LARGE:
+        detail = f"the body is larger than {local_node.config.limits.body_bytes} bytes"
+    answer = answer_builder.make_not_run("", reason, detail)
+    local_node.pending_queries.record_refusal(answer)
+    status_code = find_status(answer)
+    header_list = [exchange.Header("Content-Type", "application/json")]
+    if status_code in (429, 503):
+        header_list.append(exchange.Header("Retry-After", _retry_after(local_node, answer)))
+    return exchange.Response(status_code, tuple(header_list), msgspec.json.encode(answer))
+
+
 def make_server(local_node: node.Node) -> http_servers.FlushingServer:
     """Returns the HTTP server of a node, not yet listening."""
     arguments = {"local_node": local_node}
@@ -263,10 +280,12 @@
             (r"/metrics", MetricsHandler, arguments),
         ]
     )
+    options = caller_options.make_options(
+        local_node, IDLE_TIMEOUT, functools.partial(make_refusal, local_node)
+    )
     return http_servers.FlushingServer(
         application,
-        max_body_size=SERVER_BODY_BYTES_MAX,
-        idle_connection_timeout=IDLE_TIMEOUT_SECONDS,
+        callers=caller_connections.make_connections(local_node, options),
         body_timeout=local_node.config.timing.caller_body_ms.total_seconds(),
     )
 
--- a/monsoonhoist/platform/callers.py
+++ b/monsoonhoist/platform/callers.py
@@ -9,19 +9,18 @@
 
 from monsoonhoist import metrics
 from monsoonhoist.core import data, exchange
-from monsoonhoist.node import http_servers, node, phases
+from monsoonhoist.node import node, phases
 from monsoonhoist.node import status as node_status
 from monsoonhoist.overload import retry_after
 from monsoonhoist.platform import wire_names
 from monsoonhoist.protocol import events
 
-HEADER_BYTES_MAX = 65_536
-BODY_BYTES_MAX = 16_777_216
 MS_PER_SECOND = 1000
 METHOD_HEAD = "HEAD"
 STATUS_OK = 200
 STATUS_BAD_REQUEST = 400
 STATUS_NOT_FOUND = 404
+STATUS_BODY_TOO_LARGE = 413
 STATUS_BAD_GATEWAY = 502
 STATUS_UNAVAILABLE = 503
 STATUS_TIMEOUT = 504
@@ -50,7 +49,7 @@
     def __init__(self, local_node: node.Node, connection: httputil.HTTPConnection):
         self._node = local_node
         self._connection = connection
-        self._chunks: list[bytes] = []
+        self._body = bytearray()
         self._start_line: httputil.RequestStartLine | None = None
         self._headers = httputil.HTTPHeaders()
         self._answer_future: asyncio.Future[events.Respond] | None = None
@@ -65,7 +64,7 @@
 
     def data_received(self, chunk: bytes) -> None:
         """Stores a chunk of the body."""
-        self._chunks.append(chunk)
+        self._body += chunk
 
     def finish(self) -> None:
         """Starts the query when the request is complete, or refuses it."""
@@ -103,9 +102,9 @@
             for name, value in self._headers.get_all()
             if name.lower() not in UNFORWARDED_HEADERS
         )
-        return exchange.HttpRequest(
-            self._start_line.method, self._start_line.path, headers, b"".join(self._chunks)
-        )
+        body = bytes(self._body)
+        self._body.clear()
+        return exchange.HttpRequest(self._start_line.method, self._start_line.path, headers, body)
 
     def _refuse(self, answer: data.Answer) -> None:
         self._node.pending_queries.record_refusal(answer)
@@ -118,6 +117,8 @@
         if answer_future.cancelled():
             return
         command = answer_future.result()
+        # The answer is not held while a slow caller reads it.
+        self._answer_future = None
         self._node.pending_queries.count_answer(route.rank, command.answer)
         self._send(command)
 
@@ -280,21 +281,15 @@
     return exchange.Response(status, headers, f"{reason}\n".encode())
 
 
-def make_server(
-    delegate: httputil.HTTPServerConnectionDelegate, idle_timeout_seconds: float
-) -> http_servers.FlushingServer:
-    """Returns an HTTP server that passes requests to a delegate as they arrive.
-
-    Args:
-        delegate: Creates the handler of each request.
-        idle_timeout_seconds: Time after which an idle connection is closed, in seconds.
-    """
-    return http_servers.FlushingServer(
-        delegate,
-        max_header_size=HEADER_BYTES_MAX,
-        max_body_size=BODY_BYTES_MAX,
-        idle_connection_timeout=idle_timeout_seconds,
+def make_refusal(
+    local_node: node.Node, reason: data.Refusal, headers: httputil.HTTPHeaders
+) -> exchange.Response:
+    """Counts the refusal of a request that was not read whole, and returns its response."""
+    answer = data.Answer(
+        headers.get(wire_names.REQUEST_ID_HEADER, ""), data.Outcome.NOT_RUN, reason
     )
+    local_node.pending_queries.record_refusal(answer)
+    return make_response(events.Respond(local_node.pending_queries.next_id(), answer))
 
 
 def _failure_status(answer: data.Answer) -> int:
@@ -303,6 +298,8 @@
         return STATUS_NOT_FOUND
     if answer.reason is data.Refusal.BAD_REQUEST:
         return STATUS_BAD_REQUEST
+    if answer.reason is data.Refusal.BODY_TOO_LARGE:
+        return STATUS_BODY_TOO_LARGE
     if answer.outcome is data.Outcome.NOT_RUN:
         return STATUS_UNAVAILABLE
     return STATUS_TIMEOUT if answer.reason is data.Refusal.TIMEOUT else STATUS_BAD_GATEWAY
--- a/monsoonhoist/platform/dialect.py
+++ b/monsoonhoist/platform/dialect.py
@@ -1,15 +1,27 @@
 """Dialect of the users' platform: creates the parts that talk to callers, servers and the store."""
 
 import asyncio
+import functools
 
 from monsoonhoist import metrics
 from monsoonhoist.core import data
 from monsoonhoist.fleet import membership
-from monsoonhoist.node import backends, curl, dialect, http_servers, node, replication
+from monsoonhoist.node import (
+    backends,
+    caller_connections,
+    caller_options,
+    curl,
+    dialect,
+    http_servers,
+    node,
+    replication,
+)
 from monsoonhoist.platform import backend_protocol, callers, reader, store_format
 from monsoonhoist.tables import store
 
 SEED_REPORT_INTERVAL_SECONDS = 1.0
+# Most open connections to the addresses for the load balancer and for operators together.
+CONTROL_CONNECTIONS_MAX = 64
 
 
 class SeedListing(dialect.InstanceListing):
@@ -105,14 +117,22 @@
     def make_server(self, local_node: node.Node) -> dialect.CallerServer:
         """Returns the HTTP servers, which do not listen yet."""
         listen = self.config.listen
-        idle_timeout_seconds = self.config.timing.caller_idle_ms.total_seconds()
+        options = caller_options.make_options(
+            local_node,
+            self.config.timing.caller_idle_ms,
+            functools.partial(callers.make_refusal, local_node),
+        )
+        connections = caller_connections.make_connections(local_node, options)
+        # The load balancer and operators keep their connections whatever callers do.
+        others = connections.make_others(CONTROL_CONNECTIONS_MAX)
         control = callers.ControlConnectionDelegate(local_node)
+        caller_server = http_servers.FlushingServer(
+            callers.CallerConnectionDelegate(local_node), callers=connections
+        )
         return PlatformServer(
             {
-                listen.callers: callers.make_server(
-                    callers.CallerConnectionDelegate(local_node), idle_timeout_seconds
-                ),
-                listen.ready: callers.make_server(control, idle_timeout_seconds),
-                listen.control: callers.make_server(control, idle_timeout_seconds),
+                listen.callers: caller_server,
+                listen.ready: http_servers.FlushingServer(control, callers=others),
+                listen.control: http_servers.FlushingServer(control, callers=others),
             }
         )
--- a/monsoonhoist/settings.py
+++ b/monsoonhoist/settings.py
@@ -7,6 +7,7 @@
 import datetime
 import ipaddress
 import pathlib
+import resource
 from typing import Annotated
 
 import msgspec
@@ -15,7 +16,7 @@
 from monsoonhoist.core import data, diagnostics
 from monsoonhoist.fleet import watcher_selection
 from monsoonhoist.kernels import kernel
-from monsoonhoist.overload import budget
+from monsoonhoist.overload import budget, held_bytes, open_connections
 from monsoonhoist.policy import registry
 from monsoonhoist.shards import kernel_config
 from monsoonhoist.tables import ini
@@ -33,6 +34,10 @@
 
     The process may use the share ``cpu_share`` of a core, which is ``cpu_speed`` times as fast as
     a typical one. Instances with more capacity own more shards.
+
+    The machine has ``memory_mb`` megabytes; 0 if that is not known. The process may open
+    ``descriptors`` files and connections; 0 for the limit that the system states. What callers may
+    hold follows from both.
     """
 
     name: Annotated[str, msgspec.Meta(pattern=r"^[A-Za-z0-9._-]+$")]
@@ -44,6 +49,21 @@
     peer_listen_port: Annotated[int, msgspec.Meta(ge=0, le=65535)] = 0
     cpu_share: Annotated[float, msgspec.Meta(gt=0, le=1024)] = 1.0
     cpu_speed: Annotated[float, msgspec.Meta(gt=0, le=1024)] = 1.0
+    memory_mb: Annotated[float, msgspec.Meta(ge=0, le=16_777_216)] = 0.0
+    descriptors: Annotated[int, msgspec.Meta(ge=0, le=16_777_216)] = 0
+
+    def _share_of_descriptors(self, share: float) -> int:
+        soft_limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+        descriptors = min(self.descriptors or soft_limit, soft_limit)
+        return open_connections.share_of_descriptors(descriptors, share)
+
+    def caller_connections_max(self) -> int:
+        """Returns the most open connections of callers."""
+        return self._share_of_descriptors(open_connections.CALLERS_SHARE)
+
+    def idle_server_connections_max(self) -> int:
+        """Returns the most idle connections to backend servers."""
+        return self._share_of_descriptors(open_connections.SERVERS_SHARE)
 
     @property
     def capacity(self) -> float:
@@ -134,12 +154,12 @@
     """``[limits]``: limits of sizes and counts; anything beyond them is refused.
 
     Attributes:
-        body_bytes: Largest body of a caller's request; native dialect only.
+        body_bytes: Largest body of a caller's request, where the tables have no limit.
         frame_bytes: Largest message from another instance.
         stream_buffer_bytes: Most bytes that may wait to be sent on a stream between instances; a
             stream with more is closed and opened again.
-        response_bytes: Most bytes that the unfinished responses of backend servers may hold, all
-            together; the call with the longest is ended if there are more.
+        response_bytes: Most bytes that the unfinished responses of backend servers, and long bodies
+            sent to them, may hold, all together; the call with most is ended if there are more.
         callers: Number of requests and calls in flight at which queries are refused; a request
             counts once in each task that holds it; native dialect only.
         results: Most results that a caller may request; native dialect only.
@@ -280,6 +300,14 @@
     listen: ListenSection = ListenSection()
     extra_calls: ExtraCallsSection = ExtraCallsSection()
 
+    def memory_shares(self) -> held_bytes.MemoryShares:
+        """Returns the limits of the memory that callers and servers make the process hold."""
+        return held_bytes.make_shares(self.instance.memory_mb, self.limits.response_bytes)
+
+    def driver_limits(self) -> tuple[int, int]:
+        """Returns the most bytes held for servers, and the most idle connections to them."""
+        return self.memory_shares().servers, self.instance.idle_server_connections_max()
+
     def kernel_options(self) -> kernel_config.KernelOptions:
         """Returns the options of the instance's kernels."""
         section = self.extra_calls
