Count bodies that are held for servers with their responses

A body is kept as long as a call with it is in progress, so that servers that read slowly or not at all make an instance hold bodies, which no limit covered. They count with the responses in progress now; the account moved from the curl driver to held_transfers. The calls of one request to several shards share one body, which counts once and whose calls end together.

Not covered by a test with processes.

--- a/features/caller_limits.feature
+++ b/features/caller_limits.feature
@@ -33,3 +33,13 @@
 
   Scenario: Connections leave descriptors for servers and others
     Then of 1535 descriptors, callers get 667 and idle connections to servers 534
+
+  # Guards against bodies that are held for servers that do not read them.
+  Scenario: Bodies that are sent slowly are limited together, and a shared one counts once
+    Given calls to servers that may hold 100000 bytes together
+    When 10 calls of one request send the same body of 40000 bytes
+    Then the calls hold 40000 bytes
+    When a call with a body of 50000 bytes starts, and one with 20000 bytes
+    Then only the call with 50000 bytes is ended
+    When all calls have ended
+    Then the calls hold 0 bytes
--- a/features/steps/caller_limits.py
+++ b/features/steps/caller_limits.py
@@ -1,7 +1,10 @@
 """Steps that drive the decisions on what callers may hold."""
 
+import asyncio
+
 from behave import given, then, when
 
+from monsoonhoist.node import held_transfers
 from monsoonhoist.overload import held_bytes, open_connections
 
 SERVERS_BYTES = 67_108_864
@@ -114,3 +117,69 @@
         share_of(descriptors, open_connections.SERVERS_SHARE),
     )
     assert shares == (callers, servers), shares
+
+
+class Call:
+    """A call to a server, of which only its end is seen."""
+
+    def __init__(self, size):
+        self.size = size
+
+    def discard(self):
+        """Does nothing."""
+
+
+@given("calls to servers that may hold {count:d} bytes together")
+def make_transfers(context, count):
+    """Creates the account of calls; its decisions are carried out by an event loop."""
+    context.loop = asyncio.new_event_loop()
+    context.add_cleanup(context.loop.close)
+    context.ended_calls = []
+    context.calls = []
+
+    async def make():
+        return held_transfers.HeldTransfers(count, context.ended_calls.append)
+
+    context.transfers = context.loop.run_until_complete(make())
+
+
+def start_call(context, body):
+    """Starts a call with a body."""
+    call = Call(len(body))
+    context.calls.append(call)
+    context.transfers.add_body(call, body)
+
+
+@when("{count:d} calls of one request send the same body of {size:d} bytes")
+def start_shared(context, count, size):
+    """Starts calls with one body."""
+    body = bytes(size)
+    for _ in range(count):
+        start_call(context, body)
+
+
+@when("a call with a body of {first:d} bytes starts, and one with {second:d} bytes")
+def start_two(context, first, second):
+    """Starts two calls."""
+    start_call(context, bytes(first))
+    start_call(context, bytes(second))
+    context.loop.run_until_complete(asyncio.sleep(0))
+
+
+@when("all calls have ended")
+def end_all(context):
+    """Ends all calls, some of which have been ended already."""
+    for call in context.calls:
+        context.transfers.release(call)
+
+
+@then("the calls hold {count:d} bytes")
+def check_total(context, count):
+    """Checks the total."""
+    assert context.transfers.total == count, context.transfers.total
+
+
+@then("only the call with {size:d} bytes is ended")
+def check_ended(context, size):
+    """Checks which calls were ended."""
+    assert [call.size for call in context.ended_calls] == [size], context.ended_calls
--- a/monsoonhoist/node/curl.py
+++ b/monsoonhoist/node/curl.py
@@ -17,7 +17,7 @@
 import pycurl
 
 from monsoonhoist.core import exchange
-from monsoonhoist.overload import held_bytes
+from monsoonhoist.node import held_transfers
 
 MS_PER_SECOND = 1000
 # Most handles of finished calls that are kept for reuse.
@@ -52,8 +52,8 @@
     Attributes:
         FOREIGN: It belongs to another request, according to ``HttpCall.expected_header``.
         MALFORMED: Its head has a line that is no header field.
-        TOO_LONG: It is longer than one response may be, or the longest while all in progress
-            together are too long.
+        TOO_LONG: It is longer than one response may be, or it or the body of its request is the
+            longest while all in progress together are too long.
     """
 
     FOREIGN = "foreign"
@@ -215,8 +215,8 @@
 
     Args:
         idle_timeout: Idle time after which a connection is not reused.
-        responses_bytes_max: Most bytes that the responses in progress may hold together. If there
-            are more, the call with the longest is ended.
+        responses_bytes_max: Most bytes that the responses in progress, and the bodies of calls,
+            may hold together. If there are more, the calls with the longest are ended.
         idle_connections_max: Most connections that are kept for reuse.
     """
 
@@ -226,7 +226,9 @@
         responses_bytes_max: int = RESPONSES_BYTES_MAX,
         idle_connections_max: int = IDLE_CONNECTIONS_MAX,
     ):
-        self._held: held_bytes.HeldBytes[Transfer] = held_bytes.HeldBytes(responses_bytes_max)
+        self._held: held_transfers.HeldTransfers[Transfer] = held_transfers.HeldTransfers(
+            responses_bytes_max, self._end_discarded
+        )
         self._idle_seconds = max(1, round(idle_timeout.total_seconds()))
         self._loop = asyncio.get_running_loop()
         self._multi = pycurl.CurlMulti()
@@ -242,10 +244,11 @@
     def start(self, call: HttpCall, on_done: Callable[[HttpReply], None]) -> Transfer:
         """Starts a call; ``on_done`` is called once with its result."""
         handle = self._idle_handles.pop() if self._idle_handles else pycurl.Curl()
-        transfer = Transfer(handle, on_done, call, self._hold)
+        transfer = Transfer(handle, on_done, call, self._held.add)
         self._transfer_by_handle[handle] = transfer
         self._set_options(handle, call, transfer)
         self._multi.add_handle(handle)
+        self._held.add_body(transfer, call.body)
         return transfer
 
     def abort(self, transfer: Transfer) -> None:
@@ -256,18 +259,9 @@
         self._held.release(transfer)
         self._release(transfer.handle)
 
-    def _hold(self, transfer: Transfer, count: int) -> None:
-        """Counts bytes of a response; ends the longest if all together are too long."""
-        longest = self._held.add(transfer, count)
-        if longest is not None:
-            longest.discard()
-            self._held.release(longest)
-            # curl must not be called from its own callback.
-            self._loop.call_soon(self._end_discarded, longest)
-
     def _end_discarded(self, transfer: Transfer) -> None:
         if self._transfer_by_handle.get(transfer.handle) is transfer:
-            self._finish(transfer, pycurl.E_WRITE_ERROR, "the responses in progress are too long")
+            self._finish(transfer, pycurl.E_WRITE_ERROR, "the calls in progress hold too much")
 
     def close(self) -> None:
         """Ends all calls without calling ``on_done`` and closes all connections."""
