--- a/monsoonhoist/node/caller_connections.py
+++ b/monsoonhoist/node/caller_connections.py
@@ -69,7 +69,7 @@
         )
         excess = self._open.open(caller)
         if excess is not None:
-            self.record_close(excess, "too many connections")
+            self.record_close(excess, "too_many_connections")
             excess.close()
         return caller
 
@@ -164,7 +164,7 @@
         for caller in list(self._unfinished):
             is_head = caller.state is caller_stream.State.HEAD
             if now - caller.since > (head_seconds if is_head else idle_seconds):
-                self.record_close(caller, "head too slow" if is_head else "stalled")
+                self.record_close(caller, "head_too_slow" if is_head else "stalled")
                 caller.close()
         if self._unfinished:
             self._check_timer = self._loop.call_later(CHECK_SECONDS, self._check)
--- a/monsoonhoist/node/caller_stream.py
+++ b/monsoonhoist/node/caller_stream.py
@@ -153,7 +153,7 @@
         """Closes the connection; a caller whose head is too long is told so."""
         is_too_long = isinstance(exc_info, iostream.UnsatisfiableReadError)
         if is_too_long and self.state is State.HEAD and not self.closed():
-            self._listener.record_close(self, "head too long")
+            self._listener.record_close(self, "head_too_long")
             try:
                 super().write_to_fd(memoryview(_HEAD_TOO_LONG))
             except OSError as error:
--- a/monsoonhoist/node/message_guard.py
+++ b/monsoonhoist/node/message_guard.py
@@ -97,7 +97,7 @@
         if delegate is None or self._caller.closed():
             return
         if reason is data.Refusal.BODY_TOO_LARGE:
-            self._listener.record_close(self._caller, "body too large")
+            self._listener.record_close(self._caller, "body_too_large")
         if self._is_head_passed_on:
             delegate.on_connection_close()
             # The callback would keep the handler, and with it the body.
