--- a/monsoonhoist/core/data.py
+++ b/monsoonhoist/core/data.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from monsoonhoist.core import exchange
+from monsoonhoist.core import caller_limits, exchange
 
 InstanceId = NewType("InstanceId", str)
 Incarnation = NewType("Incarnation", int)
@@ -260,11 +260,13 @@
         route_by_id: The routes.
         pool_by_id: The pools.
         evacuated_zones: Availability zones whose backend servers receive nothing new.
+        request_limits: Limits for callers' requests and connections.
     """
 
     route_by_id: dict[RouteId, Route]
     pool_by_id: dict[PoolId, Pool]
     evacuated_zones: frozenset[ZoneId] = frozenset()
+    request_limits: caller_limits.RequestLimits = caller_limits.RequestLimits()
 
 
 class Member(msgspec.Struct, frozen=True, array_like=True):
--- a/monsoonhoist/node/curl.py
+++ b/monsoonhoist/node/curl.py
@@ -17,8 +17,7 @@
 import pycurl
 
 from monsoonhoist.core import exchange
-from monsoonhoist.node import curl_events, request_target, single_sending
-from monsoonhoist.overload import held_bytes
+from monsoonhoist.node import curl_events, held_transfers, request_target, single_sending
 
 MS_PER_SECOND = 1000
 # Most handles of finished calls that are kept for reuse.
@@ -36,7 +35,7 @@
 # Bytes that a response must hold before it is counted with the others in progress, so that short
 # responses, which are most, are not.
 COUNTED_BYTES_MIN = 4_096
-# Most connections that curl keeps for reuse, to all servers together.
+# Most connections that curl keeps for reuse, to all servers together, if descriptors allow.
 IDLE_CONNECTIONS_MAX = 4096
 # Encoding of request lines and header fields, which keeps all bytes.
 HEADER_ENCODING = "latin-1"
@@ -53,8 +52,8 @@
     Attributes:
         FOREIGN: It belongs to another request, according to ``HttpCall.expected_header``.
         MALFORMED: Its head has a line that is no header field.
-        TOO_LONG: It is longer than one response may be, or the longest while all in progress
-            together are too long.
+        TOO_LONG: It is longer than one response may be, or it or the body of its request is the
+            longest while all in progress together are too long.
     """
 
     FOREIGN = "foreign"
@@ -232,8 +231,9 @@
 
     Args:
         idle_timeout: Idle time after which a connection is not reused.
-        responses_bytes_max: Most bytes that the responses in progress may hold together. If there
-            are more, the call with the longest is ended.
+        responses_bytes_max: Most bytes that the responses in progress, and the bodies of calls,
+            may hold together. If there are more, the calls with the longest are ended.
+        idle_connections_max: Most connections that are kept for reuse.
 
     Attributes:
         on_ended_connection: Called when a kept connection had ended before it was reused.
@@ -243,8 +243,11 @@
         self,
         idle_timeout: datetime.timedelta,
         responses_bytes_max: int = RESPONSES_BYTES_MAX,
+        idle_connections_max: int = IDLE_CONNECTIONS_MAX,
     ):
-        self._held: held_bytes.HeldBytes[Transfer] = held_bytes.HeldBytes(responses_bytes_max)
+        self._held: held_transfers.HeldTransfers[Transfer] = held_transfers.HeldTransfers(
+            responses_bytes_max, self._end_discarded
+        )
         self._idle_seconds = max(1, round(idle_timeout.total_seconds()))
         self._loop = asyncio.get_running_loop()
         self._multi = pycurl.CurlMulti()
@@ -253,7 +256,8 @@
         self._events = curl_events.EventWatcher(self._loop, self._run_socket_action)
         self._multi.setopt(pycurl.M_SOCKETFUNCTION, self._events.watch_socket)
         self._multi.setopt(pycurl.M_TIMERFUNCTION, self._events.set_timer)
-        self._multi.setopt(pycurl.M_MAXCONNECTS, IDLE_CONNECTIONS_MAX)
+        kept_max = min(idle_connections_max, IDLE_CONNECTIONS_MAX)
+        self._multi.setopt(pycurl.M_MAXCONNECTS, kept_max)
         self._transfer_by_handle: dict[pycurl.Curl, Transfer] = {}
         self._idle_handles: collections.deque[pycurl.Curl] = collections.deque()
 
@@ -261,10 +265,11 @@
         """Starts a call; ``on_done`` is called once with its result."""
         handle = self._idle_handles.pop() if self._idle_handles else pycurl.Curl()
         guard = single_sending.SendGuard(self._connections) if call.is_sent_once else None
-        transfer = Transfer(handle, on_done, call, self._hold, guard)
+        transfer = Transfer(handle, on_done, call, self._held.add, guard)
         self._set_options(handle, call, transfer)
         self._transfer_by_handle[handle] = transfer
         self._multi.add_handle(handle)
+        self._held.add_body(transfer, call.body)
         return transfer
 
     def abort(self, transfer: Transfer) -> None:
@@ -275,18 +280,9 @@
         self._held.release(transfer)
         self._release(transfer.handle)
 
-    def _hold(self, transfer: Transfer, count: int) -> None:
-        """Counts bytes of a response; ends the longest if all together are too long."""
-        longest = self._held.add(transfer, count)
-        if longest is not None:
-            longest.discard()
-            self._held.release(longest)
-            # curl must not be called from its own callback.
-            self._loop.call_soon(self._end_discarded, longest)
-
     def _end_discarded(self, transfer: Transfer) -> None:
         if self._transfer_by_handle.get(transfer.handle) is transfer:
-            self._finish(transfer, pycurl.E_WRITE_ERROR, "the responses in progress are too long")
+            self._finish(transfer, pycurl.E_WRITE_ERROR, "the calls in progress hold too much")
 
     def close(self) -> None:
         """Ends all calls without calling ``on_done`` and closes all connections."""
