--- a/features/environment.py
+++ b/features/environment.py
@@ -1,9 +1,11 @@
 """Fixtures and hooks of behave that all features share."""
 
 import base64
+import signal
 
 import behave
 
+from features import failure_report
 from standins import fleet, shards, site
 
 SITE_OPTIONS_BY_TAG = {
@@ -42,6 +44,7 @@
 def running_site(context, options):
     """Starts a deployment and stops it after the feature or scenario."""
     context.site = site.Site(options)
+    failure_report.note_evidence(_started_item(context), context.site.folder)
     try:
         yield context.site.start()
     finally:
@@ -52,12 +55,27 @@
 def running_fleet(context, cell_size):
     """Starts a deployment on the users' platform and stops it after the feature."""
     context.fleet = fleet.Fleet(cell_size)
+    failure_report.note_evidence(_started_item(context), context.fleet.folder)
     try:
         yield context.fleet.start()
     finally:
         context.fleet.stop()
 
 
+def _started_item(context):
+    """Returns the scenario or the feature for which a deployment is started."""
+    return getattr(context, "scenario", None) or context.feature
+
+
+def before_all(context):
+    """Registers the report of failures, and lets SIGTERM end the run as Ctrl+C does.
+
+    The processes of a deployment would otherwise outlive the run and keep their ports.
+    """
+    failure_report.register(context.config)
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
+
+
 def before_tag(context, tag):
     """Starts the deployment of a tag."""
     if tag in CELL_SIZE_BY_TAG:
@@ -75,7 +93,10 @@
 
 
 def after_scenario(context, scenario):
-    """Resets the servers, store and configuration of a deployment on the users' platform."""
+    """Notes the evidence, and resets a deployment on the users' platform."""
+    deployment = getattr(context, "fleet", None) or getattr(context, "site", None)
+    if deployment is not None:
+        failure_report.note_evidence(scenario, deployment.folder, context.request_ids)
     if "fleet" in context:
         for name, server in context.fleet.server_by_name.items():
             server.behaviour = shards.Behaviour()
