Judge answers to background callers by the pauses that instances log

Traced on one processor: the process had been paused for longer than pause_ms, after which it must refuse requests until it has current tables. Change: a refusal as not_ready is accepted if the instance that gave it logged a pause, or was not ready again, during the request. All other answers are judged as before. Evidence: features/callers.feature.

--- a/features/steps/draining.py
+++ b/features/steps/draining.py
@@ -81,5 +81,6 @@
     """Checks that all requests of the background callers had complete answers."""
     context.callers.stop()
     assert not context.callers.errors, context.callers.errors[:3]
-    incomplete = [answer for answer in context.callers.answers if answer["outcome"] != "answered"]
+    answers = context.callers.accepted_answers()
+    incomplete = [answer for answer in answers if answer["outcome"] != "answered"]
     assert not incomplete, (len(incomplete), incomplete[0])
--- a/features/steps/failures.py
+++ b/features/steps/failures.py
@@ -83,7 +83,7 @@
     """Checks that each request of the callers has an answer, and that all are consistent."""
     context.callers.stop()
     assert not context.callers.errors, context.callers.errors[:3]
-    for answer in context.callers.answers:
+    for answer in context.callers.accepted_answers():
         assert answer["outcome"] in ("answered", "partial", "failed"), answer
         check_consistency(answer)
 
