--- a/features/steps/neighbours.py
+++ b/features/steps/neighbours.py
@@ -11,6 +11,7 @@
 from monsoonhoist.fleet import membership
 from monsoonhoist.node import member_gossip, peers, stream_protocol, streams, views
 from monsoonhoist.protocol import messages
+from standins import ports
 
 
 def make_member(name):
@@ -116,6 +117,10 @@
     assert context.lost not in context.published[-1].cell, context.published[-1].cell
 
 
+# Address of the peers, whose ports are chosen before they listen.
+HOST = ports.own_host()
+
+
 class PeerStandIn(stream_protocol.PeerListener):
     """Listener of an instance's streams that records messages.
 
@@ -126,7 +131,7 @@
     """
 
     def __init__(self, name, port, other=None):
-        self.record = data.Member(name, 1, 0, data.MemberState.LIVE, "127.0.0.1", port, "z")
+        self.record = data.Member(name, 1, 0, data.MemberState.LIVE, HOST, port, "z")
         self.other = other
         self.received = []
         self.streams = peers.PeerStreams(
@@ -176,17 +181,17 @@
     """Opens the stream from "a", with the greeting of its build, and sends a message from "b"."""
 
     async def run():
-        sockets = [netutil.bind_sockets(0, "127.0.0.1")[0] for _ in "ab"]
-        ports = [socket.getsockname()[1] for socket in sockets]
+        sockets = [netutil.bind_sockets(0, HOST)[0] for _ in "ab"]
+        numbers = [socket.getsockname()[1] for socket in sockets]
         for socket in sockets:
             socket.close()
-        second = PeerStandIn("b", ports[1])
-        second.streams.listen("127.0.0.1", ports[1])
-        first = PeerStandIn("a", ports[0], second.record)
-        first.streams.listen("127.0.0.1", ports[0])
+        second = PeerStandIn("b", numbers[1])
+        second.streams.listen(HOST, numbers[1])
+        first = PeerStandIn("a", numbers[0], second.record)
+        first.streams.listen(HOST, numbers[0])
         inbox = []
         stream = streams.MessageStream(1_000_000, 1_000_000, inbox.append, lambda error: None)
-        await asyncio.get_running_loop().create_connection(lambda: stream, "127.0.0.1", ports[1])
+        await asyncio.get_running_loop().create_connection(lambda: stream, HOST, numbers[1])
         stream.send(messages.Hello("d", first.record, context.accepts_messages))
         await wait_for(lambda: inbox)
         sent = messages.BatchTaken(data.QueryId("q"))
@@ -227,11 +232,11 @@
     async def run():
         stand_ins = []
         for number in range(count + 1):
-            (socket,) = netutil.bind_sockets(0, "127.0.0.1")
+            (socket,) = netutil.bind_sockets(0, HOST)
             port = socket.getsockname()[1]
             socket.close()
             stand_ins.append(PeerStandIn(f"i{number}", port))
-            stand_ins[-1].streams.listen("127.0.0.1", port)
+            stand_ins[-1].streams.listen(HOST, port)
         local, *others = stand_ins
         members = tuple(other.record for other in others)
         record_by_id = {member.instance: member for member in members}
--- a/soak/platform.py
+++ b/soak/platform.py
@@ -108,15 +108,17 @@
     deployment: proxied_fleet.ProxiedFleet, requests: list[clients.RequestRecord]
 ) -> list[checks.Violation]:
     """Checks that all instances become ready in time and serve requests."""
-    ends_at = time.monotonic() + RECOVERY_MAX_SECONDS
+    recovery_start = time.monotonic()
     numbers = range(1, deployment.instances + 1)
     while not all([await asyncio.to_thread(deployment.is_ready, number) for number in numbers]):
-        if time.monotonic() > ends_at:
-            return [
-                checks.Violation(
-                    "RECOVER", f"not all instances are ready after {RECOVERY_MAX_SECONDS:g} s"
-                )
-            ]
+        stalled_seconds = deployment.stalled_seconds(recovery_start)
+        if time.monotonic() > recovery_start + RECOVERY_MAX_SECONDS + stalled_seconds:
+            unready = [number for number in numbers if not deployment.is_ready(number)]
+            detail = (
+                f"instances {unready} are not ready {RECOVERY_MAX_SECONDS:g} s after the faults,"
+                f" and {stalled_seconds:.1f} s in which the soak was stalled"
+            )
+            return [checks.Violation("RECOVER", detail)]
         await asyncio.sleep(READY_POLL_SECONDS)
     start = time.monotonic()
     await asyncio.sleep(RECOVERY_LOAD_SECONDS)
--- a/soak/proxied_fleet.py
+++ b/soak/proxied_fleet.py
@@ -317,6 +317,14 @@
                 self.disturbances.append(Disturbance(STALL, previous, now))
             previous = now
 
+    def stalled_seconds(self, start: float) -> float:
+        """Returns for how long the soak itself was stalled since a time."""
+        return sum(
+            max(0.0, disturbance.end - max(start, disturbance.start))
+            for disturbance in self.disturbances
+            if disturbance.target == STALL
+        )
+
     def _record_disturbance(self, target: str) -> Disturbance:
         disturbance = Disturbance(target, time.monotonic())
         self.disturbances.append(disturbance)
--- a/standins/ports.py
+++ b/standins/ports.py
@@ -28,3 +28,12 @@
     return _ADDRESS_PATTERN.sub(
         lambda match: f"{match[1]}{int(match[2]) + BASE - DEFAULT_BASE}", text
     )
+
+
+def own_host() -> str:
+    """Returns a loopback address that only this process uses.
+
+    A free port that is chosen first and bound later cannot be taken by another process there.
+    """
+    number = os.getpid()
+    return f"127.{64 + (number >> 16 & 63)}.{number >> 8 & 255}.{number & 255}"
