--- a/bench/mutants.py
+++ b/bench/mutants.py
@@ -401,6 +401,34 @@
         "            except ZeroDivisionError if False else ConfigServiceError:",
         "malformed_input",
     ),
+    Mutant(
+        "single sending: a second request of a call is not refused",
+        "node/single_sending.py",
+        "        if self.is_sent:\n            return pycurl.PREREQFUNC_ABORT",
+        "        if False:\n            return pycurl.PREREQFUNC_ABORT",
+        "single_sending",
+    ),
+    Mutant(
+        "single sending: a lost response uses up a second connection",
+        "node/curl.py",
+        "if event_mask == pycurl.CSELECT_IN and single_sending.has_ended(descriptor):",
+        "if False:",
+        "single_sending",
+    ),
+    Mutant(
+        "single sending: requests are sent on connections that have ended",
+        "node/single_sending.py",
+        "elif self._connections.has_ended(local_address, local_port):",
+        "elif False:",
+        "single_sending",
+    ),
+    Mutant(
+        "single sending: request targets are not checked",
+        "node/request_target.py",
+        "if not _TARGET_PATTERN.fullmatch(encoded):",
+        "if False:",
+        "single_sending",
+    ),
 )
 
 
