--- a/features/layers.feature
+++ b/features/layers.feature
@@ -58,7 +58,8 @@
       | export      |
       | logs        |
       | explanation |
-      | settings    |
+      | settings      |
+      | settings_file |
       | node        |
       | platform    |
       | client      |
--- a/features/steps/generated_input.py
+++ b/features/steps/generated_input.py
@@ -10,7 +10,7 @@
 from tornado import httputil
 
 from features import store_values
-from monsoonhoist import decoding, errors, settings
+from monsoonhoist import decoding, errors, settings, settings_file
 from monsoonhoist.core import data, exchange
 from monsoonhoist.kernels import traces
 from monsoonhoist.node import curl
@@ -142,7 +142,7 @@
         ini_texts(POOLS_NAMES),
         (),
     ),
-    "settings": (lambda text: settings.parse("f", text), ini_texts(SETTINGS_NAMES), ()),
+    "settings": (lambda text: settings_file.parse("f", text), ini_texts(SETTINGS_NAMES), ()),
     "messages": (read_message, changed_messages(), (errors.ProtocolError,)),
     "tickets": (
         tickets.decode,
--- a/monsoonhoist/cli.py
+++ b/monsoonhoist/cli.py
@@ -11,7 +11,7 @@
 import typer
 
 import monsoonhoist
-from monsoonhoist import client, errors, explanation, settings
+from monsoonhoist import client, errors, explanation, settings_file
 from monsoonhoist.core import data, diagnostics
 from monsoonhoist.kernels import traces
 from monsoonhoist.node import process
@@ -86,7 +86,7 @@
     findings: list[diagnostics.Finding] = []
     if settings_path is not None:
         try:
-            settings.load(settings_path)
+            settings_file.load(settings_path)
         except errors.SettingsError as error:
             findings.extend(error.findings)
     zones = tuple(data.ZoneId(zone) for zone in evacuated or ())
--- a/monsoonhoist/core/data.py
+++ b/monsoonhoist/core/data.py
@@ -283,10 +283,8 @@
         host: IP address.
         peer_port: TCP port for streams from other instances.
         zone: Availability zone.
-        capacity: Processor time per second that the instance may use, in seconds on a core of
-            typical speed.
-        accepts_work: Whether the instance may own shards; False while it starts, if the settings
-            ask for that.
+        capacity: Processor time per second that it may use, on a core of typical speed.
+        accepts_work: Whether it may own shards; False while it starts, if the settings say so.
     """
 
     instance: InstanceId
--- a/monsoonhoist/node/process.py
+++ b/monsoonhoist/node/process.py
@@ -6,7 +6,7 @@
 import signal
 import time
 
-from monsoonhoist import errors, logs, settings
+from monsoonhoist import errors, logs, settings, settings_file
 from monsoonhoist.core import clock, data
 from monsoonhoist.node import dialect, draining, gauges, logwriter, node, phases
 
@@ -27,7 +27,7 @@
     Raises:
         SettingsError: If the settings cannot be read or contain errors.
     """
-    config = settings.load(path)
+    config = settings_file.load(path)
     incarnation = data.Incarnation(time.time_ns())
     handler = logs.configure(log_level, data.InstanceId(config.instance.name), incarnation)
     asyncio.run(_serve(config, path, incarnation, trace_path, handler))
@@ -105,7 +105,7 @@
         """Applies the settings of the file; if they contain errors, nothing changes."""
         self._text = _read_text(self._path)
         try:
-            config = settings.load(self._path)
+            config = settings_file.load(self._path)
         except errors.SettingsError as error:
             findings = [finding.describe() for finding in error.findings]
             _log.error("settings not taken over", extra={"findings": findings})
--- a/monsoonhoist/settings.py
+++ b/monsoonhoist/settings.py
@@ -6,14 +6,13 @@
 
 import datetime
 import ipaddress
-import pathlib
 import resource
 from typing import Annotated
 
 import msgspec
 
-from monsoonhoist import addresses, errors
-from monsoonhoist.core import data, diagnostics
+from monsoonhoist import addresses
+from monsoonhoist.core import data
 from monsoonhoist.fleet import watcher_selection
 from monsoonhoist.kernels import kernel
 from monsoonhoist.overload import budget, cold_quota, held_bytes, open_connections
@@ -347,50 +346,6 @@
         )
 
 
-def parse(file: str, text: str) -> tuple[Settings | None, tuple[diagnostics.Finding, ...]]:
-    """Parses and validates settings.
-
-    Args:
-        file: Name used in findings.
-        text: INI text.
-
-    Returns:
-        The settings, or None if there are errors, and the errors.
-    """
-    source = ini.read(file, text)
-    findings = list(source.findings)
-    model_by_name: dict[str, ini.Model] = {}
-    field_by_name = {field.name: field for field in msgspec.structs.fields(Settings)}
-    for name, field in field_by_name.items():
-        section = source.section_by_name.get(name)
-        if section is not None:
-            model, section_findings = ini.check(source, section, field.type)
-            findings.extend(section_findings)
-            if model is not None:
-                model_by_name[name] = model
-        elif field.required and not source.findings:
-            place = diagnostics.Place(file, name)
-            findings.append(diagnostics.Finding(place, f"the section [{name}] is missing"))
-    for name, section in source.section_by_name.items():
-        if name not in field_by_name:
-            place = diagnostics.Place(file, name, section.line)
-            findings.append(diagnostics.Finding(place, "no such section"))
-    if not findings and model_by_name["platform"].dialect == "platform":
-        findings.extend(_find_missing_addresses(file, model_by_name.get("listen", ListenSection())))
-    if findings:
-        return None, tuple(findings)
-    return Settings(**model_by_name), ()
-
-
-def _find_missing_addresses(file: str, listen: ListenSection) -> list[diagnostics.Finding]:
-    """Returns a finding for each address that the dialect ``platform`` requires."""
-    place = diagnostics.Place(file, "listen")
-    return [
-        diagnostics.Finding(place, f"{name}: required with dialect = platform")
-        for name in listen.missing()
-    ]
-
-
 def _find_address_problems(section: ListenSection) -> tuple[ini.Problem, ...]:
     """Returns an error for each address that is set and invalid."""
     problem_by_name = {
@@ -399,20 +354,3 @@
         if getattr(section, name)
     }
     return tuple(ini.Problem(name, problem) for name, problem in problem_by_name.items() if problem)
-
-
-def load(path: pathlib.Path) -> Settings:
-    """Reads settings from a file.
-
-    Raises:
-        SettingsError: If the file cannot be read or contains errors.
-    """
-    try:
-        text = path.read_text(encoding="utf-8")
-    except (OSError, UnicodeDecodeError) as error:
-        finding = diagnostics.Finding(diagnostics.Place(str(path)), f"cannot be read: {error}")
-        raise errors.SettingsError((finding,)) from error
-    settings, findings = parse(str(path), text)
-    if settings is None:
-        raise errors.SettingsError(findings)
-    return settings
