Order owners' queues by the time left to the goal, and start no work in vain

Cause: owners serve each rank by deadline, and deadlines of 1 to 2 s say nothing about goals of 60 and 177 ms. After a pause of a server, parts that are late already go first and make the next ones late. The rule for work that cannot meet its deadline uses one latency for all routes: it refuses urgent work after slow normal calls, and starts normal work that cannot arrive.

Change: the entry sends the time left to the goal with each query of a route with a goal (one field with a default). With [scheduling] goal_order, policy/goal_order.py serves a rank's parts that can meet their goal first, and late ones with a quarter of its removals; shards/call_times.py does not start a call, retry or hedge whose result cannot arrive before the deadline, by the call times of its route. Decisions are counted and logged by a command of their own.

--- /dev/null
+++ b/monsoonhoist/core/scheduling.py
@@ -0,0 +1,31 @@
+"""Options and names of the decisions that schedule work under load."""
+
+import enum
+
+import msgspec
+
+
+class Options(msgspec.Struct, frozen=True):
+    """Mechanisms that are enabled; all are off by default.
+
+    Attributes:
+        goal_order: Owners serve their queues by the time left to the goal, and start no work
+            whose result cannot arrive before the deadline.
+    """
+
+    goal_order: bool = False
+
+
+DEFAULT_OPTIONS = Options()
+
+
+class Decision(enum.Enum):
+    """Decision that differs from the one made with all mechanisms disabled.
+
+    Attributes:
+        NOT_STARTED: A call was not made, because its result would arrive after the deadline.
+        STARTED_LATE: A call was made although its result is expected only after the goal.
+    """
+
+    NOT_STARTED = "not_started"
+    STARTED_LATE = "started_late"
--- a/monsoonhoist/kernels/kernel.py
+++ b/monsoonhoist/kernels/kernel.py
@@ -62,7 +62,9 @@
     policies = kernel_config.OwnerPolicies(
         ownership=ownership_policy,
         balance=registry.find(registry.Kind.BALANCE, names.balance)(),
-        make_order=registry.find(registry.Kind.ORDER, names.order),
+        make_order=registry.find(
+            registry.Kind.ORDER, "goal" if options.load_scheduling.goal_order else names.order
+        ),
         make_hedge=registry.find(registry.Kind.HEDGE, names.hedge),
     )
     admission_class = registry.find(registry.Kind.ADMISSION, names.admission)
--- a/monsoonhoist/metrics.py
+++ b/monsoonhoist/metrics.py
@@ -13,7 +13,7 @@
 from collections.abc import Callable
 from typing import Protocol
 
-from monsoonhoist.core import data
+from monsoonhoist.core import data, scheduling
 from monsoonhoist.tables import store
 
 CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
@@ -162,6 +162,9 @@
         self._calls_not_allowed = self._make_counter(
             "calls_not_allowed", "Extra calls not made, by limit"
         )
+        self._decisions = self._make_counter(
+            "scheduling_decisions", "Decisions of the scheduling mechanisms"
+        )
         self._attempts_exceeded = self._make_counter(
             "attempts_exceeded", "Shards called more often than allowed"
         )
@@ -204,6 +207,8 @@
             self._retries.add(0, reason=retry.value)
         for bound in data.Bound:
             self._calls_not_allowed.add(0, bound=bound.value)
+        for decision in scheduling.Decision:
+            self._decisions.add(0, decision=decision.value)
         for outcome in data.Outcome:
             for rank in data.Rank:
                 self._answers.add(0, outcome=outcome.value, rank=rank.value)
@@ -282,6 +287,10 @@
         """Counts an extra call, beyond the first for a shard, that a limit did not allow."""
         self._calls_not_allowed.add(1, bound=bound.value)
 
+    def count_decision(self, decision: scheduling.Decision) -> None:
+        """Counts a decision of the scheduling mechanisms."""
+        self._decisions.add(1, decision=decision.value)
+
     def count_shards_over_limit(self, count: int) -> None:
         """Counts shards that may have been called more often than the route allows."""
         self._attempts_exceeded.add(count)
--- a/monsoonhoist/node/kernels.py
+++ b/monsoonhoist/node/kernels.py
@@ -69,6 +69,8 @@
                     self._counters.count_retry(command.reason)
                 case events.CountCallNotAllowed():
                     self._counters.count_call_not_allowed(command.bound)
+                case events.CountDecision():
+                    self._counters.count_decision(command.decision)
                 case events.CountLateReply():
                     self._counters.count_late_reply()
                 case _:
--- a/monsoonhoist/node/request_log.py
+++ b/monsoonhoist/node/request_log.py
@@ -48,8 +48,8 @@
         owner: Instance that calls the shard's servers.
         server: Backend server that the step is about.
         reason: Reason for the step.
-        latency_ms: Duration of a call.
-        left_ms: Time left until the deadline when a call starts.
+        latency_ms: Duration of a call, or age of the work that a decision is about.
+        left_ms: Time left until the deadline when a call starts, or by which it was decided.
         attempts: Number of calls that the owner may make for the shard; for ``asked again``, the
             route's limit on the calls by all owners.
         choices: Candidate servers, with the values by which one was chosen.
@@ -149,6 +149,8 @@
                 self._record_allowances(command, now)
             case events.CountCallNotAllowed():
                 self._record_denied_call(command, now)
+            case events.CountDecision():
+                self._record_decision(command, now)
             case events.Respond():
                 self._record_answer(command, now)
 
@@ -219,6 +221,20 @@
             step = Step("call not allowed", now, service=command.service, reason=reason)
             self._add_step(request, step)
 
+    def _record_decision(self, command: events.CountDecision, now: float) -> None:
+        request = self._request_by_query.get(command.query_id)
+        if request is not None:
+            step = Step(
+                "scheduled",
+                now,
+                service=command.service,
+                server=command.server,
+                reason=command.decision.value,
+                latency_ms=command.age_ms,
+                left_ms=command.left_ms,
+            )
+            self._add_step(request, step)
+
     def _record_unsent_batch(self, event: events.BatchUnsent, now: float) -> None:
         request = self._request_by_query.get(event.query_id)
         if request is not None:
--- /dev/null
+++ b/monsoonhoist/policy/goal_order.py
@@ -0,0 +1,81 @@
+"""Queue order by rank, then by the time left to the latency goal.
+
+Load: urgent requests with a goal of 60 ms share the queues of an owner with normal ones whose goal
+is 177 ms. Their deadlines, 1 to 2 s, say nothing about which part is needed first, and after a
+pause of a server the queue holds parts that are late already beside parts that are not.
+"""
+
+import heapq
+import math
+from typing import TypeVar
+
+from monsoonhoist.core import data
+from monsoonhoist.policy import order, registry
+
+ItemT = TypeVar("ItemT")
+
+# Share of a rank's removals that late items are guaranteed while the rank has both. An answer after
+# its goal is worth a twentieth to a half of one within it, so late items must not starve.
+LATE_SHARE = 0.25
+
+
+@registry.register(registry.Kind.ORDER, "goal")
+class GoalOrder(order.RankedOrder[ItemT]):
+    """Serves ranks as ``RankedOrder`` does; within a rank, items that can meet their goal first.
+
+    Items that can meet their goal are served by the latest time at which they can start to do so,
+    the others, which are late, by their deadline. Without this distinction, an overloaded queue in
+    order of goals would start each item just after it has become late.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._late_heap_by_rank: dict[data.Rank, list[tuple[float, int, ItemT]]] = {
+            rank: [] for rank in data.RANK_ORDER
+        }
+        self._deadline_by_sequence: dict[int, float] = {}
+        self._late_credit_by_rank = dict.fromkeys(data.RANK_ORDER, 0.0)
+
+    def push(
+        self, rank: data.Rank, deadline: float, item: ItemT, start_by: float = math.inf
+    ) -> None:
+        """Adds an item to the heap of its rank's items that can meet their goal."""
+        sequence = next(self._sequence)
+        self._deadline_by_sequence[sequence] = deadline
+        heapq.heappush(self._heap_by_rank[rank], (min(start_by, deadline), sequence, item))
+
+    def pop(self, now: float = -math.inf) -> ItemT | None:
+        """Removes and returns the next item, or returns None if the queue is empty."""
+        for rank in data.RANK_ORDER:
+            self._move_late(rank, now)
+        rank = self._choose_rank(
+            [
+                rank
+                for rank in data.RANK_ORDER
+                if self._heap_by_rank[rank] or self._late_heap_by_rank[rank]
+            ]
+        )
+        if rank is None:
+            return None
+        _, sequence, item = heapq.heappop(self._choose_heap(rank))
+        self._deadline_by_sequence.pop(sequence, None)
+        return item
+
+    def _move_late(self, rank: data.Rank, now: float) -> None:
+        """Moves the items that can no longer meet their goal to the late heap."""
+        heap = self._heap_by_rank[rank]
+        while heap and heap[0][0] < now:
+            _, sequence, item = heapq.heappop(heap)
+            deadline = self._deadline_by_sequence.pop(sequence)
+            heapq.heappush(self._late_heap_by_rank[rank], (deadline, sequence, item))
+
+    def _choose_heap(self, rank: data.Rank) -> list[tuple[float, int, ItemT]]:
+        """Returns the heap of a rank from which the next item is removed."""
+        timely, late = self._heap_by_rank[rank], self._late_heap_by_rank[rank]
+        if not timely or not late:
+            return timely or late
+        self._late_credit_by_rank[rank] += LATE_SHARE
+        if self._late_credit_by_rank[rank] < 1.0:
+            return timely
+        self._late_credit_by_rank[rank] -= 1.0
+        return late
--- a/monsoonhoist/policy/order.py
+++ b/monsoonhoist/policy/order.py
@@ -3,6 +3,7 @@
 import abc
 import heapq
 import itertools
+import math
 from typing import Generic, TypeVar
 
 from monsoonhoist.core import data
@@ -22,12 +23,25 @@
     """Queue of the sub-requests for one shard."""
 
     @abc.abstractmethod
-    def push(self, rank: data.Rank, deadline: float, item: ItemT) -> None:
-        """Adds an item with its rank and its deadline in monotonic seconds."""
+    def push(
+        self, rank: data.Rank, deadline: float, item: ItemT, start_by: float = math.inf
+    ) -> None:
+        """Adds an item.
+
+        Args:
+            rank: Rank of the item.
+            deadline: Deadline, in monotonic seconds.
+            item: The item.
+            start_by: When the item must be removed to meet its goal, in monotonic seconds.
+        """
 
     @abc.abstractmethod
-    def pop(self) -> ItemT | None:
-        """Removes and returns the next item, or returns None if the queue is empty."""
+    def pop(self, now: float = -math.inf) -> ItemT | None:
+        """Removes and returns the next item, or returns None if the queue is empty.
+
+        Args:
+            now: The time, in monotonic seconds; by default, no item counts as late.
+        """
 
 
 @registry.register(registry.Kind.ORDER, "ranked")
@@ -47,14 +61,20 @@
         }
         self._credit_by_rank = dict.fromkeys(data.RANK_ORDER, 0.0)
 
-    def push(self, rank: data.Rank, deadline: float, item: ItemT) -> None:
-        """Adds an item to its rank's heap."""
+    def push(
+        self, rank: data.Rank, deadline: float, item: ItemT, start_by: float = math.inf
+    ) -> None:
+        """Adds an item to its rank's heap; ``start_by`` is not used."""
         heap_item = (deadline, next(self._sequence), item)
         heapq.heappush(self._heap_by_rank[rank], heap_item)
 
-    def pop(self) -> ItemT | None:
+    def pop(self, now: float = -math.inf) -> ItemT | None:
         """Removes and returns the next item: by credit, then by rank and deadline."""
-        queued_ranks = [rank for rank in data.RANK_ORDER if self._heap_by_rank[rank]]
+        rank = self._choose_rank([rank for rank in data.RANK_ORDER if self._heap_by_rank[rank]])
+        return None if rank is None else heapq.heappop(self._heap_by_rank[rank])[2]
+
+    def _choose_rank(self, queued_ranks: list[data.Rank]) -> data.Rank | None:
+        """Returns the rank to serve next, of those with queued items, and updates the credits."""
         if not queued_ranks:
             return None
         # A credit of at most 2 limits how many removals in a row a rank can save up.
@@ -65,7 +85,7 @@
         credited_ranks = [rank for rank in queued_ranks if self._credit_by_rank[rank] >= 1.0]
         rank = credited_ranks[0] if credited_ranks else queued_ranks[0]
         self._credit_by_rank[rank] = max(0.0, self._credit_by_rank[rank] - 1.0)
-        return heapq.heappop(self._heap_by_rank[rank])[2]
+        return rank
 
 
 @registry.register(registry.Kind.ORDER, "arrival")
@@ -75,10 +95,12 @@
     def __init__(self) -> None:
         self._items: list[ItemT] = []
 
-    def push(self, rank: data.Rank, deadline: float, item: ItemT) -> None:
+    def push(
+        self, rank: data.Rank, deadline: float, item: ItemT, start_by: float = math.inf
+    ) -> None:
         """Appends an item."""
         self._items.append(item)
 
-    def pop(self) -> ItemT | None:
+    def pop(self, now: float = -math.inf) -> ItemT | None:
         """Removes and returns the oldest item."""
         return self._items.pop(0) if self._items else None
--- a/monsoonhoist/policy/registry.py
+++ b/monsoonhoist/policy/registry.py
@@ -17,6 +17,7 @@
     "monsoonhoist.policy.hedge",
     "monsoonhoist.policy.admission",
     "monsoonhoist.policy.order",
+    "monsoonhoist.policy.goal_order",
     "monsoonhoist.policy.merge",
 )
 
--- a/monsoonhoist/protocol/events.py
+++ b/monsoonhoist/protocol/events.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from monsoonhoist.core import data, exchange, placement
+from monsoonhoist.core import data, exchange, placement, scheduling
 from monsoonhoist.protocol import fanout, messages
 
 
@@ -314,6 +314,26 @@
     bound: data.Bound
 
 
+class CountDecision(msgspec.Struct, frozen=True, tag="count-decision"):
+    """Counts a decision of the scheduling mechanisms.
+
+    Attributes:
+        query_id: The query.
+        decision: The decision.
+        service: Shard that it is about; empty if it is about the query.
+        server: Server that it is about; empty if it is about none.
+        age_ms: Age of the work, in milliseconds.
+        left_ms: Time left by which it was decided, in milliseconds; negative if none is left.
+    """
+
+    query_id: data.QueryId
+    decision: scheduling.Decision
+    service: str = ""
+    server: str = ""
+    age_ms: int = 0
+    left_ms: int = 0
+
+
 class CountLateReply(msgspec.Struct, frozen=True, tag="count-late-reply"):
     """Counts a reply that was dropped because it was late or a duplicate."""
 
@@ -326,5 +346,6 @@
     | CountRefusal
     | CountRetry
     | CountCallNotAllowed
+    | CountDecision
     | CountLateReply
 )
--- a/monsoonhoist/protocol/fanout.py
+++ b/monsoonhoist/protocol/fanout.py
@@ -22,6 +22,8 @@
             proved to have run nothing.
         merge: Name of the policy that merges results.
         passes_response: Whether the response of a single server is passed on unchanged.
+        goal_left_ms: Time from the sending of the record until the entry wants the parts to meet
+            the route's goal, in milliseconds, negative once it has passed; None without a goal.
     """
 
     query_id: data.QueryId
@@ -36,6 +38,7 @@
     calls_per_shard_max: int = 4
     merge: str = "ranked"
     passes_response: bool = False
+    goal_left_ms: int | None = None
 
 
 class Part(msgspec.Struct, frozen=True, array_like=True):
--- a/monsoonhoist/queries/query.py
+++ b/monsoonhoist/queries/query.py
@@ -126,7 +126,12 @@
     def spec_at(self, now: float) -> fanout.QuerySpec:
         """Returns the query as sent to owners at the time ``now``, in monotonic seconds."""
         remaining_ms = max(0, int((self.deadline - now) * MS_PER_SECOND))
-        return msgspec.structs.replace(self.spec, remaining_ms=remaining_ms)
+        goal_left_ms = None
+        if self.route.goal is not None:
+            goal_left_ms = int((self.partial_allowed_at - now) * MS_PER_SECOND)
+        return msgspec.structs.replace(
+            self.spec, remaining_ms=remaining_ms, goal_left_ms=goal_left_ms
+        )
 
     def start_sub_request(self, service: data.ServiceId, owner: data.InstanceId) -> int:
         """Records that a sub-request is sent to an owner and returns the attempt number."""
--- a/monsoonhoist/settings.py
+++ b/monsoonhoist/settings.py
@@ -12,7 +12,7 @@
 import msgspec
 
 from monsoonhoist import addresses, errors
-from monsoonhoist.core import data, diagnostics
+from monsoonhoist.core import data, diagnostics, scheduling
 from monsoonhoist.fleet import watcher_selection
 from monsoonhoist.kernels import kernel
 from monsoonhoist.overload import budget
@@ -239,6 +239,22 @@
         )
 
 
+class SchedulingSection(ini.Model):
+    """``[scheduling]``: mechanisms for heavy load, all off by default.
+
+    Attributes:
+        goal_order: Owners serve their queues by rank, then by the time left to the route's goal,
+            and start no work whose result cannot arrive before the deadline. It replaces
+            ``order`` of ``[policy]``.
+    """
+
+    goal_order: bool = False
+
+    def options(self) -> scheduling.Options:
+        """Returns the options of the kernels."""
+        return scheduling.Options(**msgspec.structs.asdict(self))
+
+
 class PolicySection(ini.Model):
     """``[policy]``: name of the policy to use, for each kind of policy."""
 
@@ -279,6 +295,7 @@
     policy: PolicySection = PolicySection()
     listen: ListenSection = ListenSection()
     extra_calls: ExtraCallsSection = ExtraCallsSection()
+    scheduling: SchedulingSection = SchedulingSection()
 
     def kernel_options(self) -> kernel_config.KernelOptions:
         """Returns the options of the instance's kernels."""
@@ -290,7 +307,10 @@
             hedges_use_allowance=section.hedges_use_allowance,
         )
         return kernel_config.KernelOptions(
-            extra_calls, self.timing.leaving_grace_ms.total_seconds(), section.finish_latencies
+            extra_calls,
+            self.timing.leaving_grace_ms.total_seconds(),
+            section.finish_latencies,
+            self.scheduling.options(),
         )
 
 
--- a/monsoonhoist/shards/kernel_config.py
+++ b/monsoonhoist/shards/kernel_config.py
@@ -3,6 +3,7 @@
 import dataclasses
 from collections.abc import Callable
 
+from monsoonhoist.core import scheduling
 from monsoonhoist.overload import budget
 from monsoonhoist.policy import balance, hedge, order, ownership
 from monsoonhoist.shards import subrequest
@@ -19,11 +20,13 @@
         finish_latencies: Grace period for calls whose results are no longer needed: the owner
             cancels such a call once this time has passed since its start. A multiple of the
             route's median latency; 0 for no grace period.
+        load_scheduling: Mechanisms that schedule work under load.
     """
 
     extra_calls: budget.BudgetOptions = budget.BudgetOptions()
     leaving_grace_seconds: float = 0.0
     finish_latencies: float = 0.0
+    load_scheduling: scheduling.Options = scheduling.DEFAULT_OPTIONS
 
 
 @dataclasses.dataclass(frozen=True)
--- a/monsoonhoist/shards/owner.py
+++ b/monsoonhoist/shards/owner.py
@@ -8,6 +8,7 @@
 from monsoonhoist.protocol import events, fanout, messages
 from monsoonhoist.shards import (
     call_requests,
+    call_times,
     hedging,
     kernel_config,
     open_work,
@@ -58,6 +59,7 @@
         self._hedge_policies = hedging.HedgePolicies(policies.make_hedge)
         self._call_ids = itertools.count(1)
         self._timers = timers.TimerQueue()
+        self._call_times = call_times.CallTimes(time_source, options.load_scheduling.goal_order)
         self._work = open_work.OpenWork(
             time_source, self._timers, self._hedge_policies, options.finish_latencies
         )
@@ -110,6 +112,7 @@
         self.reports.set_cell(event.cell)
         self._shards.prune(self._work.sub_requests(), now)
         self._hedge_policies.retain(event.tables.route_by_id)
+        self._call_times.retain(event.tables.route_by_id)
 
     def _handle_batch(self, batch: messages.SubBatch, commands: list[events.Command]) -> None:
         now = self._clock.monotonic()
@@ -125,6 +128,7 @@
         if state.queued_count >= SHARD_QUEUE_LENGTH_MAX:
             self._refuse(sub, data.Refusal.QUEUE_FULL, commands)
             return
+        sub.start_by = self._call_times.start_by(sub)
         self._work.add_sub_request(sub)
         self._timers.schedule(sub.deadline, lambda out: self._expire(state, sub, out))
         state.push(sub)
@@ -142,11 +146,12 @@
         now = self._clock.monotonic()
         deferred: list[subrequest.SubRequest] = []
         while state.queued_count and state.has_capacity(now):
-            sub = state.pop()
+            sub = state.pop(now)
             if sub is None:
                 break
             candidates = state.candidates(sub, now)
-            if state.cannot_meet_deadline(sub, now):
+            is_too_late = state.cannot_meet_deadline(sub, now)
+            if self._call_times.is_too_late(sub, commands, otherwise=is_too_late):
                 self._fail(state, sub, data.Refusal.EXPIRED_IN_QUEUE, commands)
             elif candidates:
                 self._start_call(state, sub, candidates, commands)
@@ -201,6 +206,7 @@
         )
         call = subrequest.Call(next(self._call_ids), sub, chosen, now)
         self._work.add_call(call)
+        self._call_times.note_start(sub, commands)
         choices = shard.describe_choices(candidates, hedge_policy.median_seconds(), now)
         commands.append(subrequest.make_start_call(call, choices))
         delay = hedge_policy.delay_seconds(sub.query.hedge_budget)
@@ -213,6 +219,8 @@
         """Makes a hedge call, requests permission for it, or retries later if no server is free."""
         if sub.closed or sub.queued or not sub.call_by_id or not hedging.may_hedge(sub):
             return
+        if self._call_times.is_too_late(sub, commands):
+            return
         now = self._clock.monotonic()
         candidates = state.hedge_candidates(sub, now)
         if candidates and sub.calls < sub.allowed:
@@ -270,6 +278,7 @@
         affected = self.reports.record(call.server.server, event.report, commands)
         self._dispatch_all(affected, commands)
         hedge_policy = self._hedge_policies.policy_for(call.sub)
+        self._call_times.record(call.sub, latency)
         call.server.record_reply(latency, hedge_policy.median_seconds(), now)
         call.server.update_holdings(event.holdings, now)
         hedge_policy.record(latency)
@@ -316,6 +325,7 @@
         is_safe = sub.query.repeatable or not sub.may_have_run
         reason = data.RetryReason.LOST if event.may_have_run else data.RetryReason.REFUSED
         is_useful = hedging.may_retry(sub) and now < sub.deadline
+        is_useful = is_useful and not self._call_times.is_too_late(sub, commands)
         has_server = state.has_untried(sub, now) or self._await_server(state, sub, now)
         if not (is_safe and is_useful and has_server):
             self._fail(state, sub, event.reason, commands)
--- a/monsoonhoist/shards/shard.py
+++ b/monsoonhoist/shards/shard.py
@@ -118,11 +118,11 @@
         """Adds a sub-request to the queue."""
         sub.queued = True
         self.queued_count += 1
-        self.queue.push(sub.query.rank, sub.deadline, sub)
+        self.queue.push(sub.query.rank, sub.deadline, sub, sub.start_by)
 
-    def pop(self) -> subrequest.SubRequest | None:
+    def pop(self, now: float = -math.inf) -> subrequest.SubRequest | None:
         """Removes and returns the next sub-request that is still needed; None if there is none."""
-        while (sub := self.queue.pop()) is not None:
+        while (sub := self.queue.pop(now)) is not None:
             if sub.queued:
                 sub.queued = False
                 self.queued_count -= 1
--- a/monsoonhoist/shards/subrequest.py
+++ b/monsoonhoist/shards/subrequest.py
@@ -1,8 +1,9 @@
 """State of a sub-request at its owner, and of its calls to backend servers."""
 
 import dataclasses
+import math
 
-from monsoonhoist.core import data, exchange
+from monsoonhoist.core import data, exchange, scheduling
 from monsoonhoist.protocol import events, fanout, messages
 from monsoonhoist.shards import server
 
@@ -56,6 +57,10 @@
             replied yet; None if there is none.
         next_request_reason: Reason of the request to make if the pending one is denied; None if
             there is none.
+        goal_at: When the entry wants the part to meet the route's goal, in monotonic seconds; the
+            deadline without a goal.
+        start_by: When a call must start to be expected by then; infinite if the queue does not
+            use it.
     """
 
     origin: data.InstanceId
@@ -78,6 +83,8 @@
     allowed: int = 1
     pending_request_reason: data.RetryReason | None = None
     next_request_reason: data.RetryReason | None = None
+    goal_at: float = math.inf
+    start_by: float = math.inf
 
     def add_call(self, call: Call) -> None:
         """Records the start of a call."""
@@ -99,7 +106,12 @@
     """
     spec = batch.query
     deadline = now + spec.remaining_ms / MS_PER_SECOND
-    return SubRequest(batch.origin, spec, service, batch.attempt, batch.snapshot, deadline, now)
+    goal_at = deadline
+    if spec.goal_left_ms is not None:
+        goal_at = min(deadline, now + spec.goal_left_ms / MS_PER_SECOND)
+    return SubRequest(
+        batch.origin, spec, service, batch.attempt, batch.snapshot, deadline, now, goal_at=goal_at
+    )
 
 
 def make_start_call(call: Call, choices: tuple[events.Choice, ...]) -> events.StartCall:
@@ -113,3 +125,23 @@
     return events.StartCall(
         call.call_id, call.server.server, sub.query, sub.snapshot, sub.deadline, choices
     )
+
+
+def make_decision(
+    sub: SubRequest, decision: scheduling.Decision, now: float, until: float
+) -> events.CountDecision:
+    """Returns the command that counts and logs a decision on a sub-request.
+
+    Args:
+        sub: The sub-request.
+        decision: The decision.
+        now: The time, in monotonic seconds.
+        until: The goal or deadline by which it was decided, in monotonic seconds.
+    """
+    return events.CountDecision(
+        sub.query.query_id,
+        decision,
+        sub.service,
+        age_ms=int((now - sub.arrived_at) * MS_PER_SECOND),
+        left_ms=int((until - now) * MS_PER_SECOND),
+    )
