--- a/monsoonhoist/kernels/kernel.py
+++ b/monsoonhoist/kernels/kernel.py
@@ -62,13 +62,20 @@
     policies = kernel_config.OwnerPolicies(
         ownership=ownership_policy,
         balance=registry.find(registry.Kind.BALANCE, names.balance)(),
-        make_order=registry.find(registry.Kind.ORDER, names.order),
+        make_order=registry.find(
+            registry.Kind.ORDER, "goal" if options.load_scheduling.goal_order else names.order
+        ),
         make_hedge=registry.find(registry.Kind.HEDGE, names.hedge),
     )
     admission_class = registry.find(registry.Kind.ADMISSION, names.admission)
     return Kernel(
         entry=entry.EntryKernel(
-            instance, time_source, ownership_policy, admission_class, options.extra_calls
+            instance,
+            time_source,
+            ownership_policy,
+            admission_class,
+            options.extra_calls,
+            options.load_scheduling,
         ),
         owner=owner.OwnerKernel(instance, zone, time_source, policies, options),
         ownership=ownership_policy,
--- a/monsoonhoist/settings.py
+++ b/monsoonhoist/settings.py
@@ -12,7 +12,7 @@
 import msgspec
 
 from monsoonhoist import addresses
-from monsoonhoist.core import data
+from monsoonhoist.core import data, scheduling
 from monsoonhoist.fleet import watcher_selection
 from monsoonhoist.kernels import kernel
 from monsoonhoist.overload import budget, cold_quota, held_bytes, open_connections
@@ -262,6 +262,31 @@
         )
 
 
+class SchedulingSection(ini.Model):
+    """``[scheduling]``: mechanisms for heavy load, all off by default.
+
+    Attributes:
+        goal_order: Owners serve their queues by rank, then by the time left to the route's goal,
+            and start no work whose result cannot arrive before the deadline. It replaces
+            ``order`` of ``[policy]``.
+        rank_slots: Ranks below the urgent one use at most half of the slots of a server, at least
+            one, while urgent work of the same pool arrives.
+        answer_timing: Entries answer partly as late as the route's goal allows, and after the goal
+            wait for as long as the missing parts are worth it.
+        delivery_ms: Time that an answer takes from its entry to the caller, for
+            ``answer_timing``, in milliseconds.
+    """
+
+    goal_order: bool = False
+    rank_slots: bool = False
+    answer_timing: bool = False
+    delivery_ms: Annotated[int, msgspec.Meta(ge=0, le=10_000)] = 12
+
+    def options(self) -> scheduling.Options:
+        """Returns the options of the kernels."""
+        return scheduling.Options(**msgspec.structs.asdict(self))
+
+
 class PolicySection(ini.Model):
     """``[policy]``: name of the policy to use, for each kind of policy."""
 
@@ -319,6 +344,7 @@
     listen: ListenSection = ListenSection()
     extra_calls: ExtraCallsSection = ExtraCallsSection()
     pace: PaceSection = PaceSection()
+    scheduling: SchedulingSection = SchedulingSection()
 
     def memory_shares(self) -> held_bytes.MemoryShares:
         """Returns the limits of the memory that callers and servers make the process hold."""
@@ -343,6 +369,7 @@
             section.finish_latencies,
             pace.ResponsePace if self.pace.slow_start else None,
             cold_quota.ColdOptions(self.pace.cold_excess, self.pace.cold_slack),
+            self.scheduling.options(),
         )
 
 
--- a/monsoonhoist/shards/kernel_config.py
+++ b/monsoonhoist/shards/kernel_config.py
@@ -3,6 +3,7 @@
 import dataclasses
 from collections.abc import Callable
 
+from monsoonhoist.core import scheduling
 from monsoonhoist.overload import budget, cold_quota
 from monsoonhoist.policy import balance, hedge, order, ownership
 from monsoonhoist.shards import slow_start, subrequest
@@ -22,6 +23,7 @@
         make_pace: Creates the pace of a server that starts or recovers; None if servers do not
             start slowly.
         cold: Requests that cold servers bear, where their service states a rate.
+        load_scheduling: Mechanisms that schedule work under load.
     """
 
     extra_calls: budget.BudgetOptions = budget.BudgetOptions()
@@ -29,6 +31,7 @@
     finish_latencies: float = 0.0
     make_pace: slow_start.MakePace | None = None
     cold: cold_quota.ColdOptions = cold_quota.ColdOptions()
+    load_scheduling: scheduling.Options = scheduling.DEFAULT_OPTIONS
 
 
 @dataclasses.dataclass(frozen=True)
--- a/monsoonhoist/shards/owner.py
+++ b/monsoonhoist/shards/owner.py
@@ -8,6 +8,7 @@
 from monsoonhoist.protocol import events, fanout, messages
 from monsoonhoist.shards import (
     call_requests,
+    call_times,
     cold_waits,
     hedging,
     kernel_config,
@@ -17,6 +18,7 @@
     server_reports,
     shard,
     shard_table,
+    slot_use,
     subrequest,
     timers,
 )
@@ -62,9 +64,12 @@
         self._hedge_policies = hedging.HedgePolicies(policies.make_hedge)
         self._call_ids = itertools.count(1)
         self._timers = timers.TimerQueue()
+        self._call_times = call_times.CallTimes(time_source, options.load_scheduling.goal_order)
         self._work = open_work.OpenWork(
             time_source, self._timers, self._hedge_policies, options.finish_latencies
         )
+        rank_slots = options.load_scheduling.rank_slots
+        self._slot_use = slot_use.SlotUse(time_source, self._work, rank_slots)
         self._replies = replies.ReplyCollector(instance, self._work.has_query)
         self._call_requests = call_requests.CallRequestCollector()
         self._quota_waits = cold_waits.QuotaWaits(self._timers, self._dispatch, self._fail)
@@ -119,6 +124,8 @@
         self.reports.set_cell(event.cell)
         self._shards.prune(self._work.sub_requests(), now)
         self._hedge_policies.retain(event.tables.route_by_id)
+        self._call_times.retain(event.tables.route_by_id)
+        self._slot_use.retain(event.tables)
 
     def _handle_batch(self, batch: messages.SubBatch, commands: list[events.Command]) -> None:
         now = self._clock.monotonic()
@@ -134,6 +141,7 @@
         if state.queued_count >= SHARD_QUEUE_LENGTH_MAX:
             self._refuse(sub, data.Refusal.QUEUE_FULL, commands)
             return
+        sub.start_by = self._call_times.start_by(sub)
         self._work.add_sub_request(sub)
         self._timers.schedule(sub.deadline, lambda out: self._expire(state, sub, out))
         state.push(sub)
@@ -151,16 +159,19 @@
         now = self._clock.monotonic()
         deferred: list[subrequest.SubRequest] = []
         while state.queued_count and state.has_capacity(now):
-            sub = state.pop()
+            sub = state.pop(now)
             if sub is None:
                 break
-            candidates = state.candidates(sub, now)
-            if state.cannot_meet_deadline(sub, now):
+            free = state.candidates(sub, now)
+            candidates = self._slot_use.allowed(sub, free)
+            is_too_late = state.cannot_meet_deadline(sub, now)
+            if self._call_times.is_too_late(sub, commands, otherwise=is_too_late):
                 self._fail(state, sub, data.Refusal.EXPIRED_IN_QUEUE, commands)
             elif candidates:
                 self._start_call(state, sub, candidates, commands)
             elif state.has_untried(sub, now) or self._await_server(state, sub, now):
                 deferred.append(sub)
+                self._slot_use.note_held(sub, free, commands)
                 if len(deferred) >= PACED_DEFERRALS_MAX and server.is_any_starting(
                     state.server_by_id.values()
                 ):
@@ -217,6 +228,7 @@
             chosen.cold.quota.record_call(now)
         call = subrequest.Call(next(self._call_ids), sub, chosen, now)
         self._work.add_call(call)
+        self._call_times.note_start(sub, commands)
         choices = shard.describe_choices(candidates, hedge_policy.median_seconds(), now)
         commands.append(subrequest.make_start_call(call, choices))
         delay = hedge_policy.delay_seconds(sub.query.hedge_budget)
@@ -229,8 +241,10 @@
         """Makes a hedge call, requests permission for it, or retries later if no server is free."""
         if sub.closed or sub.queued or not sub.call_by_id or not hedging.may_hedge(sub):
             return
+        if self._call_times.is_too_late(sub, commands):
+            return
         now = self._clock.monotonic()
-        candidates = state.hedge_candidates(sub, now)
+        candidates = self._slot_use.allowed(sub, state.hedge_candidates(sub, now))
         if candidates and sub.calls < sub.allowed:
             commands.append(events.CountRetry(data.RetryReason.HEDGE))
             self._start_call(state, sub, candidates, commands)
@@ -286,6 +300,7 @@
         affected = self.reports.record(call.server.server, event.report, commands)
         self._dispatch_all(affected, commands)
         hedge_policy = self._hedge_policies.policy_for(call.sub)
+        self._call_times.record(call.sub, latency)
         median = hedge_policy.median_seconds()
         call.server.record_reply(latency, median, event.report.load, now)
         call.server.update_holdings(event.holdings, now)
@@ -333,6 +348,7 @@
         is_safe = sub.query.repeatable or not sub.may_have_run
         reason = data.RetryReason.LOST if event.may_have_run else data.RetryReason.REFUSED
         is_useful = hedging.may_retry(sub) and now < sub.deadline
+        is_useful = is_useful and not self._call_times.is_too_late(sub, commands)
         has_server = state.has_untried(sub, now) or self._await_server(state, sub, now)
         if not (is_safe and is_useful and has_server):
             self._fail(state, sub, event.reason, commands)
