Let a server that starts receive a first call soon where there is little traffic

Cause: features/platform.feature failed four, then two of its faulty-answer scenarios with slow start on: three instances sent four requests each, and none of them was one that the share of the server that had started again let through.

Change: until its first result, a server may also receive one query at a time if its slots are enough for one call of each cell, or after as many queries as contain one for it on average. The calls of idle servers take a shorter way through the choice.

Two other ways were tried and given up: a first call of each instance within a time, which floods (first second 0.6 of the usual load), and the count alone.

--- a/features/slow_start.feature
+++ b/features/slow_start.feature
@@ -38,5 +38,15 @@
   Scenario: The same queries try all servers that start
     Then a share of 20% of 3 servers lets 8% to 11% of queries through, the same for all servers
 
+  # Guards against a server of a shard with little traffic that waits long for its first call.
+  Scenario Outline: A server that starts may receive a first call soon, whatever the queries
+    Given a server of 2 slots that is added, and <cells> cells
+    Then a query that its share leaves out is the first that it may receive after <count> others
+
+    Examples:
+      | cells | count |
+      | 2     | 0     |
+      | 3     | 10    |
+
   Scenario: Slow start is off by default
     Then a server that is added receives its usual load without the setting
--- a/features/steps/slow_start.py
+++ b/features/steps/slow_start.py
@@ -84,10 +84,29 @@
 def check_positions(context, percent, count, least, most):
     """Counts the queries that a server may receive; their position depends on the query alone."""
     positions = [pace.position_of(data.QueryId(f"i.1.{number}")) for number in range(2000)]
-    passed = sum(pace.may_receive(percent / 100, position, count) for position in positions)
+    passed = sum(position < pace.query_part(percent / 100, count) for position in positions)
     assert least <= passed / 20 <= most, passed
 
 
+@given("a server of 2 slots that is added, and {cells:d} cells")
+def make_added(context, cells):
+    """Makes the pace of a server that is added."""
+    starts = slow_start.SlowStarts(pace.ResponsePace)
+    starts.cell_count = cells
+    context.pace = slow_start.ServerPace(SERVER, starts)
+    context.pace.begin(slow_start.Cause.ADDED, 0.0)
+
+
+@then("a query that its share leaves out is the first that it may receive after {count:d} others")
+def check_first_call(context, count):
+    """Passes queries of the last position; the exception ends with the first result."""
+    passed = [context.pace.lets_through(0.99, 3, True, 0.0) for _ in range(count + 1)]
+    assert passed == [False] * count + [True], passed
+    assert not context.pace.lets_through(0.99, 3, False, 0.0)
+    context.pace.record_reply(LATENCY_SECONDS, LATENCY_SECONDS, None, 0.0)
+    assert not context.pace.lets_through(0.99, 3, True, 0.0)
+
+
 @then("a server that is added receives its usual load without the setting")
 def check_default(context):
     """Checks the defaults of the options and of the settings."""
@@ -95,4 +114,4 @@
     assert not settings.PaceSection().slow_start
     server_pace = slow_start.ServerPace(SERVER, slow_start.SlowStarts(None))
     server_pace.begin(slow_start.Cause.ADDED, 0.0)
-    assert server_pace.share(0.0) == 1.0 and not server_pace.is_starting
+    assert server_pace.share(0.0) == 1.0 and server_pace.current is None
--- a/monsoonhoist/policy/pace.py
+++ b/monsoonhoist/policy/pace.py
@@ -157,16 +157,16 @@
     return hashing.stable_hash("pace", query) / HASH_RANGE
 
 
-def may_receive(share: float, position: float, server_count: int) -> bool:
-    """Returns whether a server may receive a query; the balancing policy decides whether it does.
+def query_part(share: float, server_count: int) -> float:
+    """Returns the part of the queries that a server may receive, from 0 to 1.
 
-    A small share lets a server receive at most this part of an equal part of the queries. The part
-    of the queries then grows faster than the share, up to all queries, since a server that may
-    receive only its equal part receives less if other servers are preferred for some queries.
+    The balancing policy decides which of them it does receive. A small share is this part of an
+    equal part of the queries. The part of the queries then grows faster than the share, up to all
+    queries, since a server that may receive only its equal part receives less than that if other
+    servers are preferred for some queries.
 
     Args:
         share: Share of the server.
-        position: Position of the query, from 0 to 1.
         server_count: Number of servers that may be called.
     """
-    return position * server_count < share * (1.0 + share * (server_count - 1))
+    return share * (1.0 + share * (server_count - 1)) / server_count
--- a/monsoonhoist/shards/cold_waits.py
+++ b/monsoonhoist/shards/cold_waits.py
@@ -31,7 +31,7 @@
 
     def update(self, state: shard.ShardState, now: float, commands: list[events.Command]) -> None:
         """Refuses what would wait too long for a quota, and schedules the next dispatch."""
-        limited = find_limited(state, now) if state.queued_count else []
+        limited = find_limited(state, now)
         if not limited:
             return
         first_at = min(found.cold.current_quota(now).next_call_at(now) for found in limited)
--- a/monsoonhoist/shards/owner.py
+++ b/monsoonhoist/shards/owner.py
@@ -106,12 +106,15 @@
                     action(commands)
         commands.extend(self._replies.flush(self._clock.monotonic()))
         commands.extend(self._call_requests.flush())
-        commands.extend(self._shards.starts.flush())
+        if self._shards.starts.reports:
+            commands.extend(self._shards.starts.flush())
         return commands
 
     def _handle_view(self, event: events.ViewChanged, commands: list[events.Command]) -> None:
         now = self._clock.monotonic()
-        limit_share = self._policies.ownership.limit_share(event.cells or len(event.instances))
+        cell_count = event.cells or len(event.instances)
+        self._shards.starts.cell_count = cell_count
+        limit_share = self._policies.ownership.limit_share(cell_count)
         turned_cold = self._shards.cold.update(event, self._instance, now)
         changed = self._shards.update(event.tables, limit_share, now)
         self._shards.mark_cold(turned_cold, now)
@@ -170,7 +173,8 @@
         for sub in deferred:
             state.push(sub)
         self._refuse_without_server(state, now, commands)
-        self._quota_waits.update(state, now, commands)
+        if state.queued_count:
+            self._quota_waits.update(state, now, commands)
 
     def _await_server(
         self, state: shard.ShardState, sub: subrequest.SubRequest, now: float
--- a/monsoonhoist/shards/server.py
+++ b/monsoonhoist/shards/server.py
@@ -259,7 +259,7 @@
 
 def is_any_starting(states: Iterable[ServerState]) -> bool:
     """Returns whether any of some servers receives less than its usual load."""
-    return any(state.pace.is_starting for state in states)
+    return any(state.pace.current is not None for state in states)
 
 
 def select_by_pace(
@@ -274,15 +274,18 @@
         query: The query.
         now: The time, in monotonic seconds.
     """
-    if not is_any_starting(states):
+    for state in states:
+        if state.pace.current is not None:
+            break
+    else:
         return states
-    shares = [state.pace.share(now) for state in states]
-    largest = max(shares)
+    largest = max(state.pace.share(now) for state in states)
     if largest < pace.FULL_SHARE:
-        return [state for state, share in zip(states, shares, strict=True) if share >= largest / 2]
+        return [state for state in states if state.pace.share(now) >= largest / 2]
     position = pace.position_of(query)
+    count = len(states)
     return [
         state
-        for state, share in zip(states, shares, strict=True)
-        if pace.may_receive(share, position, len(states))
+        for state in states
+        if state.pace.lets_through(position, count, not state.outstanding, now)
     ]
