Cut long texts in log lines

Callers choose the ids of their requests, up to the limit of heads or, in the native dialect, of bodies. The buffer of the log holds 2,000 lines, so that long ids alone could take the memory of the machine. A field has at most 1,000 characters now.

Evidence: the new scenario of features/caller_limits.feature failed before (a line of 2,000,158 characters) and passes; layers and request_log pass.

--- a/features/caller_limits.feature
+++ b/features/caller_limits.feature
@@ -43,3 +43,8 @@
     Then only the call with 50000 bytes is ended
     When all calls have ended
     Then the calls hold 0 bytes
+
+  # Guards against callers whose long ids fill the buffer of log lines.
+  Scenario: A long id is cut in the log
+    When a line with an id of 2000000 characters is logged
+    Then the line has at most 1500 characters
--- a/features/steps/caller_limits.py
+++ b/features/steps/caller_limits.py
@@ -1,9 +1,12 @@
 """Steps that drive the decisions on what callers may hold."""
 
 import asyncio
+import logging
 
 from behave import given, then, when
 
+from monsoonhoist import logs
+from monsoonhoist.core import data
 from monsoonhoist.node import held_transfers
 from monsoonhoist.overload import held_bytes, open_connections
 
@@ -183,3 +186,17 @@
 def check_ended(context, size):
     """Checks which calls were ended."""
     assert [call.size for call in context.ended_calls] == [size], context.ended_calls
+
+
+@when("a line with an id of {length:d} characters is logged")
+def log_long_id(context, length):
+    """Formats a log line."""
+    record = logging.makeLogRecord({"msg": "answered", "request_id": "x" * length})
+    formatter = logs.LineFormatter(data.InstanceId("i"), data.Incarnation(1))
+    context.line = formatter.format(record)
+
+
+@then("the line has at most {length:d} characters")
+def check_line(context, length):
+    """Checks the length of the line."""
+    assert len(context.line) <= length, len(context.line)
--- a/monsoonhoist/logs.py
+++ b/monsoonhoist/logs.py
@@ -25,6 +25,9 @@
 WRITE_DELAY_SECONDS = 0.02
 # Interval between reports of the number of dropped lines.
 REPORT_PERIOD_SECONDS = 5.0
+# Longest text of a field. Callers choose some, such as the ids of their requests, and the buffer
+# holds thousands of lines.
+TEXT_LENGTH_MAX = 1000
 # Attributes that ``logging`` itself sets on records. All others are fields from ``extra``.
 _STANDARD_ATTRIBUTES = frozenset(logging.makeLogRecord({}).__dict__) | {
     "message",
@@ -59,7 +62,7 @@
             "incarnation": self._incarnation,
         }
         fields.update(
-            (name, value)
+            (name, _shorten(value))
             for name, value in record.__dict__.items()
             if name not in _STANDARD_ATTRIBUTES
         )
@@ -68,6 +71,11 @@
         return msgspec.json.encode(fields, enc_hook=str).decode()
 
 
+def _shorten(value: object) -> object:
+    """Returns a text without what is beyond the longest that a line has; others unchanged."""
+    return value[:TEXT_LENGTH_MAX] if isinstance(value, str) else value
+
+
 class BufferHandler(logging.Handler):
     """Buffers lines until they can be written without blocking.
 
