Test the statuses of requests within and over the limits

A crowd that is refused says nothing on callers within the limits. The new scenarios send bodies and heads just within and over them, announced and in chunks, check the status, and that no server has received a refused request; and use a connection again after four fifths of the idle time.

--- a/features/steps/untrusted_callers.py
+++ b/features/steps/untrusted_callers.py
@@ -1,5 +1,6 @@
 """Steps with crowds of untrusted callers, and what they make an instance hold."""
 
+import http.client
 import itertools
 import json
 import pathlib
@@ -87,6 +88,13 @@
     time.sleep(platform_actions.TABLES_SPREAD_SECONDS)
 
 
+@given("idle connections may last {ms:d} ms")
+def publish_idle_time(context, ms):
+    """Publishes a configuration with another time for idle connections."""
+    context.fleet.publish(request_limits={**context.fleet.request_limits, "IdleTimeoutMs": ms})
+    time.sleep(platform_actions.TABLES_SPREAD_SECONDS)
+
+
 @given('the backend servers of "{service}" reply with {count:d} bytes')
 def set_reply_length(context, service, count):
     """Sets the length of the responses of a service's servers."""
@@ -166,3 +174,71 @@
     answer = context.site.send_query(1, "boat-search", "double scull")
     assert answer["outcome"] == "answered", answer
     assert context.process.poll() is None
+
+
+def send_one(connection, method, target, request_id, filler, body, is_chunked):
+    """Sends a request on a connection and returns the status of its response."""
+    headers = {"Host": fleet.HOST_NAME, "X-Request-Id": request_id, "X-Filler": "x" * filler}
+    pieces = iter([body[start : start + len(PIECE)] for start in range(0, len(body), len(PIECE))])
+    connection.request(
+        method,
+        target,
+        pieces if is_chunked else body or None,
+        headers,
+        encode_chunked=is_chunked,
+    )
+    response = connection.getresponse()
+    response.read()
+    return response.status
+
+
+@when('a caller of instance {number:d} sends these requests to "{target}"')
+def send_table(context, number, target):
+    """Sends the requests of a table, each on a connection of its own."""
+    context.seen = []
+    _, address = find_target(context, number)
+    for row in context.table:
+        request_id = platform_actions.next_request_id()
+        connection = http.client.HTTPConnection(*address, timeout=fleet.CALL_TIMEOUT_SECONDS)
+        body = b"x" * int(row["body"])
+        status = send_one(
+            connection,
+            row["method"],
+            target,
+            request_id,
+            int(row["head"]),
+            body,
+            row["chunked"] == "yes",
+        )
+        connection.close()
+        context.seen.append((request_id, int(row["status"]), status))
+
+
+@then("each has its status, and servers have received only those with 200")
+def check_table(context):
+    """Checks the statuses, and which requests have reached a server."""
+    for request_id, expected, status in context.seen:
+        received = bool(context.fleet.received_requests(request_id))
+        assert (status, received) == (expected, expected == 200), context.seen
+
+
+@when('a caller of instance {number:d} sends "{target}" twice on one connection, {ms:d} ms apart')
+def send_twice(context, number, target, ms):
+    """Uses a connection again after an idle time."""
+    _, address = find_target(context, number)
+    connection = http.client.HTTPConnection(*address, timeout=fleet.CALL_TIMEOUT_SECONDS)
+    # Without this, a closed connection would be opened again.
+    connection.connect()
+    connection.auto_open = 0
+    first_id, second_id = platform_actions.next_request_id(), platform_actions.next_request_id()
+    first = send_one(connection, "GET", target, first_id, 0, b"", False)
+    time.sleep(ms / 1000)
+    second = send_one(connection, "GET", target, second_id, 0, b"", False)
+    connection.close()
+    context.statuses = (first, second)
+
+
+@then("both have the status {status:d}")
+def check_both(context, status):
+    """Checks two statuses."""
+    assert context.statuses == (status, status), context.statuses
--- a/features/untrusted_callers.feature
+++ b/features/untrusted_callers.feature
@@ -45,6 +45,28 @@
     Then the process has stayed below 160 MB and 400 descriptors
     And the fleet answers an ordinary request with 200
 
+  # Guards against limits that refuse callers within them, and refusals that a server has run.
+  @fleet_untrusted
+  Scenario: Requests within the limits are served, those over a limit get their status
+    When a caller of instance 1 sends these requests to "/record/x"
+      | method | head  | body    | chunked | status |
+      | POST   | 100   | 262144  | no      | 200    |
+      | POST   | 100   | 262144  | yes     | 200    |
+      | GET    | 16000 | 0       | no      | 200    |
+      | POST   | 100   | 262145  | no      | 413    |
+      | POST   | 100   | 262145  | yes     | 413    |
+      | POST   | 100   | 3000000 | no      | 413    |
+      | POST   | 100   | 3000000 | yes     | 413    |
+      | GET    | 40000 | 0       | no      | 431    |
+    Then each has its status, and servers have received only those with 200
+
+  # Guards against idle connections that are closed while callers may still use them.
+  @fleet_untrusted
+  Scenario: A connection may be used again within four fifths of the idle time
+    Given idle connections may last 3000 ms
+    When a caller of instance 1 sends "/record/x" twice on one connection, 2400 ms apart
+    Then both have the status 200
+
   # As above, for the native dialect, whose limit of bodies did not hold for all paths.
   @site_untrusted
   Scenario Outline: Native dialect: bodies over the limit are not stored
