--- a/monsoonhoist/node/kernels.py
+++ b/monsoonhoist/node/kernels.py
@@ -11,7 +11,7 @@
 from monsoonhoist.core import clock
 from monsoonhoist.kernels import traces
 from monsoonhoist.node import task
-from monsoonhoist.protocol import events
+from monsoonhoist.protocol import events, server_events
 
 _log = logging.getLogger(__name__)
 
@@ -78,15 +78,15 @@
                     self._counters.count_decision(command.decision)
                 case events.CountLateReply():
                     self._counters.count_late_reply()
-                case events.SlowStartBegan():
+                case server_events.SlowStartBegan():
                     self._counters.count_slow_start(command.cause)
                     _log.info("slow start began", extra=msgspec.structs.asdict(command))
-                case events.ServerTurnedCold():
+                case server_events.ServerTurnedCold():
                     self._counters.count_cold_server()
                     _log.info("server is cold", extra=msgspec.structs.asdict(command))
-                case events.CountQuotaRefusal():
+                case server_events.CountQuotaRefusal():
                     self._counters.count_quota_refusal()
-                case events.SlowStartEnded():
+                case server_events.SlowStartEnded():
                     _log.info("slow start ended", extra=msgspec.structs.asdict(command))
                 case _:
                     self._execute(command)
--- a/monsoonhoist/shards/cold_servers.py
+++ b/monsoonhoist/shards/cold_servers.py
@@ -5,7 +5,7 @@
 from monsoonhoist.core import data, placement
 from monsoonhoist.overload import cold_quota
 from monsoonhoist.policy import ownership
-from monsoonhoist.protocol import events
+from monsoonhoist.protocol import events, server_events
 
 MS_PER_SECOND = 1000.0
 # Longest time that a server is believed to stay cold.
@@ -185,10 +185,10 @@
         """Returns whether the server is cold and its service states a rate."""
         return self.server.warm_up_rate > 0.0 and self.quota.is_cold(now)
 
-    def describe(self, now: float) -> events.ServerTurnedCold:
+    def describe(self, now: float) -> server_events.ServerTurnedCold:
         """Returns the report that the server has become cold."""
         is_limited = self.is_limited(now)
-        return events.ServerTurnedCold(
+        return server_events.ServerTurnedCold(
             self.server.server_id,
             round(self.quota.cold_until - now, 3),
             self.server.warm_up_rate,
--- a/monsoonhoist/shards/cold_waits.py
+++ b/monsoonhoist/shards/cold_waits.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 
 from monsoonhoist.core import data
-from monsoonhoist.protocol import events
+from monsoonhoist.protocol import events, server_events
 from monsoonhoist.shards import server, shard, subrequest, timers
 
 # Share of its remaining time that a sub-request may wait for a quota.
@@ -38,7 +38,7 @@
         usable = sum(found.is_available(now) for found in state.server_by_id.values())
         if len(limited) == usable:
             for sub in pop_late(state, limited, now):
-                commands.append(events.CountQuotaRefusal())
+                commands.append(server_events.CountQuotaRefusal())
                 self._fail(state, sub, data.Refusal.NO_SERVER, commands)
         if state.queued_count and now < first_at < math.inf:
             self._schedule(state, first_at)
--- a/monsoonhoist/shards/owner.py
+++ b/monsoonhoist/shards/owner.py
@@ -16,6 +16,7 @@
     replies,
     server,
     server_reports,
+    server_waits,
     shard,
     shard_table,
     slot_use,
@@ -26,8 +27,6 @@
 SHARD_QUEUE_LENGTH_MAX = 512
 # Delay before retrying a hedge that found no free server or that the entry did not allow.
 HEDGE_RETRY_SECONDS = 0.02
-# Share of its remaining time that a sub-request may wait for a server to become available.
-UNAVAILABLE_WAIT_SHARE = 0.25
 # Most sub-requests that one pass through a queue leaves waiting while a server of the shard starts
 # slowly. That server has free capacity for few of them, and each pass would cost the whole queue.
 PACED_DEFERRALS_MAX = 8
@@ -73,6 +72,7 @@
         self._replies = replies.ReplyCollector(instance, self._work.has_query)
         self._call_requests = call_requests.CallRequestCollector()
         self._quota_waits = cold_waits.QuotaWaits(self._timers, self._dispatch, self._fail)
+        self._server_waits = server_waits.ServerWaits(self._timers, self._dispatch, self._fail)
         self.reports = server_reports.ServerReports(instance, time_source, self._shards)
 
     @property
@@ -172,7 +172,7 @@
                 self._fail(state, sub, data.Refusal.EXPIRED_IN_QUEUE, commands)
             elif candidates:
                 self._start_call(state, sub, candidates, commands)
-            elif state.has_untried(sub, now) or self._await_server(state, sub, now):
+            elif state.has_untried(sub, now) or self._server_waits.may_wait(state, sub, now):
                 deferred.append(sub)
                 self._slot_use.note_held(sub, free, commands)
                 if len(deferred) >= PACED_DEFERRALS_MAX and server.is_any_starting(
@@ -183,38 +183,10 @@
                 self._fail(state, sub, state.refusal_without_server(sub, now), commands)
         for sub in deferred:
             state.push(sub)
-        self._refuse_without_server(state, now, commands)
+        self._server_waits.refuse_unserved(state, now, commands)
         if state.queued_count:
             self._quota_waits.update(state, now, commands)
 
-    def _await_server(
-        self, state: shard.ShardState, sub: subrequest.SubRequest, now: float
-    ) -> bool:
-        """Returns whether a sub-request may wait for an untried server to become available."""
-        available_at = state.next_untried_at(sub, now)
-        if available_at - now > (sub.deadline - now) * UNAVAILABLE_WAIT_SHARE:
-            return False
-        self._timers.schedule(available_at, lambda out: self._dispatch(state, out))
-        return True
-
-    def _refuse_without_server(
-        self, state: shard.ShardState, now: float, commands: list[events.Command]
-    ) -> None:
-        """Refuses queued sub-requests if no server is available now or soon."""
-        if not state.queued_count or state.is_any_available(now):
-            return
-        available_at = state.available_at()
-        waiting: list[subrequest.SubRequest] = []
-        while (sub := state.pop()) is not None:
-            if available_at - now <= (sub.deadline - now) * UNAVAILABLE_WAIT_SHARE:
-                waiting.append(sub)
-            else:
-                self._fail(state, sub, data.Refusal.NO_SERVER, commands)
-        for sub in waiting:
-            state.push(sub)
-        if waiting:
-            self._timers.schedule(available_at, lambda out: self._dispatch(state, out))
-
     def _start_call(
         self,
         state: shard.ShardState,
@@ -353,7 +325,7 @@
         reason = data.RetryReason.LOST if event.may_have_run else data.RetryReason.REFUSED
         is_useful = hedging.may_retry(sub) and now < sub.deadline
         is_useful = is_useful and not self._call_times.is_too_late(sub, commands)
-        has_server = state.has_untried(sub, now) or self._await_server(state, sub, now)
+        has_server = state.has_untried(sub, now) or self._server_waits.may_wait(state, sub, now)
         if not (is_safe and is_useful and has_server):
             self._fail(state, sub, event.reason, commands)
         elif sub.calls < sub.allowed:
--- a/monsoonhoist/shards/slow_start.py
+++ b/monsoonhoist/shards/slow_start.py
@@ -5,7 +5,7 @@
 
 from monsoonhoist.core import data, exchange
 from monsoonhoist.policy import pace
-from monsoonhoist.protocol import events
+from monsoonhoist.protocol import events, server_events
 from monsoonhoist.shards import cold_servers
 
 MakePace = Callable[[float, float], pace.Pace]
@@ -54,7 +54,7 @@
         """Returns the pace of a server that starts, or None if servers do not start slowly."""
         if self._make_pace is None:
             return None
-        self.reports.append(events.SlowStartBegan(server.server_id, cause.value, share))
+        self.reports.append(server_events.SlowStartBegan(server.server_id, cause.value, share))
         return self._make_pace(share, now)
 
     def find_cold(self, server: data.Server) -> cold_servers.ColdState | None:
@@ -69,7 +69,9 @@
         """Reports that a server has reached its full share."""
         seconds = round(now - ended.started_at, 3)
         ratio = round(ended.latency_ratio, 2)
-        self.reports.append(events.SlowStartEnded(server.server_id, seconds, ended.calls, ratio))
+        self.reports.append(
+            server_events.SlowStartEnded(server.server_id, seconds, ended.calls, ratio)
+        )
 
     def flush(self) -> list[events.Command]:
         """Removes and returns the reports."""
