--- a/features/steps/untrusted_callers.py
+++ b/features/steps/untrusted_callers.py
@@ -11,7 +11,7 @@
 
 from features import crowd
 from features.steps import endless_replies, platform_actions
-from standins import fleet, site
+from standins import fleet, ports
 
 PIECE = b"x" * 65_536
 SEND_SECONDS = 8.0
@@ -33,7 +33,7 @@
         process = context.fleet.process_by_number[number]
         return process, (f"127.0.1.{number}", fleet.CALLERS_PORT)
     process = context.site.process_by_name[f"node-{number}"]
-    return process, ("127.0.0.1", site.HTTP_PORT_BASE + number)
+    return process, ("127.0.0.1", ports.HTTP_PORT_BASE + number)
 
 
 @behave.fixture
