List the operators' keys with the first page of all keys at the start of a watcher

Cause: each instance that starts reads the store, and each that becomes a watcher; the list of the operators' keys by itself was one call more each time, and calls to the store are priced.

Change: at the start the range of the operators' keys waits up to 0.3 s for the first page of all keys. If that page goes beyond the range, the range counts as listed, and its removals follow at once. The page is offered at once.

Evidence: "The first list of all keys is the one of the operators' keys as well" failed before (4 requests in 140 ms instead of 3). operator_keys (12), evacuation (19), layers and the scenarios of the store in platform.feature pass.

--- a/features/operator_keys.feature
+++ b/features/operator_keys.feature
@@ -55,3 +55,16 @@
     When the instances are connected, and the messages after the first 10 are lost
     And the instances compare their tables again 3 s later
     Then all 4000 servers are in force at "new"
+
+  Scenario: The first list of all keys is the one of the operators' keys as well
+    Given a fake store of 1000 servers, and a watcher of it
+    When 140 ms pass without a change
+    Then the watcher made at most 3 requests
+    And the watcher has the configuration in force
+
+  Scenario: An evacuation that has ended is found by the first page of a new watcher
+    Given a fake store of 33000 servers, and a watcher of it
+    And the watcher knows the evacuation of "z9", which the store no longer has
+    When 140 ms pass without a change
+    Then the watcher has the configuration in force
+    And the watcher has no zone evacuated
--- a/features/steps/operator_keys.py
+++ b/features/steps/operator_keys.py
@@ -14,6 +14,7 @@
 from monsoonhoist.core import clock, data
 from monsoonhoist.node import curl, replication
 from monsoonhoist.platform import reader, store_format
+from monsoonhoist.protocol import messages
 
 PAGE_ITEMS = 50
 HISTORY_SECONDS = 1.0
@@ -231,6 +232,7 @@
     context.end_seconds = 0.0
     context.written_at_by_key = {}
     context.delay_by_key = {}
+    context.known_values = ()
 
 
 def add_action(context, at_ms, action):
@@ -336,6 +338,8 @@
     watcher = replication.ConfigServiceWatcher(
         RETRY_DELAY, store_reader, replicator, lambda: True, lambda: None
     )
+    replicator.offer(context.known_values, "peer")
+    context.table_store = replicator.store
     compaction = asyncio.create_task(context.store.compact())
     watcher.start()
     for at_seconds, _, action in sorted(context.actions, key=lambda entry: entry[:2]):
@@ -372,6 +376,25 @@
     assert not late, late
 
 
+@given('the watcher knows the evacuation of "{zone}", which the store no longer has')
+def make_known_evacuation(context, zone):
+    """Passes a value to the watcher before it reads the store."""
+    value = messages.TableValue(data.TableKey(f"op/evacuate/{zone}"), 1, "{}")
+    context.known_values = (value,)
+
+
+@then("the watcher has the configuration in force")
+def check_config(context):
+    """Checks that the watcher has a configuration."""
+    assert context.table_store.tables.route_by_id
+
+
+@then("the watcher has no zone evacuated")
+def check_no_zone(context):
+    """Checks that the evacuation is over."""
+    assert not context.table_store.tables.evacuated_zones, context.table_store.tables
+
+
 @then("no request of the watcher was given up")
 def check_given_up(context):
     """Checks that no reply was cut off."""
--- a/monsoonhoist/node/range_reader.py
+++ b/monsoonhoist/node/range_reader.py
@@ -9,9 +9,11 @@
 import abc
 import asyncio
 import collections
+import contextlib
 import datetime
 import logging
-from collections.abc import Callable, Sequence
+import math
+from collections.abc import Callable, Container, Sequence
 
 import msgspec
 
@@ -26,6 +28,8 @@
 # Interval at which the values of a long list are offered before its end. Each offer rebuilds the
 # pools that have changed, which takes too long to do for each page.
 OFFER_INTERVAL_SECONDS = 1.0
+# Time for which a range waits at the start for the first page of a range that includes it.
+INCLUDED_WAIT_SECONDS = 0.3
 
 _log = logging.getLogger(__name__)
 
@@ -95,6 +99,7 @@
         listed_number: Revision of the latest complete list; None before the first.
         readings: Readings in the order in which they were made.
         watch_timeout: Ends the watch that is in progress; None if there is none.
+        has_list: Set once the range has been listed.
     """
 
     def __init__(self) -> None:
@@ -102,6 +107,12 @@
         self.listed_number: int | None = None
         self.readings: collections.deque[replication.Reading] = collections.deque()
         self.watch_timeout: asyncio.Timeout | None = None
+        self.has_list = asyncio.Event()
+
+    def set_listed(self, revision: int) -> None:
+        """Records a list of the range as of a revision."""
+        self.revision = self.listed_number = revision
+        self.has_list.set()
 
 
 class RangeReader(replication.TableReader):
@@ -159,6 +170,10 @@
     async def _follow(self, prefix: str, table_store: store.TableStore) -> None:
         """Lists and watches a range until it is cancelled."""
         state = self._state_by_prefix[prefix]
+        if any(prefix.startswith(other) and prefix != other for other in self._range_by_prefix):
+            # The first page of the other range saves a call if it has all keys of this one.
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(state.has_list.wait(), INCLUDED_WAIT_SECONDS)
         failures = 0
         while True:
             try:
@@ -204,18 +219,51 @@
             values += page.values
             if not page.next_after:
                 break
+            if not after:
+                values += self._list_included(page, prefix, table_store)
+                offered_at = -math.inf
             if loop.time() - offered_at >= OFFER_INTERVAL_SECONDS:
                 self._publish(state, replication.Reading(tuple(values), is_complete=False))
                 values = []
                 offered_at = loop.time()
             after = page.next_after
-        removed = tuple(
+        removed = self._find_removed(prefix, present_keys, revision, table_store)
+        state.set_listed(revision)
+        self._raise_included(prefix, revision)
+        self._publish_complete(state, (*values, *removed))
+
+    def _list_included(
+        self, page: Page, prefix: str, table_store: store.TableStore
+    ) -> list[messages.TableValue]:
+        """Marks ranges whose keys are all in the first page of a list as listed.
+
+        Returns:
+            The removals of their keys.
+        """
+        removed: list[messages.TableValue] = []
+        keys = {value.key for value in page.values}
+        for other_prefix, other in self._state_by_prefix.items():
+            is_included = other_prefix.startswith(prefix) and other_prefix != prefix
+            is_passed = page.next_after > other_prefix
+            is_passed = is_passed and not page.next_after.startswith(other_prefix)
+            if is_included and is_passed and other.listed_number is None:
+                other.set_listed(page.revision)
+                removed += self._find_removed(other_prefix, keys, page.revision, table_store)
+        return removed
+
+    def _find_removed(
+        self,
+        prefix: str,
+        present_keys: Container[data.TableKey],
+        revision: int,
+        table_store: store.TableStore,
+    ) -> list[messages.TableValue]:
+        """Returns the removals of the keys in force that a list of a range lacks."""
+        return [
             messages.TableValue(key, revision, "")
             for key in table_store.nonempty_keys()
             if key.startswith(prefix) and self._is_removable(key) and key not in present_keys
-        )
-        state.revision = state.listed_number = revision
-        self._publish_complete(state, (*values, *removed))
+        ]
 
     async def _watch(self, state: RangeState, key_range: KeyRange) -> None:
         """Waits for the settle delay and then for changes of a range."""
@@ -230,13 +278,22 @@
         finally:
             state.watch_timeout = None
         state.revision = page.revision
-        # The changes of the ranges within this one are known up to the same revision. Their long
-        # watches then do not start from a revision that the service has compacted.
-        for prefix, other in self._state_by_prefix.items():
-            if prefix.startswith(key_range.prefix) and other.revision is not None:
-                other.revision = max(other.revision, page.revision)
+        self._raise_included(key_range.prefix, page.revision)
         self._publish_complete(state, page.values)
 
+    def _raise_included(self, prefix: str, revision: int) -> None:
+        """Records that the ranges within one are known up to the revision of that one.
+
+        Their long watches then do not start from a revision that the service has compacted.
+        """
+        for other_prefix, other in self._state_by_prefix.items():
+            if not other_prefix.startswith(prefix) or other_prefix == prefix:
+                continue
+            if other.listed_number is None:
+                other.set_listed(revision)
+            elif other.revision is not None:
+                other.revision = max(other.revision, revision)
+
     def _restart_other_watches(self, state: RangeState) -> None:
         """Ends the watches of the other ranges, which are then made again."""
         now = asyncio.get_running_loop().time()
