Add mutants of the evacuations and of the operators' keys

Six mutants break one rule each: evacuated servers are called, a query without enough shards is sent, a list ends no evacuation, operators' keys have no range, values are requested all at once, small instances watch first.

--- a/bench/mutants.py
+++ b/bench/mutants.py
@@ -401,6 +401,48 @@
         "            except ZeroDivisionError if False else ConfigServiceError:",
         "malformed_input",
     ),
+    Mutant(
+        "servers of an evacuated zone are called",
+        "shards/server.py",
+        "        if self._is_evacuated:\n            return math.inf",
+        "        if False:\n            return math.inf",
+        "evacuation",
+    ),
+    Mutant(
+        "a query whose shards are evacuated is sent to owners",
+        "queries/plan.py",
+        "    return served_count >= needed_count",
+        "    return served_count > 0",
+        "evacuation",
+    ),
+    Mutant(
+        "a list does not end the evacuations that it lacks",
+        "platform/wire_names.py",
+        "    return key.startswith((SERVER_KEY_PREFIX, EVACUATION_KEY_PREFIX))",
+        "    return key.startswith(SERVER_KEY_PREFIX) or key.endswith(EVACUATION_KEY_PREFIX)",
+        "evacuation",
+    ),
+    Mutant(
+        "operators' keys have no range of their own",
+        "platform/wire_names.py",
+        'OPERATOR_KEY_PREFIX = "op/"',
+        'OPERATOR_KEY_PREFIX = "none/"',
+        "operator_keys",
+    ),
+    Mutant(
+        "all announced values are requested at once",
+        "node/value_requests.py",
+        "BATCH_KEYS = 64",
+        "BATCH_KEYS = 100_000",
+        "operator_keys",
+    ),
+    Mutant(
+        "small instances watch as well as large ones",
+        "fleet/membership.py",
+        "    return (-member.capacity, -hashing",
+        "    return (0.0, -hashing",
+        "watcher_selection",
+    ),
 )
 
 
