--- a/bench/mutants.py
+++ b/bench/mutants.py
@@ -208,6 +208,27 @@
         "state.update(servers, self._limit_share, self._clock.monotonic())",
         "server_choice",
     ),
+    Mutant(
+        "servers that return cold receive their whole load at once",
+        "policy/pace.py",
+        "INITIAL_SHARE = 0.2",
+        "INITIAL_SHARE = 1.0",
+        "slow_start",
+    ),
+    Mutant(
+        "larger quotas for cold servers are used at once",
+        "overload/cold_quota.py",
+        "RAISE_DELAY_SECONDS = 2.5",
+        "RAISE_DELAY_SECONDS = 0.0",
+        "cold_servers",
+    ),
+    Mutant(
+        "instances that cannot be reached do not keep their quotas for cold servers",
+        "shards/cold_servers.py",
+        "known = view.known_instances or view.instances",
+        "known = view.instances",
+        "cold_servers",
+    ),
     Mutant(
         "an instance mistakes its own read report for a peer's",
         "fleet/watcher_selection.py",
--- a/features/cold_servers.feature
+++ b/features/cold_servers.feature
@@ -70,6 +70,16 @@
     When the item of "a" says 4000 ms
     Then 8 of 12 health checks of "a" may be sent at once
 
+  Scenario Outline: The template of settings takes over the bounds of the platform where they are given
+    When the template is filled in with <values>
+    Then a cold server of 20 requests per second bears <requests> requests in a second
+
+    Examples:
+      | values                                       | requests |
+      | no bounds of cold servers                    | 20       |
+      | Bounds.ColdExcess=1.5 and Bounds.ColdSlack=5 | 35       |
+      | Bounds.ColdSlack=5                           | 25       |
+
   Scenario: A service without a rate has no limit
     Given 6 instances in cells of 1 and servers that bear 0 requests per second when cold
     When server "a" becomes cold for 20 s
--- a/features/steps/cold_servers.py
+++ b/features/steps/cold_servers.py
@@ -8,12 +8,14 @@
 import msgspec
 from behave import given, then, when
 
+from monsoonhoist import settings
 from monsoonhoist.core import clock, data, exchange
 from monsoonhoist.fleet import known_instances
 from monsoonhoist.kernels import kernel
 from monsoonhoist.overload import cold_quota
 from monsoonhoist.protocol import events, fanout, messages
 from monsoonhoist.shards import kernel_config
+from standins import fleet
 
 POLICIES = kernel.PolicyNames(ownership="cell", balance="expected-latency", hedge="none")
 OPTIONS = kernel_config.KernelOptions(cold=cold_quota.ColdOptions(1.5, 5.0))
@@ -356,6 +358,20 @@
     assert sum(owner.reports.may_check(fleet.servers["a"]) for _ in range(count)) == allowed
 
 
+@when("the template is filled in with {values}")
+def fill_in_template(context, values):
+    """Parses the template of settings with values of the platform."""
+    pairs = [pair.split("=") for pair in values.split(" and ") if "=" in pair]
+    context.parsed, findings = settings.parse("x", fleet.settings_text(1, 1, dict(pairs)))
+    assert not findings, findings
+
+
+@then("a cold server of {rate:d} requests per second bears {requests:d} requests in a second")
+def check_bounds(context, rate, requests):
+    """Checks the options of the kernel."""
+    assert context.parsed.kernel_options().cold.requests_max(rate) == requests
+
+
 @then("the state of {count:d} servers is kept")
 def check_count(context, count):
     """Checks the number of servers of which something is known."""
