Apply a changed rate of cold servers at once

Cause: a quota was computed anew only when the instances changed, so that a WarmupPerS of an earlier configuration stayed in force while a server was cold, also after it had become 0.

Evidence: two of the three new examples in features/cold_servers.feature failed before.

--- a/features/cold_servers.feature
+++ b/features/cold_servers.feature
@@ -65,6 +65,20 @@
       | server "a" is listed anew and says nothing             | 9       |
       | the item of "a" says 4000 ms and is written once more  | 4       |
 
+  # Guards against a rate of an earlier configuration that stays in force while a server is cold.
+  Scenario Outline: A change of the stated rate is in force at once
+    Given one instance and servers that bear 2 requests per second when cold for 9 s
+    When the item of "a" says 4000 ms
+    Then 2 of 2 health checks of "a" may be sent at once
+    When the service states <rate> requests per second
+    Then <allowed> of 40 health checks of "a" may be sent at once
+
+    Examples:
+      | rate | allowed |
+      | 1    | 4       |
+      | 20   | 33      |
+      | 0    | 40      |
+
   Scenario: Health checks count
     Given one instance and servers that bear 2 requests per second when cold for 9 s
     When the item of "a" says 4000 ms
--- a/features/steps/cold_servers.py
+++ b/features/steps/cold_servers.py
@@ -302,6 +302,14 @@
     context.cold_fleet.publish()
 
 
+@when("the service states {rate:d} requests per second")
+def change_rate(context, rate):
+    """Lists all servers with another rate."""
+    fleet_of_one = context.cold_fleet
+    for name in "abc":
+        fleet_of_one.change(name, warm_up_rate=rate)
+
+
 @when("the table lists no server")
 def list_none(context):
     """Removes all servers from the tables."""
--- a/monsoonhoist/shards/cold_servers.py
+++ b/monsoonhoist/shards/cold_servers.py
@@ -73,9 +73,8 @@
             for pool_id, pool in self._pool_by_id.items()
             if pool is not before.get(pool_id)
             for servers in pool.servers_by_service.values()
-            if servers and _has_warm_up(servers)
             for server in servers
-            if self._record_listed(server, now)
+            if self._is_relevant(server) and self._record_listed(server, now)
         ]
         for server_id, state in list(self._state_by_id.items()):
             if not self._is_listed(state.server):
@@ -123,11 +122,16 @@
         if state is None:
             state = self._state_by_id[server.server_id] = ColdState(server, self)
         is_changed = is_new or server.cold_ms != state.server.cold_ms
-        state.server = server
+        state.set_server(server)
         if server.cold_ms is not None and is_changed:
             return state.set_cold(server.cold_ms / MS_PER_SECOND, now)
         return is_new and state.set_cold(server.warm_up_seconds, now)
 
+    def _is_relevant(self, server: data.Server) -> bool:
+        """Returns whether the server is cold, its service states a rate, or it was so before."""
+        is_stated = server.warm_up_rate > 0.0 or bool(server.cold_ms)
+        return is_stated or server.server_id in self._state_by_id
+
     def _is_listed(self, server: data.Server) -> bool:
         return any(
             listed.server_id == server.server_id
@@ -174,6 +178,12 @@
         self._servers = servers
         self._fleet_version = -1
 
+    def set_server(self, server: data.Server) -> None:
+        """Applies the server's record from newer tables."""
+        if server.warm_up_rate != self.server.warm_up_rate:
+            self._fleet_version = -1
+        self.server = server
+
     def set_cold(self, seconds: float, now: float) -> bool:
         """Sets how long the server stays cold; returns whether it was warm and is now cold."""
         was_cold = self.quota.is_cold(now)
@@ -207,8 +217,3 @@
             part = self._servers.part(self.server)
             self.quota.set_count(part, now, self._servers.larger_from)
         return self.quota
-
-
-def _has_warm_up(servers: tuple[data.Server, ...]) -> bool:
-    """Returns whether the service states a rate for cold servers, or one of them is cold."""
-    return servers[0].warm_up_rate > 0.0 or any(server.cold_ms for server in servers)
