--- a/features/cold_servers.feature
+++ b/features/cold_servers.feature
@@ -65,11 +65,35 @@
       | server "a" is listed anew and says nothing             | 9       |
       | the item of "a" says 4000 ms and is written once more  | 4       |
 
+  # Guards against a rate of an earlier configuration that stays in force while a server is cold.
+  Scenario Outline: A change of the stated rate is in force at once
+    Given one instance and servers that bear 2 requests per second when cold for 9 s
+    When the item of "a" says 4000 ms
+    Then 2 of 2 health checks of "a" may be sent at once
+    When the service states <rate> requests per second
+    Then <allowed> of 40 health checks of "a" may be sent at once
+
+    Examples:
+      | rate | allowed |
+      | 1    | 4       |
+      | 20   | 33      |
+      | 0    | 40      |
+
   Scenario: Health checks count
     Given one instance and servers that bear 2 requests per second when cold for 9 s
     When the item of "a" says 4000 ms
     Then 8 of 12 health checks of "a" may be sent at once
 
+  Scenario Outline: The template of settings takes over the bounds of the platform where they are given
+    When the template is filled in with <values>
+    Then a cold server of 20 requests per second bears <requests> requests in a second
+
+    Examples:
+      | values                                       | requests |
+      | no bounds of cold servers                    | 20       |
+      | Bounds.ColdExcess=1.5 and Bounds.ColdSlack=5 | 35       |
+      | Bounds.ColdSlack=5                           | 25       |
+
   Scenario: A service without a rate has no limit
     Given 6 instances in cells of 1 and servers that bear 0 requests per second when cold
     When server "a" becomes cold for 20 s
