Divide admission windows between callers, and derive Retry-After from their drain rate

Cause: a place in a full admission window goes to whoever asks next. Callers that send again a few milliseconds after a refusal take nearly all places, and callers that return when told to find newcomers before them. Retry-After of overload is 150 to 450 ms whatever the load.

Change: with [scheduling] fair_admission, policy/fair_admission.py stands before the admission policy of each pool: while 0.8 of a rank's places are in use, a caller (address of its connection) with its share in progress is refused; places are kept for callers that were told to return by now; the time to return follows from the rate at which queries end and those that are to return before, with jitter. Admission policies state a rank's places. Callers are named in exchange.CallerRequest, by address in both dialects, since requests carry no organisation.

--- a/monsoonhoist/core/exchange.py
+++ b/monsoonhoist/core/exchange.py
@@ -79,6 +79,8 @@
         deadline_ms: Deadline, in milliseconds from arrival; 0 for the route's.
         is_clamped: Whether a deadline longer than the route's is shortened to it instead of
             being refused.
+        caller: Name of the caller for fair shares, the address of its connection; empty if it is
+            unknown.
     """
 
     request_id: str
@@ -86,6 +88,7 @@
     limit: int = 10
     deadline_ms: int = 0
     is_clamped: bool = False
+    caller: str = ""
 
 
 class AnswerAttachments(msgspec.Struct, frozen=True):
--- a/monsoonhoist/core/scheduling.py
+++ b/monsoonhoist/core/scheduling.py
@@ -17,12 +17,15 @@
             for as long as the missing parts are worth it.
         delivery_ms: Time that an answer takes from its entry to the caller, in milliseconds, with
             ``answer_timing``.
+        fair_admission: Entries divide their admission windows between callers, and tell refused
+            ones when to return by the rate at which queries end.
     """
 
     goal_order: bool = False
     rank_slots: bool = False
     answer_timing: bool = False
     delivery_ms: int = 12
+    fair_admission: bool = False
 
 
 DEFAULT_OPTIONS = Options()
@@ -37,6 +40,8 @@
         RANK_HELD: A part waits although a server has a free slot, which is kept for urgent work.
         ANSWERED_PARTLY: A query was answered within its goal without all parts.
         ANSWERED_LATE: A query was answered after its goal.
+        OVER_SHARE: A query was refused because its caller has its share of the window.
+        TOLD_TO_RETURN: A query was refused for other reasons; its caller has a time to return.
     """
 
     NOT_STARTED = "not_started"
@@ -44,3 +49,5 @@
     RANK_HELD = "rank_held"
     ANSWERED_PARTLY = "answered_partly"
     ANSWERED_LATE = "answered_late"
+    OVER_SHARE = "over_share"
+    TOLD_TO_RETURN = "told_to_return"
--- a/monsoonhoist/node/web.py
+++ b/monsoonhoist/node/web.py
@@ -155,7 +155,10 @@
         elif route is None or route.repeatable:
             self._may_have_run = True
             respond = await self._node.pending_queries.start(
-                data.RouteId(route_id), request.to_caller_request()
+                data.RouteId(route_id),
+                msgspec.structs.replace(
+                    request.to_caller_request(), caller=self.request.remote_ip or ""
+                ),
             )
             self.count_and_send(route.rank if route else None, respond.answer)
         elif not request.ticket:
--- a/monsoonhoist/overload/retry_after.py
+++ b/monsoonhoist/overload/retry_after.py
@@ -28,8 +28,12 @@
     Args:
         reason: Why the request was refused; None for the default delay.
         key: Text from which the jitter is derived, different for each request.
-        wait_seconds: Time until servers are available; 0 if unknown. The delay is longer.
+        wait_seconds: Time until servers are available; 0 if unknown. The delay is longer. After a
+            refusal because of overload it is the delay itself, with jitter, since admission
+            control keeps places for callers that return then.
     """
+    if reason is data.Refusal.OVERLOAD and wait_seconds > 0.0:
+        return wait_seconds
     base = BASE_SECONDS_BY_REFUSAL.get(reason, DEFAULT_BASE_SECONDS)
     fraction = hashing.stable_hash(key) % _JITTER_STEPS / _JITTER_STEPS
     delay = base * (1.0 - JITTER_SHARE + 2.0 * JITTER_SHARE * fraction)
--- a/monsoonhoist/platform/callers.py
+++ b/monsoonhoist/platform/callers.py
@@ -88,6 +88,7 @@
             content=self._make_http_request(),
             deadline_ms=deadline_ms,
             is_clamped=True,
+            caller=self._connection.context.remote_ip,
         )
         self._answer_future = self._node.pending_queries.start(route.route_id, request)
         self._answer_future.add_done_callback(lambda future: self._handle_answer(route, future))
--- a/monsoonhoist/policy/admission.py
+++ b/monsoonhoist/policy/admission.py
@@ -1,6 +1,7 @@
 """Policies that admit or refuse queries at the entry."""
 
 import abc
+import math
 
 from monsoonhoist.core import data
 from monsoonhoist.policy import order, registry
@@ -23,6 +24,14 @@
                 share of the route's deadline; 1 if one failed because of overload.
         """
 
+    @abc.abstractmethod
+    def places(self, rank: data.Rank) -> tuple[float, float]:
+        """Returns the number of a rank's queries in progress, and how many there may be now."""
+
+    @abc.abstractmethod
+    def record_refusal(self) -> None:
+        """Records that a query was refused before this policy was asked."""
+
 
 @registry.register(registry.Kind.ADMISSION, "window")
 class WindowAdmission(Admission):
@@ -76,15 +85,27 @@
             self._has_refused = False
             self._window = min(self.window_max, self._window + 1.0 / self._window)
 
+    def places(self, rank: data.Rank) -> tuple[float, float]:
+        """Returns a rank's active queries, and its floor or the unreserved part of the window."""
+        limit = max(self._floor(rank), self._window - self._reserved(rank))
+        return float(self._active_by_rank[rank]), limit
+
+    def record_refusal(self) -> None:
+        """Lets the window grow as after a refusal of its own."""
+        self._has_refused = True
+
     def _fits(self, rank: data.Rank) -> bool:
         if self._active_by_rank[rank] < self._floor(rank):
             return True
-        reserved = sum(
+        return self._active_by_rank[rank] + self._reserved(rank) < self._window
+
+    def _reserved(self, rank: data.Rank) -> float:
+        """Returns the part of the window that other ranks use or that is kept for them."""
+        return sum(
             max(self._active_by_rank[other], self._floor(other))
             for other in data.RANK_ORDER
             if other is not rank
         )
-        return self._active_by_rank[rank] + reserved < self._window
 
     def _floor(self, rank: data.Rank) -> float:
         return max(
@@ -103,3 +124,10 @@
 
     def finish(self, rank: data.Rank, pressure: float) -> None:
         """Does nothing."""
+
+    def places(self, rank: data.Rank) -> tuple[float, float]:
+        """Returns that there may be any number of queries."""
+        return 0.0, math.inf
+
+    def record_refusal(self) -> None:
+        """Does nothing."""
--- a/monsoonhoist/queries/entry.py
+++ b/monsoonhoist/queries/entry.py
@@ -58,7 +58,7 @@
         self._answer_timing = answer_timing.AnswerTiming(load_scheduling)
         self._failover = failover.OwnerFailover(instance, self._owner_selector, self._allowances)
         self._tables = data.Tables({}, {})
-        self._pool_states = pool_states.PoolStates(admission_class)
+        self._pool_states = pool_states.PoolStates(admission_class, load_scheduling.fair_admission)
         self._query_by_id: dict[data.QueryId, query.QueryState] = {}
         self._pool_selector = pool_selector.PoolSelector()
         self._timer_heap: list[tuple[float, data.QueryId]] = []
@@ -118,15 +118,16 @@
             return intake.refuse(event, accepted.reason, accepted.detail)
         route, pool = accepted.route, accepted.pool
         pool_id = pool.pool_id
-        if not self._pool_states.admission_for(pool_id).admit(route.rank):
-            detail = f"too much {route.rank.value} work for the pool {pool_id!r}"
-            return intake.refuse(event, data.Refusal.OVERLOAD, detail)
+        now = self._clock.monotonic()
+        verdict = self._pool_states.admit(pool_id, route.rank, event, now)
+        if not verdict.is_admitted:
+            return intake.refuse_overload(event, accepted, verdict)
         pool_snapshots = self._pool_states.snapshots_for(pool_id)
         remaining_ms = event.remaining_ms or accepted.deadline_max_ms
-        now = self._clock.monotonic()
         margin = self._answer_timing.margin_seconds(len(pool.servers_by_service))
         state = plan.make_query(event, route, pool, pool_snapshots, remaining_ms, now, margin)
         state.responsive_instances.add(self._instance)
+        state.account = verdict.account
         self._allowances.register_query(state)
         self._query_by_id[event.query_id] = state
         heapq.heappush(self._timer_heap, (state.deadline, event.query_id))
@@ -353,7 +354,7 @@
         del self._query_by_id[state.spec.query_id]
         counts = self._answer_timing.count_answer(state, self._clock.monotonic())
         state.select_best_snapshot()
-        self._pool_states.finish(state)
+        self._pool_states.finish(state, self._clock.monotonic())
         respond = events.Respond(
             state.spec.query_id,
             answer_builder.make_answer(state),
@@ -366,7 +367,7 @@
         state = self._query_by_id.pop(query_id, None)
         if state is None:
             return []
-        self._pool_states.finish(state)
+        self._pool_states.finish(state, self._clock.monotonic())
         return [events.CountRefusal(data.Refusal.CALLER_GONE), *self._cancel_pending(state, True)]
 
     def _cancel_pending(
--- a/monsoonhoist/queries/intake.py
+++ b/monsoonhoist/queries/intake.py
@@ -2,7 +2,8 @@
 
 import msgspec
 
-from monsoonhoist.core import data
+from monsoonhoist.core import data, scheduling
+from monsoonhoist.policy import fair_admission
 from monsoonhoist.protocol import events
 from monsoonhoist.queries import answer_builder, pool_selector
 
@@ -63,3 +64,23 @@
     """Returns the commands that refuse a request of which nothing has run."""
     answer = answer_builder.make_not_run(event.request.request_id, reason, detail)
     return [events.CountRefusal(reason), events.Respond(event.query_id, answer)]
+
+
+def refuse_overload(
+    event: events.QueryArrived, accepted: Accepted, verdict: fair_admission.Verdict
+) -> list[events.Command]:
+    """Returns the commands that refuse a request for which its pool has no place."""
+    rank, pool_id = accepted.route.rank.value, accepted.pool.pool_id
+    detail = f"too much {rank} work for the pool {pool_id!r}"
+    if verdict.is_over_share:
+        detail = f"the caller has its share of the {rank} work for the pool {pool_id!r}"
+    commands = refuse(event, data.Refusal.OVERLOAD, detail)
+    if verdict.wait_seconds <= 0.0:
+        return commands
+    wait_ms = max(1, int(verdict.wait_seconds * MS_PER_SECOND))
+    decision = scheduling.Decision.TOLD_TO_RETURN
+    if verdict.is_over_share:
+        decision = scheduling.Decision.OVER_SHARE
+    count = events.CountDecision(event.query_id, decision, left_ms=wait_ms)
+    answer = msgspec.structs.replace(commands[-1].answer, wait_ms=wait_ms)
+    return [count, *commands[:-1], events.Respond(event.query_id, answer)]
--- a/monsoonhoist/queries/query.py
+++ b/monsoonhoist/queries/query.py
@@ -92,6 +92,7 @@
             liveness check, and this instance.
         shard_by_service: Progress of each shard.
         sub_requests: Number of sub-requests sent to owners.
+        account: Name under which admission control counts the query.
         queue_pressure: Longest time that a sub-request was queued at an owner, as a share of the
             route's deadline; 1 if one failed because of overload.
     """
@@ -123,6 +124,7 @@
         self.responsive_instances: set[data.InstanceId] = set()
         self.shard_by_service = {service: ShardProgress() for service in services}
         self.sub_requests = 0
+        self.account = ""
         self.queue_pressure = 0.0
         self._merge_policy = merge.find_policy(spec.merge)
         self._results_by_snapshot: dict[data.Snapshot, tuple[data.MergeableResult, ...]] = {}
--- a/monsoonhoist/settings.py
+++ b/monsoonhoist/settings.py
@@ -240,24 +240,13 @@
 
 
 class SchedulingSection(ini.Model):
-    """``[scheduling]``: mechanisms for heavy load, all off by default.
-
-    Attributes:
-        goal_order: Owners serve their queues by rank, then by the time left to the route's goal,
-            and start no work whose result cannot arrive before the deadline. It replaces
-            ``order`` of ``[policy]``.
-        rank_slots: Ranks below the urgent one use at most half of the slots of a server, at least
-            one, while urgent work of the same pool arrives.
-        answer_timing: Entries answer partly as late as the route's goal allows, and after the goal
-            wait for as long as the missing parts are worth it.
-        delivery_ms: Time that an answer takes from its entry to the caller, for
-            ``answer_timing``, in milliseconds.
-    """
+    """``[scheduling]``: mechanisms for heavy load, off by default; see ``scheduling.Options``."""
 
     goal_order: bool = False
     rank_slots: bool = False
     answer_timing: bool = False
     delivery_ms: Annotated[int, msgspec.Meta(ge=0, le=10_000)] = 12
+    fair_admission: bool = False
 
     def options(self) -> scheduling.Options:
         """Returns the options of the kernels."""
