--- a/features/steps/cold_servers.py
+++ b/features/steps/cold_servers.py
@@ -8,7 +8,7 @@
 import msgspec
 from behave import given, then, when
 
-from monsoonhoist import settings
+from monsoonhoist import settings_file
 from monsoonhoist.core import clock, data, exchange
 from monsoonhoist.fleet import known_instances
 from monsoonhoist.kernels import kernel
@@ -370,7 +370,7 @@
 def fill_in_template(context, values):
     """Parses the template of settings with values of the platform."""
     pairs = [pair.split("=") for pair in values.split(" and ") if "=" in pair]
-    context.parsed, findings = settings.parse("x", fleet.settings_text(1, 1, dict(pairs)))
+    context.parsed, findings = settings_file.parse("x", fleet.settings_text(1, 1, dict(pairs)))
     assert not findings, findings
 
 
