Limit the bodies that an owner holds for other instances

The account of callers counts a body at the instance that received it. An owner that gets sub-requests from many entries holds their bodies too until it has called its servers, so that crowds at many instances, each within its account, could meet at the owner of one shard. The owner counts the bodies of other instances' open queries now and refuses a sub-request beyond an eighth of the memory for callers and servers as queue_full, of which nothing has run; entries know that reason.

Evidence: the new scenario of features/caller_limits.feature fails if the bytes are not counted, and passes; replay, silent_owners, call_limits, call_scheduling, cells, server_choice, reply_messages, malformed_input, check and layers pass (131 scenarios). Not tried with processes of several entries.

--- a/features/caller_limits.feature
+++ b/features/caller_limits.feature
@@ -48,3 +48,14 @@
   Scenario: A long id is cut in the log
     When a line with an id of 2000000 characters is logged
     Then the line has at most 1500 characters
+
+  # Guards against crowds at many instances, whose bodies all wait at the owner of one shard.
+  Scenario: An owner limits the bodies that it holds for other instances
+    Given an owner without free servers that may hold 100000 bytes for other instances
+    When requests "a", "b" and "c" of another instance with bodies of 40000 bytes arrive
+    Then only "c" is refused, as "queue_full", and it has not run
+    When a request "d" of another instance without a body arrives
+    And a request "e" of its own with a body of 80000 bytes arrives
+    Then none is refused
+    When the caller of "a" has left, and "f" with a body of 40000 bytes arrives
+    Then none is refused
--- a/features/steps/caller_limits.py
+++ b/features/steps/caller_limits.py
@@ -5,10 +5,14 @@
 
 from behave import given, then, when
 
+from features.steps import silent_owners
 from monsoonhoist import logs
-from monsoonhoist.core import data
+from monsoonhoist.core import clock, data, exchange
+from monsoonhoist.kernels import kernel
 from monsoonhoist.node import held_transfers
 from monsoonhoist.overload import held_bytes, open_connections
+from monsoonhoist.protocol import events, fanout, message_events, messages
+from monsoonhoist.shards import kernel_config
 
 SERVERS_BYTES = 67_108_864
 PIECE_BYTES = 65_536
@@ -200,3 +204,84 @@
 def check_line(context, length):
     """Checks the length of the line."""
     assert len(context.line) <= length, len(context.line)
+
+
+@given("an owner without free servers that may hold {count:d} bytes for other instances")
+def make_full_owner(context, count):
+    """Makes the kernel of an owner of one shard, whose only server has one slot, in use."""
+    options = kernel_config.KernelOptions(foreign_body_bytes_max=count)
+    policies = kernel.PolicyNames(ownership="cell", hedge="recent-quantile")
+    cell = silent_owners.CELL
+    context.owner = kernel.make_kernel(
+        cell[0], data.ZoneId("z"), clock.ManualClock(), policies, options
+    ).owner
+    service = data.ServiceId("s00")
+    server = data.Server(data.ServerId("a"), service, "a:1", "z", 1, 60, False)
+    pool_id = silent_owners.POOL
+    pool = data.Pool(pool_id, 1, {service: (server,)}, silent_owners.SNAPSHOT, "greatest-records")
+    context.owner.handle(events.ViewChanged(data.Tables({}, {pool_id: pool}), cell, cell, 1))
+    send_to_owner(context, "first", 0, cell[0])
+
+
+def send_to_owner(context, name, size, origin):
+    """Sends a sub-request to the owner, and records the failures that it replies."""
+    spec = fanout.QuerySpec(
+        data.QueryId(name),
+        silent_owners.ROUTE,
+        silent_owners.POOL,
+        data.Rank.URGENT,
+        exchange.HttpRequest("POST", "/", (), bytes(size)),
+        5,
+        1000,
+        0.2,
+        True,
+        calls_per_shard_max=2,
+    )
+    batch = messages.SubBatch(origin, spec, silent_owners.SNAPSHOT, 1, (data.ServiceId("s00"),))
+    commands = context.owner.handle(message_events.to_owner_event(batch))
+    context.failure_by_name = getattr(context, "failure_by_name", {})
+    for command in commands:
+        message = getattr(command, "message", None)
+        if isinstance(message, messages.SubReply):
+            (context.failure_by_name[message.query_id],) = message.failures
+
+
+@when('requests "{names}" of another instance with bodies of {size:d} bytes arrive')
+def send_three(context, names, size):
+    """Sends several sub-requests of another instance."""
+    for name in names.replace('" and "', '", "').split('", "'):
+        send_to_owner(context, name, size, silent_owners.CELL[1])
+
+
+@when('a request "{name}" of another instance without a body arrives')
+def send_empty(context, name):
+    """Sends a sub-request without a body."""
+    context.failure_by_name = {}
+    send_to_owner(context, name, 0, silent_owners.CELL[1])
+
+
+@when('a request "{name}" of its own with a body of {size:d} bytes arrives')
+def send_own(context, name, size):
+    """Sends a sub-request of the owner's own callers, which another account counts."""
+    send_to_owner(context, name, size, silent_owners.CELL[0])
+
+
+@when('the caller of "{gone}" has left, and "{name}" with a body of {size:d} bytes arrives')
+def cancel_and_send(context, gone, name, size):
+    """Cancels a query, and sends another."""
+    context.owner.handle(message_events.to_owner_event(messages.Cancel(data.QueryId(gone), True)))
+    send_to_owner(context, name, size, silent_owners.CELL[1])
+
+
+@then('only "{name}" is refused, as "{reason}", and it has not run')
+def check_refusal(context, name, reason):
+    """Checks the refusal."""
+    (failure,) = context.failure_by_name.values()
+    assert set(context.failure_by_name) == {name}, context.failure_by_name
+    assert failure.reason.value == reason and not failure.may_have_run, failure
+
+
+@then("none is refused")
+def check_none_refused(context):
+    """Checks that there is no refusal."""
+    assert not context.failure_by_name, context.failure_by_name
--- a/monsoonhoist/overload/held_bytes.py
+++ b/monsoonhoist/overload/held_bytes.py
@@ -28,10 +28,13 @@
     Attributes:
         callers: Requests of callers and the answers that they have not read.
         servers: Responses of backend servers, and bodies that are sent to them.
+        foreign_bodies: Bodies of other instances' requests that wait for servers. It is smaller,
+            since these bodies are not copied.
     """
 
     callers: int
     servers: int
+    foreign_bodies: int
 
 
 def make_shares(memory_mb: float, servers_bytes_max: int) -> MemoryShares:
@@ -42,10 +45,10 @@
         servers_bytes_max: Most bytes for servers, whatever the memory.
     """
     if not memory_mb:
-        return MemoryShares(CALLERS_BYTES_DEFAULT, servers_bytes_max)
+        return MemoryShares(CALLERS_BYTES_DEFAULT, servers_bytes_max, CALLERS_BYTES_DEFAULT // 2)
     share = int((memory_mb * BYTES_PER_MB - PROCESS_BYTES) * ACCOUNT_SHARE)
     share = max(ACCOUNT_BYTES_MIN, share)
-    return MemoryShares(share, min(share, servers_bytes_max))
+    return MemoryShares(share, min(share, servers_bytes_max), share // 2)
 
 
 class HeldBytes(Generic[KeyT]):
--- a/monsoonhoist/settings.py
+++ b/monsoonhoist/settings.py
@@ -318,7 +318,10 @@
             hedges_use_allowance=section.hedges_use_allowance,
         )
         return kernel_config.KernelOptions(
-            extra_calls, self.timing.leaving_grace_ms.total_seconds(), section.finish_latencies
+            extra_calls,
+            self.timing.leaving_grace_ms.total_seconds(),
+            section.finish_latencies,
+            self.memory_shares().foreign_bodies,
         )
 
 
--- a/monsoonhoist/shards/kernel_config.py
+++ b/monsoonhoist/shards/kernel_config.py
@@ -19,11 +19,14 @@
         finish_latencies: Grace period for calls whose results are no longer needed: the owner
             cancels such a call once this time has passed since its start. A multiple of the
             route's median latency; 0 for no grace period.
+        foreign_body_bytes_max: Most bytes of bodies that the owner holds for queries of other
+            instances; it refuses sub-requests with longer ones. 0 for no limit.
     """
 
     extra_calls: budget.BudgetOptions = budget.BudgetOptions()
     leaving_grace_seconds: float = 0.0
     finish_latencies: float = 0.0
+    foreign_body_bytes_max: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
--- a/monsoonhoist/shards/open_work.py
+++ b/monsoonhoist/shards/open_work.py
@@ -19,6 +19,11 @@
         hedge_policies: Policies that know the median latencies of routes.
         finish_latencies: Grace period for calls whose results are no longer needed, from their
             start, as a multiple of the route's median latency.
+        instance: This instance.
+
+    Attributes:
+        foreign_body_bytes: Length of the bodies of queries of other instances with open
+            sub-requests. Those of its own callers are counted where they arrive.
     """
 
     def __init__(
@@ -27,7 +32,10 @@
         timer_queue: timers.TimerQueue,
         hedge_policies: hedging.HedgePolicies,
         finish_latencies: float,
+        instance: data.InstanceId,
     ):
+        self.foreign_body_bytes = 0
+        self._instance = instance
         self._clock = time_source
         self._timers = timer_queue
         self._hedge_policies = hedge_policies
@@ -55,7 +63,10 @@
 
     def add_sub_request(self, sub: subrequest.SubRequest) -> None:
         """Adds a sub-request, which is open until it is closed."""
-        self._subs_by_query.setdefault(sub.query.query_id, []).append(sub)
+        subs = self._subs_by_query.setdefault(sub.query.query_id, [])
+        if not subs and sub.origin != self._instance:
+            self.foreign_body_bytes += len(sub.query.content.body)
+        subs.append(sub)
 
     def add_call(self, call: subrequest.Call) -> None:
         """Adds a call at its start."""
@@ -77,6 +88,8 @@
         subs.remove(sub)
         if not subs:
             del self._subs_by_query[sub.query.query_id]
+            if sub.origin != self._instance:
+                self.foreign_body_bytes -= len(sub.query.content.body)
         median_seconds = self._hedge_policies.policy_for(sub).median_seconds()
         grace = median_seconds * self._finish_latencies
         now = self._clock.monotonic()
--- a/monsoonhoist/shards/owner.py
+++ b/monsoonhoist/shards/owner.py
@@ -59,7 +59,7 @@
         self._call_ids = itertools.count(1)
         self._timers = timers.TimerQueue()
         self._work = open_work.OpenWork(
-            time_source, self._timers, self._hedge_policies, options.finish_latencies
+            time_source, self._timers, self._hedge_policies, options.finish_latencies, instance
         )
         self._replies = replies.ReplyCollector(instance, self._work.has_query)
         self._call_requests = call_requests.CallRequestCollector()
@@ -117,12 +117,12 @@
             self._accept(subrequest.make_sub_request(batch, service, now), commands)
 
     def _accept(self, sub: subrequest.SubRequest, commands: list[events.Command]) -> None:
-        """Queues a sub-request, or refuses it if its shard is undefined or the queue is full."""
+        """Queues a sub-request, or refuses it if its shard is undefined or too much is queued."""
         state = self._shards.find_or_create(sub.query.pool, sub.service)
         if state is None:
             self._refuse(sub, data.Refusal.SERVICE_NOT_DEFINED, commands)
             return
-        if state.queued_count >= SHARD_QUEUE_LENGTH_MAX:
+        if state.queued_count >= SHARD_QUEUE_LENGTH_MAX or self._has_too_long_body(sub):
             self._refuse(sub, data.Refusal.QUEUE_FULL, commands)
             return
         self._work.add_sub_request(sub)
@@ -130,6 +130,15 @@
         state.push(sub)
         self._dispatch(state, commands)
 
+    def _has_too_long_body(self, sub: subrequest.SubRequest) -> bool:
+        """Returns whether a body of another instance exceeds what may be held for others."""
+        most = self._options.foreign_body_bytes_max
+        body_bytes = len(sub.query.content.body)
+        if not most or not body_bytes or sub.origin == self._instance:
+            return False
+        is_held = self._work.has_query(sub.query.query_id)
+        return not is_held and self._work.foreign_body_bytes + body_bytes > most
+
     def _dispatch_all(
         self, states: Iterable[shard.ShardState], commands: list[events.Command]
     ) -> None:
