--- a/monsoonhoist/settings.py
+++ b/monsoonhoist/settings.py
@@ -359,6 +359,7 @@
             pace.ResponsePace if self.pace.slow_start else None,
             cold_quota.ColdOptions(self.pace.cold_excess, self.pace.cold_slack),
             self.scheduling.options(),
+            self.memory_shares().foreign_bodies,
         )
 
 
--- a/monsoonhoist/shards/kernel_config.py
+++ b/monsoonhoist/shards/kernel_config.py
@@ -24,6 +24,8 @@
             start slowly.
         cold: Requests that cold servers bear, where their service states a rate.
         load_scheduling: Mechanisms that schedule work under load.
+        foreign_body_bytes_max: Most bytes of bodies that the owner holds for queries of other
+            instances; it refuses sub-requests with longer ones. 0 for no limit.
     """
 
     extra_calls: budget.BudgetOptions = budget.BudgetOptions()
@@ -32,6 +34,7 @@
     make_pace: slow_start.MakePace | None = None
     cold: cold_quota.ColdOptions = cold_quota.ColdOptions()
     load_scheduling: scheduling.Options = scheduling.DEFAULT_OPTIONS
+    foreign_body_bytes_max: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
