Call the cold servers of a new shard at once

Cause: a trial on processes with WarmupPerS showed requests refused for 2.5 s after a repartitioning: a change of any pool delayed the quotas of all cold servers. The delay is needed only for a shard that was in other pools before, whose owners may still call.

Evidence: a new scenario of features/cold_servers.feature failed before (25 refused queries).

--- a/features/cold_servers.feature
+++ b/features/cold_servers.feature
@@ -41,6 +41,14 @@
     And each instance receives 40 queries per second for 6 s
     Then no server that is cold receives more than 35 requests in any second
 
+  # Guards against a repartitioning that leaves cold servers of new shards uncalled for seconds.
+  Scenario: The cold servers of a new shard are called at once
+    Given 6 instances in cells of 1 and servers that bear 20 requests per second when cold
+    When the shard is replaced by one of other servers, which are cold for 20 s
+    And each instance receives 4 queries per second for 1 s
+    Then no server that is cold receives more than 35 requests in any second
+    And no query is refused
+
   Scenario: While all servers are cold, queries wait or are refused at once
     Given 6 instances in cells of 1 and servers that bear 20 requests per second when cold
     When all servers become cold for 20 s
--- a/features/steps/cold_servers.py
+++ b/features/steps/cold_servers.py
@@ -41,6 +41,8 @@
     def __init__(self, count, size, rate, warm_up_seconds=0.0):
         self.clock = clock.ManualClock(START_SECONDS)
         self.size = size
+        self.pool = POOL
+        self.service = SERVICE
         self.servers = {
             name: data.Server(
                 data.ServerId(name),
@@ -82,14 +84,14 @@
 
     def publish(self, instances=None):
         """Passes the present tables and instances to the owners."""
-        servers_by_service = {SERVICE: tuple(self.servers.values())}
-        pool = data.Pool(POOL, 1, servers_by_service, data.Snapshot(1))
+        servers_by_service = {self.service: tuple(self.servers.values())}
+        pool = data.Pool(self.pool, 1, servers_by_service, data.Snapshot(1))
         for name in instances or self.owner_by_instance:
             live = self.live_by_instance[name]
             cell_count = max(1, len(live) // self.size_by_instance[name])
             cell = live[live.index(name) % cell_count :: cell_count]
             view = events.ViewChanged(
-                data.Tables({}, {POOL: pool}),
+                data.Tables({}, {self.pool: pool}),
                 live,
                 cell,
                 cell_count,
@@ -117,13 +119,13 @@
         cell_count = max(1, len(live) // self.size_by_instance[name])
         cell = live[live.index(name) % cell_count :: cell_count]
         policy = self.owner_by_instance[name]._policies.ownership
-        target = policy.owners(POOL, SERVICE, cell)[0]
+        target = policy.owners(self.pool, self.service, cell)[0]
         query_id = data.QueryId(f"{name}.{next(self._sequence)}")
         content = exchange.HttpRequest("GET", "/", (), b"")
         spec = fanout.QuerySpec(
-            query_id, "r", POOL, data.Rank.URGENT, content, 1, REMAINING_MS, 0.0, True, 2
+            query_id, "r", self.pool, data.Rank.URGENT, content, 1, REMAINING_MS, 0.0, True, 2
         )
-        batch = messages.SubBatch(name, spec, data.Snapshot(1), 1, (SERVICE,))
+        batch = messages.SubBatch(name, spec, data.Snapshot(1), 1, (self.service,))
         self.started_at = self.clock.now_seconds
         self.handle(target, events.BatchArrived(batch))
 
@@ -248,6 +250,26 @@
     fleet.schedule(fleet.clock.now_seconds + seconds, learn)
 
 
+@when("the shard is replaced by one of other servers, which are cold for {seconds:d} s")
+def replace_shard(context, seconds):
+    """Lists another pool with one shard of servers that have just started."""
+    fleet_state = context.cold_fleet
+    fleet_state.pool = data.PoolId("p2")
+    fleet_state.service = data.ServiceId("s2")
+    fleet_state.servers = {
+        name: msgspec.structs.replace(
+            server,
+            server_id=data.ServerId(name),
+            service=fleet_state.service,
+            address=f"{name}:1",
+            cold_ms=seconds * 1000,
+        )
+        for name, server in zip("def", fleet_state.servers.values(), strict=True)
+    }
+    fleet_state.arrivals.update({name: [] for name in "def"})
+    fleet_state.publish()
+
+
 @when("nothing happens")
 def do_nothing(context):
     """Changes nothing."""
--- a/monsoonhoist/shards/cold_servers.py
+++ b/monsoonhoist/shards/cold_servers.py
@@ -23,7 +23,7 @@
         options: Requests that cold servers bear.
 
     Attributes:
-        fleet_version: Number that increases when quotas are divided anew.
+        fleet_version: Number that increases when the instances that share the quotas change.
         larger_from: When quotas that this has made larger may be used, in monotonic seconds.
     """
 
@@ -92,6 +92,10 @@
             return False
         return state.set_cold(cold_ms / MS_PER_SECOND, now)
 
+    def pools_of(self, server: data.Server) -> list[data.PoolId]:
+        """Returns the pools that have the server's shard."""
+        return self._pools_by_service.get(server.service, [])
+
     def part(self, server: data.Server) -> int:
         """Returns this instance's part in the quota of its cell for a server.
 
@@ -101,7 +105,7 @@
         owners = sorted(
             {
                 self._policy.owners(pool_id, server.service, self._members)[0]
-                for pool_id in self._pools_by_service.get(server.service, ())
+                for pool_id in self.pools_of(server)
             }
         )
         if self._instance not in owners:
@@ -135,7 +139,7 @@
     def _is_listed(self, server: data.Server) -> bool:
         return any(
             listed.server_id == server.server_id
-            for pool_id in self._pools_by_service.get(server.service, ())
+            for pool_id in self.pools_of(server)
             for listed in self._pool_by_id[pool_id].servers_by_service[server.service]
         )
 
@@ -150,10 +154,10 @@
         for pool_id, pool in view.tables.pool_by_id.items():
             for service in pool.servers_by_service:
                 pools_by_service.setdefault(service, []).append(pool_id)
-        before = (self._known, self._members, self._topology, self._pools_by_service)
+        before = (self._known, self._members, self._topology)
         self._known, self._members, self._topology = known, members, view.topology
         self._pools_by_service = pools_by_service
-        if before != (known, members, view.topology, pools_by_service):
+        if before != (known, members, view.topology):
             self.fleet_version += 1
             self.larger_from = now + cold_quota.RAISE_DELAY_SECONDS
 
@@ -177,6 +181,7 @@
         self.quota = cold_quota.Quota(-math.inf)
         self._servers = servers
         self._fleet_version = -1
+        self._pools: list[data.PoolId] = []
 
     def set_server(self, server: data.Server) -> None:
         """Applies the server's record from newer tables."""
@@ -212,8 +217,13 @@
 
     def current_quota(self, now: float) -> cold_quota.Quota:
         """Returns the quota for the present instances."""
-        if self._fleet_version != self._servers.fleet_version:
+        pools = self._servers.pools_of(self.server)
+        if self._fleet_version != self._servers.fleet_version or pools != self._pools:
+            larger_from = self._servers.larger_from
+            if self._pools and pools != self._pools:
+                # Owners in the former pools may still call the server.
+                larger_from = max(larger_from, now + cold_quota.RAISE_DELAY_SECONDS)
             self._fleet_version = self._servers.fleet_version
-            part = self._servers.part(self.server)
-            self.quota.set_count(part, now, self._servers.larger_from)
+            self._pools = pools
+            self.quota.set_count(self._servers.part(self.server), now, larger_from)
         return self.quota
