--- a/bench/mutants.py
+++ b/bench/mutants.py
@@ -401,6 +401,55 @@
         "            except ZeroDivisionError if False else ConfigServiceError:",
         "malformed_input",
     ),
+    Mutant(
+        "late sub-requests are served by their goal like others",
+        "policy/goal_order.py",
+        "while heap and heap[0][0] < now:",
+        "while False:",
+        "scheduling_order",
+    ),
+    Mutant(
+        "calls are started whose results cannot arrive before the deadline",
+        "shards/call_times.py",
+        "if now + times.shortest_seconds(now) * SHORTEST_SHARE < sub.deadline:",
+        "if True:",
+        "scheduling_order",
+    ),
+    Mutant(
+        "lower ranks use all slots beside urgent work",
+        "shards/slot_use.py",
+        "LOWER_RANK_SLOT_SHARE = 0.5",
+        "LOWER_RANK_SLOT_SHARE = 1.0",
+        "rank_slots",
+    ),
+    Mutant(
+        "late answers do not wait for missing parts",
+        "queries/answer_timing.py",
+        "return min(state.deadline, state.goal_at + _late_wait_seconds(state, worth))",
+        "return now",
+        "answer_timing",
+    ),
+    Mutant(
+        "the lag of timers does not count for the time of an answer",
+        "queries/answer_timing.py",
+        "return self._delivery_seconds + lag",
+        "return self._delivery_seconds",
+        "answer_timing",
+    ),
+    Mutant(
+        "callers have no share of the admission window",
+        "policy/fair_admission.py",
+        "is_over_share = not is_returning and caller.active >= self._share(rank)",
+        "is_over_share = False",
+        "fair_admission",
+    ),
+    Mutant(
+        "refused callers are told to return at once",
+        "policy/fair_admission.py",
+        "wait = min(RETURN_MAX_SECONDS, max(RETURN_MIN_SECONDS, ahead / max(rate, 1e-6)))",
+        "wait = RETURN_MIN_SECONDS",
+        "fair_admission",
+    ),
 )
 
 
