Test that a slow reply is received whole by the HTTP client

The fake store of operator_keys.feature replaces the client, so the bytes that a real transfer has received were not tested. It passes, as does the one whose last chunk never arrives.

--- a/features/operator_keys.feature
+++ b/features/operator_keys.feature
@@ -68,3 +68,12 @@
     When 140 ms pass without a change
     Then the watcher has the configuration in force
     And the watcher has no zone evacuated
+
+  Scenario Outline: A reply is given up only when no byte arrives for a time
+    When a reply in 8 chunks, one every 200 ms, <end>, is read with timeouts of 1000 ms
+    Then the reply is <result>
+
+    Examples:
+      | end                             | result   |
+      | all of which arrive             | received |
+      | of which the last never arrives | given up |
