--- a/monsoonhoist/metrics.py
+++ b/monsoonhoist/metrics.py
@@ -263,7 +263,12 @@
         self._table_values.add(1, result=acceptance.value, source=source)
 
     def count_service_read(self, kind: str) -> None:
-        """Counts a call to the configuration service, of kind ``watch``, ``value`` or ``range``."""
+        """Counts a call to the configuration service.
+
+        Args:
+            kind: ``watch``, ``value`` or ``range``; ``operators-watch`` and ``operators-range`` for
+                calls that read operators' keys only.
+        """
         self._service_reads.add(1, kind=kind)
 
     def count_stream_bytes(self, count: int, kind: str) -> None:
--- a/monsoonhoist/platform/reader.py
+++ b/monsoonhoist/platform/reader.py
@@ -105,7 +105,8 @@
             NoReplyError: If there was no reply.
             ConfigServiceError: If the reply has an error status.
         """
-        self._counters.count_service_read(kind)
+        is_operators = query["Prefix"] == wire_names.OPERATOR_KEY_PREFIX
+        self._counters.count_service_read(f"operators-{kind}" if is_operators else kind)
         url = f"{self._base_url}{path}?{urllib.parse.urlencode(query, safe='/')}"
         call = curl.HttpCall("GET", url, b"", timeout, CONNECT_TIMEOUT, is_counted=False)
         reply = await http_fetch.fetch(self._driver, call)
