Do not delay quotas for cold servers when instances join

Cause: a trial on processes with cold servers showed refusals until 2.5 s after the last instance had started. An instance that joins makes no part of another larger, so that no delay is needed.

Evidence: a new scenario of features/cold_servers.feature failed before (no request of the 30 that are required). Without any delay the scenario of an instance that has just started still fails.

--- a/features/cold_servers.feature
+++ b/features/cold_servers.feature
@@ -49,6 +49,16 @@
     Then no server that is cold receives more than 35 requests in any second
     And no query is refused
 
+  # Guards against cold servers that nobody calls while the instances of a fleet start one by one.
+  Scenario: Instances that join do not keep the others from calling cold servers
+    Given 6 instances in cells of 1 and servers that bear 20 requests per second when cold
+    When 6 further instances become known to the others, one each second
+    And each instance receives 40 queries per second for 2 s
+    And server "a" becomes cold for 20 s
+    And each instance receives 40 queries per second for 3 s
+    Then no server that is cold receives more than 35 requests in any second
+    And server "a" receives at least 30 requests
+
   Scenario: While all servers are cold, queries wait or are refused at once
     Given 6 instances in cells of 1 and servers that bear 20 requests per second when cold
     When all servers become cold for 20 s
--- a/features/steps/cold_servers.py
+++ b/features/steps/cold_servers.py
@@ -270,6 +270,22 @@
     fleet_state.publish()
 
 
+@when("{count:d} further instances become known to the others, one each second")
+def join(context, count):
+    """Schedules views with one more known instance, which sends nothing itself yet."""
+    fleet_state = context.cold_fleet
+    names = tuple(sorted(fleet_state.owner_by_instance))
+    for number in range(1, count + 1):
+        known = (*names, *(data.InstanceId(f"j{joined}") for joined in range(number)))
+
+        def learn(known=known):
+            for name in names:
+                fleet_state.known_by_instance[name] = known
+            fleet_state.publish()
+
+        fleet_state.schedule(fleet_state.clock.now_seconds + number, learn)
+
+
 @when("nothing happens")
 def do_nothing(context):
     """Changes nothing."""
--- a/monsoonhoist/shards/cold_servers.py
+++ b/monsoonhoist/shards/cold_servers.py
@@ -157,8 +157,12 @@
         before = (self._known, self._members, self._topology)
         self._known, self._members, self._topology = known, members, view.topology
         self._pools_by_service = pools_by_service
-        if before != (known, members, view.topology):
-            self.fleet_version += 1
+        if before == (known, members, view.topology):
+            return
+        self.fleet_version += 1
+        # Instances that join make no part larger.
+        is_joining = bool(before[0]) and set(before[0]).issubset(known)
+        if not is_joining or before[1:] != (members, view.topology):
             self.larger_from = now + cold_quota.RAISE_DELAY_SECONDS
 
 
