Reduce the processor time of the scheduling mechanisms

Call times are recorded only while they decide, and sorted after each 16; the queue in order of goals keeps deadlines with its items and looks for late ones only where there are any.

--- a/monsoonhoist/policy/goal_order.py
+++ b/monsoonhoist/policy/goal_order.py
@@ -30,46 +30,38 @@
 
     def __init__(self) -> None:
         super().__init__()
-        self._late_heap_by_rank: dict[data.Rank, list[tuple[float, int, ItemT]]] = {
+        self._late_heap_by_rank: dict[data.Rank, list[tuple[float, int, float, ItemT]]] = {
             rank: [] for rank in data.RANK_ORDER
         }
-        self._deadline_by_sequence: dict[int, float] = {}
         self._late_credit_by_rank = dict.fromkeys(data.RANK_ORDER, 0.0)
 
     def push(
         self, rank: data.Rank, deadline: float, item: ItemT, start_by: float = math.inf
     ) -> None:
         """Adds an item to the heap of its rank's items that can meet their goal."""
-        sequence = next(self._sequence)
-        self._deadline_by_sequence[sequence] = deadline
-        heapq.heappush(self._heap_by_rank[rank], (min(start_by, deadline), sequence, item))
+        heap_item = (min(start_by, deadline), next(self._sequence), deadline, item)
+        heapq.heappush(self._heap_by_rank[rank], heap_item)
 
     def pop(self, now: float = -math.inf) -> ItemT | None:
         """Removes and returns the next item, or returns None if the queue is empty."""
+        queued_ranks = []
         for rank in data.RANK_ORDER:
-            self._move_late(rank, now)
-        rank = self._choose_rank(
-            [
-                rank
-                for rank in data.RANK_ORDER
-                if self._heap_by_rank[rank] or self._late_heap_by_rank[rank]
-            ]
-        )
-        if rank is None:
-            return None
-        _, sequence, item = heapq.heappop(self._choose_heap(rank))
-        self._deadline_by_sequence.pop(sequence, None)
-        return item
+            heap = self._heap_by_rank[rank]
+            if heap and heap[0][0] < now:
+                self._move_late(rank, now)
+            if heap or self._late_heap_by_rank[rank]:
+                queued_ranks.append(rank)
+        rank = self._choose_rank(queued_ranks)
+        return None if rank is None else heapq.heappop(self._choose_heap(rank))[3]
 
     def _move_late(self, rank: data.Rank, now: float) -> None:
         """Moves the items that can no longer meet their goal to the late heap."""
         heap = self._heap_by_rank[rank]
         while heap and heap[0][0] < now:
-            _, sequence, item = heapq.heappop(heap)
-            deadline = self._deadline_by_sequence.pop(sequence)
-            heapq.heappush(self._late_heap_by_rank[rank], (deadline, sequence, item))
+            _, sequence, deadline, item = heapq.heappop(heap)
+            heapq.heappush(self._late_heap_by_rank[rank], (deadline, sequence, deadline, item))
 
-    def _choose_heap(self, rank: data.Rank) -> list[tuple[float, int, ItemT]]:
+    def _choose_heap(self, rank: data.Rank) -> list[tuple[float, int, float, ItemT]]:
         """Returns the heap of a rank from which the next item is removed."""
         timely, late = self._heap_by_rank[rank], self._late_heap_by_rank[rank]
         if not timely or not late:
--- a/monsoonhoist/shards/call_times.py
+++ b/monsoonhoist/shards/call_times.py
@@ -17,7 +17,7 @@
 SAMPLES_MAX = 64
 SAMPLES_MIN = 8
 # Number of new calls after which the usual time is updated.
-REFRESH_SAMPLES = 8
+REFRESH_SAMPLES = 16
 # Calls older than this are not used for the shortest time, since servers may have become faster.
 SHORTEST_MAX_AGE_SECONDS = 5.0
 # A call may take this share of the shortest recent time: work that may be in time must not be
@@ -32,7 +32,7 @@
 
     Args:
         time_source: The clock.
-        is_enabled: Whether these times decide about work; if not, they are only recorded.
+        is_enabled: Whether these times decide about work; if not, they are not recorded.
     """
 
     def __init__(self, time_source: clock.Clock, is_enabled: bool):
@@ -42,6 +42,8 @@
 
     def record(self, sub: subrequest.SubRequest, seconds: float) -> None:
         """Records the duration of a call that returned results."""
+        if not self._is_enabled:
+            return
         key = (sub.query.pool, sub.query.route)
         times = self._times_by_route.get(key)
         if times is None:
