Check the platform's configuration before it is sent

An operator could see whether a configuration works only once it was in force: entries that no request reaches and limits that exclude each other are accepted by every instance and show as failed requests.

`--against FILE` lists the differences from the version in force, `--json` prints all findings. The decisions are in tables.config_review; platform.config_check translates the names. `service_sets` becomes public, as it says which services a route really uses.

--- a/features/steps/check.py
+++ b/features/steps/check.py
@@ -1,5 +1,6 @@
 """Steps that run the command ``check`` on settings and tables."""
 
+import json
 import pathlib
 import subprocess
 import sys
@@ -58,3 +59,20 @@
     for line, row in zip(lines, context.table.rows, strict=True):
         assert line.startswith(row["place"]), line
         assert all(word in line for word in row["words"].split(": ")), line
+
+
+@then("the JSON findings are")
+def check_json_findings(context):
+    """Compares severity, section and message of each finding on standard output, in order."""
+    findings = [
+        (finding["severity"], finding["place"]["section"], finding["message"])
+        for finding in json.loads(context.completed.stdout)
+    ]
+    expected = [(row["severity"], row["section"], row["message"]) for row in context.table]
+    assert findings == expected, findings
+
+
+@then('the error mentions "{words}"')
+def check_error_words(context, words):
+    """Searches standard error, without the frame and the line breaks of usage errors."""
+    assert words in " ".join(context.completed.stderr.split()), context.completed.stderr
--- a/monsoonhoist/cli.py
+++ b/monsoonhoist/cli.py
@@ -5,17 +5,19 @@
 import gzip
 import pathlib
 import sys
+from collections.abc import Iterable
 from typing import Annotated
 
 import msgspec
 import typer
 
 import monsoonhoist
-from monsoonhoist import client, errors, explanation, settings_file
+from monsoonhoist import client, errors, explanation, settings, settings_file
 from monsoonhoist.core import data, diagnostics
 from monsoonhoist.kernels import traces
 from monsoonhoist.node import process
-from monsoonhoist.tables import review
+from monsoonhoist.platform import config_check
+from monsoonhoist.tables import config_review, review
 
 EXIT_FINDINGS = 1
 EXIT_USAGE = 2
@@ -78,23 +80,53 @@
         list[str] | None,
         typer.Option(help="Zone to be evacuated; may be repeated. Needs the pools."),
     ] = None,
+    config: Annotated[
+        pathlib.Path | None,
+        typer.Option(help="JSON file with the configuration of the users' platform."),
+    ] = None,
+    against: Annotated[
+        pathlib.Path | None,
+        typer.Option(help="JSON file with the configuration in force. Needs --config."),
+    ] = None,
+    json: Annotated[bool, typer.Option("--json", help="Show the findings as JSON.")] = False,
 ) -> None:
-    """Check settings and tables and show every finding.
+    """Check settings, tables and a configuration, and show every finding.
+
+    Exit code 1 if there is an error, 2 if the configuration cannot be read or decoded.
 
-    Example: monsoonhoist check --routes routes.ini --pool allocator=allocator.ini
+    Example: monsoonhoist check --config config.json --against in-force.json
     """
+    if against is not None and config is None:
+        raise typer.BadParameter("needs --config", param_hint="--against")
     findings: list[diagnostics.Finding] = []
+    extra_calls = settings.ExtraCallsSection()
     if settings_path is not None:
         try:
-            settings_file.load(settings_path)
+            extra_calls = settings_file.load(settings_path).extra_calls
         except errors.SettingsError as error:
             findings.extend(error.findings)
     zones = tuple(data.ZoneId(zone) for zone in evacuated or ())
     findings.extend(review.review_files(routes, tuple(pool or ()), zones))
-    _print_findings(findings)
-    if findings:
+    reviewed = [config_review.make_error(finding) for finding in findings]
+    is_readable = True
+    if config is not None:
+        try:
+            extra_calls_enabled = extra_calls.ratio > 0 or extra_calls.allowance > 0
+            reviewed.extend(config_check.check_files(config, against, extra_calls_enabled))
+        except config_check.UnreadableConfigError as error:
+            reviewed.append(config_review.make_error(error.finding))
+            is_readable = False
+    if json:
+        typer.echo(msgspec.json.encode(reviewed).decode())
+    else:
+        _print_findings(findings)
+        _print_findings(reviewed[len(findings) :])
+    if not is_readable:
+        raise typer.Exit(EXIT_USAGE)
+    if any(finding.severity is config_review.Severity.ERROR for finding in reviewed):
         raise typer.Exit(EXIT_FINDINGS)
-    typer.echo("no findings")
+    if not json:
+        typer.echo("no errors" if reviewed else "no findings")
 
 
 @app.command()
@@ -201,7 +233,9 @@
         )
 
 
-def _print_findings(findings: list[diagnostics.Finding] | tuple[diagnostics.Finding, ...]) -> None:
+def _print_findings(
+    findings: Iterable[diagnostics.Finding | config_review.ReviewFinding],
+) -> None:
     for finding in findings:
         typer.echo(finding.describe(), err=True)
 
--- a/monsoonhoist/platform/store_format.py
+++ b/monsoonhoist/platform/store_format.py
@@ -106,7 +106,7 @@
         version = data.Snapshot(config.version)
         pool_by_id: dict[data.PoolId, data.Pool] = {}
         for route_config in config.routes:
-            for services in _service_sets(route_config):
+            for services in service_sets(route_config):
                 pool = _make_pool(services, servers_by_service, version, bool(route_config.gather))
                 pool_by_id.setdefault(pool.pool_id, pool)
         route_by_id = {
@@ -231,7 +231,7 @@
     return math.ceil(min(max(0.0, stated_ms), store_records.COLD_MAX_SECONDS * 1000.0))
 
 
-def _service_sets(route_config: store_records.RouteConfig) -> Iterable[tuple[str, ...]]:
+def service_sets(route_config: store_records.RouteConfig) -> Iterable[tuple[str, ...]]:
     """Returns the sets of services of a route; each request is sent to one of the sets.
 
     A route with ``gather`` has one set, in which each service is a shard and receives a
@@ -287,7 +287,7 @@
 
 def _make_route(route_config: store_records.RouteConfig, hedge_budget: float) -> data.Route:
     is_gathered = bool(route_config.gather)
-    pools = [_make_pool_id(services, is_gathered) for services in _service_sets(route_config)]
+    pools = [_make_pool_id(services, is_gathered) for services in service_sets(route_config)]
     return data.Route(
         route_id=data.RouteId(route_config.name),
         rank=RANK_BY_PRIORITY[min(max(0, route_config.priority), len(RANK_BY_PRIORITY) - 1)],
