--- a/bench/mutants.py
+++ b/bench/mutants.py
@@ -569,6 +569,20 @@
         "wait = RETURN_MIN_SECONDS",
         "fair_admission",
     ),
+    Mutant(
+        "an unreachable minimum share of the shards is not reported",
+        "tables/config_review.py",
+        "if (shards - 1) / shards < route.minimum_coverage < 1:",
+        "if False:",
+        "check_config",
+    ),
+    Mutant(
+        "a version that does not rise is not reported",
+        "tables/config_review.py",
+        "new_version == current_version and not has_differences",
+        "new_version == current_version",
+        "check_config",
+    ),
 )
 
 
