Compare the table of routes with the one in force

With `--routes` it now lists added, removed and changed routes by the options of the INI sections. A table in force that cannot be read or has errors gives exit code 2. `--against` with both or neither of `--config` and `--routes` is wrong use. RoutesTable keeps the models, since data.Route no longer has the options as they are written.

--- a/features/check_config.feature
+++ b/features/check_config.feature
@@ -137,3 +137,56 @@
     Then the exit code is 0
     And the findings are
       | place | words |
+
+  Scenario: The native table of routes is compared with the one in force
+    Given a file "old.ini" with
+      """
+      [route a]
+      rank = urgent
+      pool = p
+      deadline_ms = 100
+      [route b]
+      rank = urgent
+      pool = p
+      deadline_ms = 100
+      """
+    And a file "new.ini" with
+      """
+      [route a]
+      rank = urgent
+      pool = p
+      deadline_ms = 200
+      repeatable = yes
+      [route c]
+      rank = normal
+      pool = p
+      deadline_ms = 100
+      """
+    When the operator checks "--routes new.ini --against old.ini"
+    Then the exit code is 0
+    And the findings are
+      | place      | words                                                     |
+      | new.ini:0: | [route a: deadline_ms] difference: changed from 100 to 200 |
+      | new.ini:0: | [route c] difference: added                               |
+      | new.ini:0: | [route b] difference: removed                             |
+
+  Scenario: A native table in force that has errors is named
+    Given a file "old.ini" with
+      """
+      [route a]
+      rank = fast
+      pool = p
+      deadline_ms = 100
+      """
+    And a file "new.ini" with
+      """
+      [route a]
+      rank = urgent
+      pool = p
+      deadline_ms = 100
+      """
+    When the operator checks "--routes new.ini --against old.ini"
+    Then the exit code is 2
+    And the findings are
+      | place      | words                |
+      | old.ini:2: | [route a] error: rank |
--- a/monsoonhoist/cli.py
+++ b/monsoonhoist/cli.py
@@ -86,18 +86,19 @@
     ] = None,
     against: Annotated[
         pathlib.Path | None,
-        typer.Option(help="JSON file with the configuration in force. Needs --config."),
+        typer.Option(help="File in force that --config or --routes is compared with."),
     ] = None,
     json: Annotated[bool, typer.Option("--json", help="Show the findings as JSON.")] = False,
 ) -> None:
     """Check settings, tables and a configuration, and show every finding.
 
-    Exit code 1 if there is an error, 2 if the configuration cannot be read or decoded.
+    Exit code 1 if there is an error, 2 if the configuration, or the file in force, cannot be read
+    or decoded.
 
     Example: monsoonhoist check --config config.json --against in-force.json
     """
-    if against is not None and config is None:
-        raise typer.BadParameter("needs --config", param_hint="--against")
+    if against is not None and (config is None) == (routes is None):
+        raise typer.BadParameter("needs --config or --routes, not both", param_hint="--against")
     findings: list[diagnostics.Finding] = []
     extra_calls = settings.ExtraCallsSection()
     if settings_path is not None:
@@ -109,6 +110,11 @@
     findings.extend(review.review_files(routes, tuple(pool or ()), zones))
     reviewed = [config_review.make_error(finding) for finding in findings]
     is_readable = True
+    if routes is not None and against is not None:
+        differences, errors_in_force = review.compare_routes(routes, against)
+        reviewed.extend(differences)
+        reviewed.extend(config_review.make_error(finding) for finding in errors_in_force)
+        is_readable = not errors_in_force
     if config is not None:
         try:
             extra_calls_enabled = extra_calls.ratio > 0 or extra_calls.allowance > 0
--- a/monsoonhoist/platform/config_check.py
+++ b/monsoonhoist/platform/config_check.py
@@ -82,7 +82,7 @@
     findings.extend(
         config_review.ReviewFinding(
             problem.severity,
-            _make_place(
+            config_review.make_place(
                 file,
                 problem.kind,
                 problem.name,
@@ -92,14 +92,7 @@
         )
         for problem in problems
     )
-    findings.extend(
-        config_review.ReviewFinding(
-            config_review.Severity.DIFFERENCE,
-            _make_place(file, difference.kind, difference.name, difference.setting),
-            difference.message,
-        )
-        for difference in differences
-    )
+    findings.extend(difference.locate(file) for difference in differences)
     return tuple(findings)
 
 
@@ -129,13 +122,6 @@
     return diagnostics.Finding(diagnostics.Place(file, line=line), message)
 
 
-def _make_place(
-    file: str, kind: config_review.EntryKind, name: str, setting: str
-) -> diagnostics.Place:
-    section = f"{kind.value} {name}".rstrip()
-    return diagnostics.Place(file, f"{section}: {setting}" if setting else section)
-
-
 def _translate_route(route_config: store_records.RouteConfig) -> config_review.ReviewedRoute:
     is_gathered = bool(route_config.gather)
     return config_review.ReviewedRoute(
--- a/monsoonhoist/tables/config_review.py
+++ b/monsoonhoist/tables/config_review.py
@@ -116,6 +116,17 @@
     setting: str
     message: str
 
+    def locate(self, file: str) -> ReviewFinding:
+        """Returns the finding with its place in the file of the new version."""
+        place = make_place(file, self.kind, self.name, self.setting)
+        return ReviewFinding(Severity.DIFFERENCE, place, self.message)
+
+
+def make_place(file: str, kind: EntryKind, name: str, setting: str) -> diagnostics.Place:
+    """Returns the place of an entry, or of one of its settings unless that is empty."""
+    section = f"{kind.value} {name}".rstrip()
+    return diagnostics.Place(file, f"{section}: {setting}" if setting else section)
+
 
 def make_error(finding: diagnostics.Finding) -> ReviewFinding:
     """Returns a finding of a check that reports only errors."""
--- a/monsoonhoist/tables/review.py
+++ b/monsoonhoist/tables/review.py
@@ -1,9 +1,13 @@
 """Validates table files before they are published."""
 
+import datetime
 import pathlib
+from collections.abc import Iterator
+
+import msgspec
 
 from monsoonhoist.core import data, diagnostics
-from monsoonhoist.tables import native, pools, routes
+from monsoonhoist.tables import config_review, native, pools, routes
 
 
 def review_files(
@@ -45,6 +49,46 @@
     return tuple(findings)
 
 
+def compare_routes(
+    path: pathlib.Path, path_in_force: pathlib.Path
+) -> tuple[tuple[config_review.ReviewFinding, ...], tuple[diagnostics.Finding, ...]]:
+    """Compares a table of routes with the one in force.
+
+    Args:
+        path: File with the new table, whose errors ``review_files`` reports.
+        path_in_force: File with the table in force.
+
+    Returns:
+        The differences, and the errors of the table in force. There are no differences if one of
+        the tables has errors.
+    """
+    findings: list[diagnostics.Finding] = []
+    text_in_force = _read_file(str(path_in_force), findings)
+    if text_in_force is None:
+        return (), tuple(findings)
+    table_in_force = routes.parse(str(path_in_force), text_in_force)
+    text = _read_file(str(path), [])
+    table = routes.parse(str(path), text or "")
+    if table_in_force.findings or table.findings or text is None:
+        return (), table_in_force.findings
+    differences = config_review.find_differences(
+        tuple(_list_entries(table_in_force)), tuple(_list_entries(table))
+    )
+    return tuple(difference.locate(str(path)) for difference in differences), ()
+
+
+def _list_entries(table: routes.RoutesTable) -> Iterator[config_review.Entry]:
+    """Yields the routes with their options; durations are in milliseconds."""
+    for route_id, model in table.model_by_id.items():
+        value_by_option = {
+            option: value // datetime.timedelta(milliseconds=1)
+            if isinstance(value, datetime.timedelta)
+            else value
+            for option, value in msgspec.structs.asdict(model).items()
+        }
+        yield config_review.Entry(config_review.EntryKind.ROUTE, route_id, value_by_option)
+
+
 def _find_evacuation_problems(
     zones: tuple[data.ZoneId, ...], parts: list[pools.PoolPart]
 ) -> list[diagnostics.Finding]:
--- a/monsoonhoist/tables/routes.py
+++ b/monsoonhoist/tables/routes.py
@@ -45,10 +45,12 @@
     Attributes:
         route_by_id: The valid routes.
         findings: All errors in the value.
+        model_by_id: The options of the valid routes.
     """
 
     route_by_id: dict[data.RouteId, data.Route]
     findings: tuple[diagnostics.Finding, ...]
+    model_by_id: dict[data.RouteId, RouteModel]
 
 
 def parse(file: str, text: str) -> RoutesTable:
@@ -63,7 +65,7 @@
     """
     source = ini.read(file, text)
     findings = list(source.findings)
-    route_by_id: dict[data.RouteId, data.Route] = {}
+    model_by_id: dict[data.RouteId, RouteModel] = {}
     for section in source.section_by_name.values():
         if not section.name.startswith(_ROUTE_PREFIX):
             place = diagnostics.Place(file, section.name, section.line)
@@ -72,11 +74,11 @@
         model, errors = ini.check(source, section, RouteModel)
         findings.extend(errors)
         if model is not None:
-            route = _make_route(
-                data.RouteId(section.name.removeprefix(_ROUTE_PREFIX).strip()), model
-            )
-            route_by_id[route.route_id] = route
-    return RoutesTable(route_by_id, tuple(findings))
+            model_by_id[data.RouteId(section.name.removeprefix(_ROUTE_PREFIX).strip())] = model
+    route_by_id = {
+        route_id: _make_route(route_id, model) for route_id, model in model_by_id.items()
+    }
+    return RoutesTable(route_by_id, tuple(findings), model_by_id)
 
 
 def _make_route(route_id: data.RouteId, model: RouteModel) -> data.Route:
