Check a kept connection whose descriptor is closed without an error

Cause: the check of a kept connection before it is reused raised EBADF if its recorded descriptor had been closed. curl ends all calls, also later ones, after an error in a callback (the log has 'call not started', curl_multi_add_handle, 1,199 times). A closed descriptor now means that the connection is another one. The new scenario of features/single_sending.feature fails without the change (OSError).

--- a/features/single_sending.feature
+++ b/features/single_sending.feature
@@ -48,3 +48,8 @@
       | "/a b"                |
       | "/a\r\nX-Smuggled: 1" |
       | "a"                   |
+
+  # Guards against an error in a callback of curl, after which the client made no call any more.
+  Scenario: A connection whose descriptor was closed meanwhile does not count as ended
+    Given a connection that was recorded and whose descriptor is closed
+    Then it does not count as ended
--- a/features/steps/single_sending.py
+++ b/features/steps/single_sending.py
@@ -3,6 +3,7 @@
 import asyncio
 import datetime
 import json
+import socket
 
 from behave import given, then, when
 
@@ -158,3 +159,17 @@
     count_before = context.server.connection_count
     run(context, send_together(context, count))
     assert context.server.connection_count - count_before == new
+
+
+@given("a connection that was recorded and whose descriptor is closed")
+def close_recorded(context):
+    """Records a socket and closes it."""
+    context.connections = single_sending.KeptConnections()
+    with socket.socket() as closed:
+        context.connections.record("127.0.0.1", 1, closed.fileno())
+
+
+@then("it does not count as ended")
+def check_not_ended(context):
+    """Checks the connection, which must raise no error."""
+    assert not context.connections.has_ended("127.0.0.1", 1)
--- a/monsoonhoist/node/single_sending.py
+++ b/monsoonhoist/node/single_sending.py
@@ -101,7 +101,12 @@
     """
     # The base class of ``socket.socket`` takes a third of its time. The family is stated so that
     # Python does not ask the system for it; it does not matter here.
-    view = socket.SocketType(_FAMILY, _KIND, 0, descriptor)
+    try:
+        view = socket.SocketType(_FAMILY, _KIND, 0, descriptor)
+    except OSError:
+        # The descriptor has been closed, so that the connection is another one. An exception in a
+        # callback of curl would end all calls, also later ones.
+        return False
     try:
         if local_port and view.getsockname()[1] != local_port:
             return False
