--- a/monsoonhoist/fleet/known_instances.py
+++ b/monsoonhoist/fleet/known_instances.py
@@ -1,7 +1,7 @@
 """Instances known until recently, which may still use their part of a shared limit.
 
-The load that this handles: a partition, or the stop of many instances at once. An instance that
-cannot be reached may be working behind the partition, so that its part is not given to others.
+Load: a partition, or the stop of many instances at once. An instance that cannot be reached may
+still work on the other side of the partition, so that its part is not given to others.
 """
 
 from collections.abc import Iterable
--- a/monsoonhoist/logs.py
+++ b/monsoonhoist/logs.py
@@ -72,7 +72,7 @@
 
 
 def _shorten(value: object) -> object:
-    """Returns a text without what is beyond the longest that a line has; others unchanged."""
+    """Returns a text cut to ``TEXT_LENGTH_MAX`` characters; other values are unchanged."""
     return value[:TEXT_LENGTH_MAX] if isinstance(value, str) else value
 
 
--- a/monsoonhoist/metrics.py
+++ b/monsoonhoist/metrics.py
@@ -183,7 +183,8 @@
         )
         self._log_lines_left_out = self._make_counter("log_lines_left_out", "Log lines left out")
         self._callers_closed = self._make_counter(
-            "callers_closed", "Connections of callers that were closed or refused, by reason"
+            "callers_closed",
+            "Callers refused within a request or whose connection was closed, by reason",
         )
         self._answer_seconds = self._make_histogram("answer_seconds", "Time until an answer")
         self._call_seconds = self._make_histogram("call_seconds", "Time of a backend call")
@@ -305,7 +306,7 @@
         self._late_replies.add(1)
 
     def count_caller_closed(self, reason: str) -> None:
-        """Counts a caller's connection that was closed or refused for a reason."""
+        """Counts a caller that was refused within a request, or whose connection was closed."""
         self._callers_closed.add(1, reason=reason)
 
     def count_log_lines_left_out(self, count: int) -> None:
--- a/monsoonhoist/overload/cold_quota.py
+++ b/monsoonhoist/overload/cold_quota.py
@@ -1,8 +1,8 @@
 """Quotas for calls to cold servers, from all instances together.
 
-The load that this handles: the servers of a zone become cold at one time, and a cold server that
-receives more than a stated number of requests in any second crashes. All instances that may call
-it share that number without messages for each request, while instances start, stop and are cut off.
+Load: the servers of a zone become cold at one time, and a cold server that receives more than a
+stated number of requests in any second crashes. All instances that may call it share that number
+without a message for each request, while instances start, stop and are cut off.
 
 The number is divided among all instances known within a time, whether they can be reached or not.
 Where there are fewer requests than instances, those with the greatest rendezvous weights for the
@@ -28,7 +28,7 @@
 
 
 class ColdOptions(msgspec.Struct, frozen=True):
-    """Requests that a cold server bears in any second.
+    """Requests that a cold server can serve in any second without a crash.
 
     Attributes:
         excess: Multiple of the stated rate.
--- a/monsoonhoist/overload/held_bytes.py
+++ b/monsoonhoist/overload/held_bytes.py
@@ -1,7 +1,7 @@
 """Account of the bytes that work in progress holds in memory, with a limit for all together.
 
-It handles callers and backend servers that send without end, stall, or read slowly: each of them
-holds little, and many of them hold more than the machine has.
+Load: callers and backend servers that send without end, stall, or read slowly. The work of each of
+them holds little memory, that of many together more than the machine has.
 """
 
 from typing import Generic, TypeVar
@@ -11,10 +11,10 @@
 KeyT = TypeVar("KeyT")
 
 BYTES_PER_MB = 1_000_000
-# Memory of a process without callers: 41 MB were measured on a wide deployment.
+# Memory of a process with large tables and without callers, with a margin.
 PROCESS_BYTES = 60_000_000
-# The bytes that an account counts exist twice while they are passed on, and callers and servers
-# have an account each, so that each gets a quarter of the memory that is left.
+# Share of the other memory for each of two accounts, of callers and of servers: the bytes that an
+# account counts exist twice while they are passed on.
 ACCOUNT_SHARE = 0.25
 # Smallest account, in which the longest response of a server fits.
 ACCOUNT_BYTES_MIN = 8_388_608
--- a/monsoonhoist/overload/open_connections.py
+++ b/monsoonhoist/overload/open_connections.py
@@ -1,14 +1,14 @@
 """Limit on the open connections of callers.
 
-It handles callers who open more connections than the process has descriptors, or keep them open
-without completing a request. Descriptors for backend servers, other instances and the store remain.
+Load: callers open more connections than the process has descriptors, or keep them open without
+completing a request. Descriptors for backend servers, other instances and the store remain free.
 """
 
 from typing import Generic, TypeVar
 
 KeyT = TypeVar("KeyT")
 
-# Descriptors of the machine that are for files.
+# Descriptors of the process that are not for connections.
 FILE_DESCRIPTORS = 200
 # Shares of the other descriptors for callers, and for idle connections to backend servers. The rest
 # is for streams between instances, the store, and calls in progress beyond the idle connections.
@@ -58,7 +58,7 @@
             self._working.add(key)
 
     def end_work(self, key: KeyT) -> None:
-        """Records that a request has its answer, so that the caller's turn begins."""
+        """Records that a request has its answer, so that the caller is waited for again."""
         if key in self._working:
             self._working.discard(key)
             self._waiting[key] = None
--- a/monsoonhoist/overload/retry_after.py
+++ b/monsoonhoist/overload/retry_after.py
@@ -29,8 +29,8 @@
         reason: Why the request was refused; None for the default delay.
         key: Text from which the jitter is derived, different for each request.
         wait_seconds: Time until servers are available; 0 if unknown. The delay is longer. After a
-            refusal because of overload it is the delay itself, with jitter, since admission
-            control keeps places for callers that return then.
+            refusal because of overload it is the delay itself and already includes jitter, since
+            admission control keeps places for callers that return then.
     """
     if reason is data.Refusal.OVERLOAD and wait_seconds > 0.0:
         return wait_seconds
--- a/monsoonhoist/policy/fair_admission.py
+++ b/monsoonhoist/policy/fair_admission.py
@@ -15,9 +15,10 @@
 # Shares are enforced while at least this share of a rank's places is in use; below it, an unused
 # share is available to everybody.
 PRESSURE_SHARE = 0.8
-# A caller counts as active for this long after its last request.
+# A caller counts as active for this long, and for the longest time to return in addition, after its
+# last request; also the interval at which the others are removed.
 ACTIVE_SECONDS = 1.0
-# Most callers that are remembered for each pool. More share the entry of the name "".
+# Most callers that are remembered for each pool. Further ones share the account of the name "".
 CALLERS_MAX = 1024
 # Time constant of the rate at which queries end.
 DRAIN_SECONDS = 1.0
@@ -47,7 +48,8 @@
         is_over_share: Whether it was refused because its caller has its share.
         wait_seconds: Time after which the caller may return; 0 if it was admitted or that time is
             not known.
-        account: Name under which the query is counted until it ends.
+        account: Name of the caller's account, under which the query is counted until it ends; empty
+            for the account that callers share.
     """
 
     is_admitted: bool
@@ -122,7 +124,7 @@
 
         Args:
             rank: Rank of the query.
-            account: Name under which the query is counted.
+            account: Name of the account under which the query is counted.
             pressure: Queue pressure of the query.
             now: The time, in monotonic seconds.
         """
@@ -154,7 +156,7 @@
     def _refuse(
         self, rank: data.Rank, caller: _Caller, request_key: str, is_over_share: bool, now: float
     ) -> Verdict:
-        """Returns a refusal, with the time at which the queue of returning callers is drained.
+        """Returns a refusal, with the time after which the caller is likely to find a place.
 
         A caller above its share is told a time for the queries that it has in progress already.
         """
@@ -172,7 +174,7 @@
         return Verdict(False, is_over_share, wait)
 
     def _find_or_create(self, rank: data.Rank, name: str) -> tuple[str, _Caller]:
-        """Returns the entry of a caller and its name, which is "" if there are too many."""
+        """Returns the name of a caller's account and the caller; shared if there are too many."""
         caller = self._caller_by_key.get((rank, name))
         if caller is None and len(self._caller_by_key) >= CALLERS_MAX:
             name = ""
--- a/monsoonhoist/policy/goal_order.py
+++ b/monsoonhoist/policy/goal_order.py
@@ -1,8 +1,8 @@
 """Queue order by rank, then by the time left to the latency goal.
 
-Load: urgent requests with a goal of 60 ms share the queues of an owner with normal ones whose goal
-is 177 ms. Their deadlines, 1 to 2 s, say nothing about which part is needed first, and after a
-pause of a server the queue holds parts that are late already beside parts that are not.
+Load: urgent requests share the queues of an owner with normal ones whose goals are several times as
+long. Their deadlines are so much later than their goals that they do not show which part is needed
+first, and after a pause of a server the queue holds late parts beside parts that are not late.
 """
 
 import heapq
@@ -14,8 +14,8 @@
 
 ItemT = TypeVar("ItemT")
 
-# Share of a rank's removals that late items are guaranteed while the rank has both. An answer after
-# its goal is worth a twentieth to a half of one within it, so late items must not starve.
+# Share of a rank's removals that is guaranteed to late items while the rank has both kinds. A late
+# answer still has some value to its caller, so late items must not starve.
 LATE_SHARE = 0.25
 
 
--- a/monsoonhoist/policy/pace.py
+++ b/monsoonhoist/policy/pace.py
@@ -1,10 +1,10 @@
 """Policies that decide which part of its usual load a server receives while it starts or recovers.
 
-The load that this handles: many owners call the same servers, each with a few calls a second, and
-one server, or all servers of an availability zone, return while requests flow. Limits on calls in
-flight do not slow the start there, since one call of each owner already floods the server. Without
-a pace, the owners either send the returned server its whole part at once, or avoid it long after
-it has recovered.
+Load: many owners call the same servers, each with a few calls a second, and one server, or all
+servers of an availability zone, return while requests flow. Limits on calls in flight do not slow
+the start there, since one call of each owner already overloads the server. Without a pace, the
+owners either send the returned server its usual load at once, or avoid it long after it has
+recovered.
 
 A share is a part of the usual load of a server. A server with a share below 1 may receive only
 queries whose position is below a bound that follows from the share; among the servers that may
@@ -24,8 +24,8 @@
 FULL_SHARE = 1.0
 # Share of a server that is new, or listed again.
 INITIAL_SHARE = 0.2
-# Least share: probe calls that show whether the server works again. With half of it, servers that
-# become warm by being called stayed cold longer (bench.paces).
+# Least share: enough calls to show whether the server works again, and to warm up a server that
+# becomes warm only by being called.
 SHARE_MIN = 0.1
 PERCENT = 100.0
 
@@ -108,14 +108,14 @@
     time, since an owner with little traffic sees too few calls to raise it.
     """
 
-    # Latency ratio at which the share stays as it is. Calls of sound servers take about 1.2 times
-    # their median on average; servers a little slower are left to the balancing policy.
+    # Latency ratio at which the share stays as it is. It is above the average ratio of healthy
+    # servers, since the balancing policy handles servers that are only a little slower.
     ratio_target = 1.8
     exponent = 2.0
     raise_max = 3.0
     lower_min = 0.5
-    # Time constant of the growth. With 8 s, a server that returned warm waited for its part twice
-    # as long; with 3 s, servers that become warm by being called refused calls (bench.paces).
+    # Time constant of the growth. A longer one delays servers that return warm; with a shorter one,
+    # servers that become warm by being called receive more calls than they can serve.
     growth_seconds = 5.0
 
     def __init__(self, share: float, now: float):
--- a/monsoonhoist/protocol/server_events.py
+++ b/monsoonhoist/protocol/server_events.py
@@ -1,4 +1,4 @@
-"""Commands with which an owner reports about servers that start or are cold."""
+"""Commands by which an owner reports about servers that start or are cold."""
 
 import msgspec
 
@@ -6,7 +6,7 @@
 
 
 class SlowStartBegan(msgspec.Struct, frozen=True, tag="slow-start-began"):
-    """Reports that a server receives a part of its usual load until it has shown what it can do.
+    """Reports that a server receives only a part of its usual load, which grows with its replies.
 
     Attributes:
         server: The server.
@@ -42,7 +42,7 @@
         server: The server.
         cold_seconds: How long it stays cold.
         rate: Requests per second that its service states for a cold server; 0 for no limit.
-        quota: Calls that this instance may send at a time; 0 without a limit.
+        quota: Calls that this instance may send within the window of a quota; 0 without a limit.
         instances: Number of instances among which the rate is divided.
     """
 
--- a/monsoonhoist/queries/answer_timing.py
+++ b/monsoonhoist/queries/answer_timing.py
@@ -1,10 +1,9 @@
 """When a gathered query is answered with the parts that are there, and when it waits for more.
 
-Load: answers gathered from 20 to 90 shards are worth the square of the share of shards in them, in
-full within the goal, and from a half down to a twentieth after it. Answered a fixed 12 to 21 ms
-before a goal of 60 ms, two fifths to two thirds of them leave parts out. If the minimum coverage is
-reached only after the goal, the first such answer has the least parts allowed, although a few
-milliseconds more cost next to nothing.
+Load: answers are gathered from many shards. The worth of an answer is the square of the share of
+shards in it; after the goal it falls to half of that at once, and then further. An answer that is
+sent a fixed time before the goal leaves out parts that would have arrived in time. A late answer
+that is sent as soon as it has the minimum coverage lacks parts that arrive shortly after.
 """
 
 import collections
@@ -21,7 +20,8 @@
 REFRESH_LAGS = 8
 # Quantile of the lag that is added to the time for delivery.
 LAG_QUANTILE = 0.9
-# Worth of an answer directly after its goal and at its deadline, as shares of that within the goal.
+# Worth of an answer directly after its goal and at its deadline, as shares of its worth within the
+# goal.
 LATE_WORTH_MAX = 0.5
 LATE_WORTH_MIN = 0.05
 # Share of the break-even time that a late query waits, since missing parts may not come at all.
--- a/monsoonhoist/queries/query.py
+++ b/monsoonhoist/queries/query.py
@@ -126,10 +126,10 @@
         self.sub_requests = 0
         self.account = ""
         self.queue_pressure = 0.0
-        # Whether a shard may have neither a part nor a pending sub-request; they need not be looked
-        # up for each reply before.
+        # Whether a shard may have neither a part nor a pending sub-request. While it is False,
+        # shards without either need not be searched for at each reply.
         self._has_lost = False
-        # A shard that was pending when it was last looked for one.
+        # The pending shard that the latest search found; the next search checks it first.
         self._pending_service = services[0]
         self._merge_policy = merge.find_policy(spec.merge)
         self._results_by_snapshot: dict[data.Snapshot, tuple[data.MergeableResult, ...]] = {}
--- a/monsoonhoist/queries/queue_pressure.py
+++ b/monsoonhoist/queries/queue_pressure.py
@@ -1,4 +1,4 @@
-"""What a reply tells about the queues of owners, by which admission control adapts."""
+"""Queue pressure of a query, which follows from its replies and by which admission adapts."""
 
 from monsoonhoist.core import data
 from monsoonhoist.protocol import events, messages
--- a/monsoonhoist/settings.py
+++ b/monsoonhoist/settings.py
@@ -158,7 +158,7 @@
         stream_buffer_bytes: Most bytes that may wait to be sent on a stream between instances; a
             stream with more is closed and opened again.
         response_bytes: Most bytes that the unfinished responses of backend servers, and long bodies
-            sent to them, may hold, all together; the call with most is ended if there are more.
+            sent to them, may hold, all together; the call with the most is ended if there are more.
         callers: Number of requests and calls in flight at which queries are refused; a request
             counts once in each task that holds it; native dialect only.
         results: Most results that a caller may request; native dialect only.
@@ -309,11 +309,11 @@
     """``[pace]``: load of backend servers that start or recover.
 
     Attributes:
-        slow_start: Whether a server that is new, is listed again or has failed receives a part of
-            its usual load, which grows as its responses allow.
-        cold_excess: Requests that a cold server bears in a second, as a multiple of the rate that
-            its service states.
-        cold_slack: Requests that it bears in addition.
+        slow_start: Whether a server that is new, is listed again, becomes cold or has failed
+            receives a part of its usual load, which grows as its responses allow.
+        cold_excess: Requests that a cold server can serve in a second, as a multiple of the rate
+            that its service states.
+        cold_slack: Requests that it can serve in addition.
     """
 
     slow_start: bool = False
--- a/monsoonhoist/shards/call_times.py
+++ b/monsoonhoist/shards/call_times.py
@@ -1,6 +1,6 @@
-"""How long calls of each route take: what an owner needs to tell which work is still useful.
+"""Durations of the calls of each route, by which an owner decides which work is still useful.
 
-Load: routes whose calls take 8 ms and 23 ms share the servers of a shard, and the servers pause.
+Load: routes whose calls take different times share the servers of a shard, and the servers pause.
 The smoothed latency of a server mixes both routes, so that urgent work that may still be in time is
 refused, and other work is started that cannot be.
 """
--- a/monsoonhoist/shards/cold_servers.py
+++ b/monsoonhoist/shards/cold_servers.py
@@ -1,4 +1,4 @@
-"""Cold servers of an owner: how long each stays cold, and how many calls this instance may send."""
+"""Cold servers of an owner: how long each stays cold, and its quota for this instance."""
 
 import math
 
@@ -20,11 +20,11 @@
 
     Args:
         policy: Policy that chooses the owners of shards.
-        options: Requests that cold servers bear.
+        options: Requests that cold servers can serve.
 
     Attributes:
         fleet_version: Number that increases when the instances that share the quotas change.
-        larger_from: When quotas that this has made larger may be used, in monotonic seconds.
+        larger_from: When quotas that this change makes larger may be used, in monotonic seconds.
     """
 
     def __init__(self, policy: ownership.Ownership, options: cold_quota.ColdOptions):
@@ -46,11 +46,11 @@
         return len(self._known)
 
     def __len__(self) -> int:
-        """Returns the number of servers of which something is known."""
+        """Returns the number of servers whose warm-up is recorded."""
         return len(self._state_by_id)
 
     def find(self, server: data.Server) -> "ColdState | None":
-        """Returns what is known of a server's warm-up, or None."""
+        """Returns the state of a server's warm-up, or None if there is none."""
         return self._state_by_id.get(server.server_id)
 
     def update(
@@ -97,7 +97,7 @@
         return self._pools_by_service.get(server.service, [])
 
     def part(self, server: data.Server) -> int:
-        """Returns this instance's part in the quota of its cell for a server.
+        """Returns this instance's part of the quota of its cell for a server.
 
         The owners of the shard in several pools share it; the first ones get what is left over.
         An instance that owns the shard in none of them gets nothing.
@@ -132,7 +132,7 @@
         return is_new and state.set_cold(server.warm_up_seconds, now)
 
     def _is_relevant(self, server: data.Server) -> bool:
-        """Returns whether the server is cold, its service states a rate, or it was so before."""
+        """Returns whether the server is cold, its service states a rate, or it has a state."""
         is_stated = server.warm_up_rate > 0.0 or bool(server.cold_ms)
         return is_stated or server.server_id in self._state_by_id
 
--- a/monsoonhoist/shards/cold_waits.py
+++ b/monsoonhoist/shards/cold_waits.py
@@ -1,4 +1,4 @@
-"""Waiting of sub-requests for the quotas of cold servers."""
+"""Waits of an owner's sub-requests for the quotas of cold servers."""
 
 import math
 from collections.abc import Callable
@@ -15,7 +15,7 @@
 
 
 class QuotaWaits:
-    """Dispatches shards again when the quota of a cold server allows a call.
+    """Refuses sub-requests that would wait too long, and dispatches shards when a quota allows.
 
     Args:
         timer_queue: Timers of the owner.
--- a/monsoonhoist/shards/kernel_config.py
+++ b/monsoonhoist/shards/kernel_config.py
@@ -22,7 +22,7 @@
             route's median latency; 0 for no grace period.
         make_pace: Creates the pace of a server that starts or recovers; None if servers do not
             start slowly.
-        cold: Requests that cold servers bear, where their service states a rate.
+        cold: Requests that cold servers can serve, where their service states a rate.
         load_scheduling: Mechanisms that schedule work under load.
         foreign_body_bytes_max: Most bytes of bodies that the owner holds for queries of other
             instances; it refuses sub-requests with longer ones. 0 for no limit.
--- a/monsoonhoist/shards/owner.py
+++ b/monsoonhoist/shards/owner.py
@@ -28,7 +28,7 @@
 # Delay before retrying a hedge that found no free server or that the entry did not allow.
 HEDGE_RETRY_SECONDS = 0.02
 # Most sub-requests that one pass through a queue leaves waiting while a server of the shard starts
-# slowly. That server has free capacity for few of them, and each pass would cost the whole queue.
+# slowly. Such a server receives few of them, and each pass would otherwise go through all of them.
 PACED_DEFERRALS_MAX = 8
 
 
--- a/monsoonhoist/shards/server.py
+++ b/monsoonhoist/shards/server.py
@@ -41,12 +41,12 @@
     Args:
         server: The server's record in the table.
         limit_max: Upper bound of ``limit``.
-        starts: Makes the paces of servers that start.
+        starts: Creates the paces of servers that start.
 
     Attributes:
         server: The server's record in the table.
         pace: Its slow start.
-        cold: Its warm-up; None while nothing is known of it.
+        cold: State of its warm-up; None if there is none.
         latency_seconds: Smoothed latency of calls; 0 while unknown.
         holdings: Snapshots that the server last reported to hold; empty if unknown.
         started_at_by_call_id: Start of each call in flight, in monotonic seconds, oldest first.
@@ -119,7 +119,7 @@
     def set_evacuated(self, is_evacuated: bool, now: float) -> None:
         """Records whether the server's zone is evacuated, so that it receives nothing new.
 
-        A server that is back in service counts as added, with the limit of its first call.
+        A server that is back in service counts as added and starts with a limit of one call.
         """
         if self._is_evacuated and not is_evacuated:
             self._forget_health(now)
--- a/monsoonhoist/shards/shard.py
+++ b/monsoonhoist/shards/shard.py
@@ -31,7 +31,7 @@
         leaving_grace_seconds: How long a server that is leaving may still be called if no other
             server is available (as a last resort).
         notices: What servers have said about themselves.
-        starts: Makes the paces of servers that start.
+        starts: Creates the paces of servers that start.
 
     Attributes:
         pool: Pool of the shard.
--- a/monsoonhoist/shards/shard_table.py
+++ b/monsoonhoist/shards/shard_table.py
@@ -25,7 +25,7 @@
 
     Attributes:
         notices: What servers have said about themselves.
-        starts: Makes the paces of servers that start.
+        starts: Creates the paces of servers that start.
         cold: Cold servers, and the quotas for them.
     """
 
@@ -92,7 +92,7 @@
         ]
 
     def mark_cold(self, server_ids: Iterable[data.ServerId], now: float) -> None:
-        """Applies that servers have become cold to the shards that have them."""
+        """Marks servers that have become cold in all shards that have them, and reports each."""
         for server_id in server_ids:
             shards = self._state_by_key.values()
             found = [
--- a/monsoonhoist/shards/slot_use.py
+++ b/monsoonhoist/shards/slot_use.py
@@ -1,7 +1,7 @@
 """Which slots of servers the parts of lower ranks may use while urgent work shares the servers.
 
-Load: parts of an urgent kind (8 ms) and of a normal one (23 ms) share servers with two slots. Two
-normal parts of one owner that fill the slots delay an urgent part by more than its own work takes.
+Load: urgent parts share servers that have few slots with normal parts that take several times as
+long. Normal parts that fill all slots delay an urgent part by more than its own work takes.
 """
 
 import math
--- a/monsoonhoist/shards/slow_start.py
+++ b/monsoonhoist/shards/slow_start.py
@@ -32,7 +32,7 @@
 
 
 class SlowStarts:
-    """Makes the paces of an owner's servers and collects the reports about them.
+    """Creates the paces of an owner's servers and collects reports about their slow starts.
 
     Args:
         make_pace: Creates the pace of a server from its first share and the time; None if servers
@@ -58,7 +58,7 @@
         return self._make_pace(share, now)
 
     def find_cold(self, server: data.Server) -> cold_servers.ColdState | None:
-        """Returns what is known of a server's warm-up, or None."""
+        """Returns the state of a server's warm-up, or None if there is none."""
         return self._cold.find(server) if self._cold is not None else None
 
     def report(self, command: events.Command) -> None:
@@ -84,7 +84,7 @@
 
     Args:
         server: The server.
-        starts: Makes paces and collects reports.
+        starts: Creates paces and collects reports.
 
     Attributes:
         current: Its pace; None while it receives its usual load.
@@ -114,8 +114,8 @@
         """Returns whether the server may receive a query.
 
         Until the first result, it may also receive one query at a time if its slots are enough for
-        one call of each cell, or after as many queries as contain one that it may receive on
-        average, so that it does not wait long for a first call where there is little traffic.
+        one call of each cell, or once it was passed over by as many queries as contain, on average,
+        one that it may receive. Otherwise its first call would come late with little traffic.
 
         Args:
             position: Position of the query, from 0 to 1.
--- a/monsoonhoist/tables/config_review.py
+++ b/monsoonhoist/tables/config_review.py
@@ -1,7 +1,7 @@
 """Reviews a configuration of routes and services before it is sent, and compares two versions.
 
-Load: operators change a configuration while traffic flows. An entry that no request reaches, or
-limits that exclude each other, are accepted by every instance and show only as failed requests.
+Load: operators change a configuration while traffic flows. Every instance accepts an entry that no
+request reaches, or limits that contradict each other; only failed requests show the error.
 """
 
 import enum
@@ -44,7 +44,7 @@
 
 
 class Setting(enum.Enum):
-    """Setting of an entry that a finding is about; the table format knows its name."""
+    """Setting of an entry that a finding is about; the table format provides its name."""
 
     VERSION = enum.auto()
     PREFIX = enum.auto()
@@ -138,7 +138,7 @@
     services: tuple[ReviewedService, ...],
     extra_calls_enabled: bool,
 ) -> Iterator[Problem]:
-    """Yields entries that can never match and limits that contradict each other.
+    """Yields problems with names, routes that no request matches, services, and limits.
 
     Args:
         routes: All routes, in the order of the configuration.
--- a/monsoonhoist/tables/evacuations.py
+++ b/monsoonhoist/tables/evacuations.py
@@ -12,12 +12,12 @@
 from monsoonhoist.core import data, diagnostics
 from monsoonhoist.tables import store
 
-# Text in place of the value of a key that is present and has an empty or unreadable value.
+# Text that replaces an empty or unreadable value, since an empty one stands for a removed key.
 UNREADABLE_TEXT = "?"
 
 
 class Evacuation(msgspec.Struct, frozen=True):
-    """The content of such a key."""
+    """Content of an evacuation key: the zone that it names."""
 
     zone: data.ZoneId
 
