--- a/monsoonhoist/node/caller_connections.py
+++ b/monsoonhoist/node/caller_connections.py
@@ -1,7 +1,7 @@
 """Connections of callers: what they hold in memory, how many are open, and when they are closed.
 
 The servers of both dialects use this module. ``overload.held_bytes`` and
-``overload.open_connections`` decide which connection goes when there is too much.
+``overload.open_connections`` decide which connection is closed when there is too much.
 """
 
 import asyncio
@@ -26,7 +26,7 @@
     """All connections of callers to one server.
 
     Args:
-        options: caller_options.Options of the server.
+        options: Limits of the server.
         account: Account of the bytes that all callers make the process hold.
         counters: Metrics of this instance.
     """
@@ -102,7 +102,7 @@
         if caller.closed():
             return
         if caller.state is caller_stream.State.HEAD:
-            # The time for a head runs from its first byte.
+            # The time limit of a head starts at its first byte.
             if caller not in self._unfinished:
                 caller.since = self._loop.time()
                 self._watch(caller)
@@ -156,7 +156,7 @@
             self._check_timer = self._loop.call_later(CHECK_SECONDS, self._check)
 
     def _check(self) -> None:
-        """Closes connections whose head takes too long, or on which nothing moves."""
+        """Closes connections whose head takes too long, or on which no byte is read or written."""
         self._check_timer = None
         now = self._loop.time()
         idle_seconds = self.options.idle_seconds_max()
--- a/monsoonhoist/node/caller_options.py
+++ b/monsoonhoist/node/caller_options.py
@@ -9,7 +9,7 @@
 from monsoonhoist.core import caller_limits, data, exchange
 from monsoonhoist.node import node
 
-# What a head may have beyond the configured limit, for the request line and line ends.
+# Bytes that a head may have beyond the configured limit, for the request line and line ends.
 HEAD_SLACK_BYTES = 4_096
 HEAD_BYTES_DEFAULT = 65_536
 # Largest body that any limit allows.
@@ -41,7 +41,7 @@
         return min(self.read_limits().body_bytes or self.body_bytes, BODY_BYTES_MAX)
 
     def idle_seconds_max(self) -> float:
-        """Returns the longest time without a byte."""
+        """Returns the longest time in which no byte is read or written."""
         idle_timeout = self.read_limits().idle_timeout
         return idle_timeout.total_seconds() if idle_timeout else self.idle_seconds
 
--- a/monsoonhoist/node/caller_stream.py
+++ b/monsoonhoist/node/caller_stream.py
@@ -131,7 +131,7 @@
         return count
 
     def write(self, content: bytes | memoryview) -> asyncio.Future[None]:
-        """Writes to the caller; an answer takes the place of its request in the account."""
+        """Writes to the caller; from then on the answer is counted instead of its request."""
         self._unsent += len(content)
         if self.state is State.WORKING:
             self.state = State.ANSWERED
@@ -142,7 +142,7 @@
         return future
 
     def write_to_fd(self, content: memoryview) -> int:
-        """Writes to the socket and counts what the caller no longer makes the process hold."""
+        """Writes to the socket and stops counting the bytes that were written."""
         count = super().write_to_fd(content)
         if count:
             self._unsent -= count
@@ -150,7 +150,7 @@
         return count
 
     def close(self, exc_info: object = False) -> None:
-        """Closes the connection; a caller whose head is too long is told so."""
+        """Closes the connection; a caller whose head is too long first receives status 431."""
         is_too_long = isinstance(exc_info, iostream.UnsatisfiableReadError)
         if is_too_long and self.state is State.HEAD and not self.closed():
             self._listener.record_close(self, "head_too_long")
--- a/monsoonhoist/node/config_service.py
+++ b/monsoonhoist/node/config_service.py
@@ -26,7 +26,7 @@
 MS_PER_SECOND = 1000
 # Longest part of an entry that cannot be read, in the log.
 LOGGED_BYTES_MAX = 200
-# Text in place of the value of an evacuation, which is not fetched.
+# Text that stands for the value of an evacuation key, which is not fetched.
 EVACUATION_TEXT = "{}"
 STATUS_OK = 200
 # Statuses that say that the service is overloaded, not that a value cannot be read.
--- a/monsoonhoist/node/curl.py
+++ b/monsoonhoist/node/curl.py
@@ -123,7 +123,7 @@
         on_done: Called once with the result.
         call: The call.
         hold: Called with this transfer and the number of bytes that it holds in addition.
-        send_guard: Keeps curl from sending the request again; None if it may.
+        send_guard: Keeps curl from sending the request again; None if curl may do so.
     """
 
     def __init__(
@@ -344,7 +344,7 @@
     def _end_unanswered(self, descriptor: int) -> None:
         """Ends the call on a connection that ended before its response.
 
-        curl itself would take an idle connection to resend, and close it as that is not allowed.
+        Otherwise curl chooses an idle connection to resend, is refused, and closes that one too.
         """
         for handle, transfer in self._transfer_by_handle.items():
             if transfer.awaits_response() and handle.getinfo(pycurl.ACTIVESOCKET) == descriptor:
--- a/monsoonhoist/node/http_fetch.py
+++ b/monsoonhoist/node/http_fetch.py
@@ -1,4 +1,4 @@
-"""One HTTP request that is given up only when no byte of its response arrives."""
+"""HTTP request whose timeout applies to the time without a byte, not to the whole response."""
 
 import asyncio
 import datetime
@@ -18,8 +18,8 @@
 ) -> curl.HttpReply:
     """Makes a call and returns its reply, which has status 0 if the response was given up.
 
-    Long replies on slow links take longer than any timeout that detects a silent service in time.
-    They are not read again from the start as long as bytes arrive.
+    A long reply on a slow link takes longer than a timeout that detects a silent service soon
+    enough. It is therefore not given up while bytes arrive, for at most ``RESPONSE_TIMEOUT``.
 
     Args:
         driver: HTTP client.
@@ -27,8 +27,8 @@
         stall_timeout: Longest time without a byte after the first.
     """
     reply_future: asyncio.Future[curl.HttpReply] = asyncio.get_running_loop().create_future()
-    patient_call = msgspec.structs.replace(call, timeout=call.timeout + RESPONSE_TIMEOUT)
-    transfer = driver.start(patient_call, reply_future.set_result)
+    long_call = msgspec.structs.replace(call, timeout=call.timeout + RESPONSE_TIMEOUT)
+    transfer = driver.start(long_call, reply_future.set_result)
     timeout = call.timeout
     received_bytes = 0
     try:
--- a/monsoonhoist/node/message_guard.py
+++ b/monsoonhoist/node/message_guard.py
@@ -7,7 +7,7 @@
 from monsoonhoist.core import data
 from monsoonhoist.node import caller_options, caller_stream
 
-# Memory of a header field beyond its bytes, in the parsed head and in the forwarded request.
+# Memory that a header field takes beyond its bytes, in the parsed head and the forwarded request.
 FIELD_OVERHEAD_BYTES = 400
 # A Content-Length with more digits is over any limit.
 LENGTH_DIGITS_MAX = 18
--- a/monsoonhoist/node/range_reader.py
+++ b/monsoonhoist/node/range_reader.py
@@ -22,8 +22,8 @@
 from monsoonhoist.protocol import messages
 from monsoonhoist.tables import store
 
-# Delay before the list is read after the history is gone, so that a service that has lost it at
-# each request is not asked without pause.
+# Delay before a range is listed again after its history is gone. It limits the rate of requests to
+# a service that never has the history.
 RELIST_DELAY_SECONDS = 0.05
 # Interval at which the values of a long list are offered before its end. Each offer rebuilds the
 # pools that have changed, which takes too long to do for each page.
@@ -39,7 +39,7 @@
 
 
 class NoReplyError(replication.ConfigServiceError):
-    """No reply was received, so that other requests that wait may be lost as well."""
+    """No reply was received, so that other requests in progress may be lost as well."""
 
 
 class KeyRange(msgspec.Struct, frozen=True):
@@ -92,7 +92,7 @@
 
 
 class RangeState:
-    """What is known of a range, and its readings that were not returned yet.
+    """State of a range, and its readings that were not returned yet.
 
     Attributes:
         revision: Revision to watch from; None if the range must be listed.
@@ -282,7 +282,7 @@
         self._publish_complete(state, page.values)
 
     def _raise_included(self, prefix: str, revision: int) -> None:
-        """Records that the ranges within one are known up to the revision of that one.
+        """Records that the ranges included in a range are known up to its revision.
 
         Their long watches then do not start from a revision that the service has compacted.
         """
@@ -303,7 +303,7 @@
                 other.watch_timeout = None
 
     def _publish_complete(self, state: RangeState, values: tuple[messages.TableValue, ...]) -> None:
-        """Makes a reading of which the range has been read completely."""
+        """Adds a reading after which the range is known completely."""
         listed_numbers = [other.listed_number for other in self._state_by_prefix.values()]
         is_complete = None not in listed_numbers
         listed_number = min(listed_numbers) if is_complete else 0
--- a/monsoonhoist/node/single_sending.py
+++ b/monsoonhoist/node/single_sending.py
@@ -13,7 +13,7 @@
 
 # Most entries for local endpoints: twice the connections that curl keeps.
 ENDPOINTS_MAX = 8_192
-# Plain integers, which are passed faster than members of an enumeration.
+# Plain integers, since members of an enumeration are slower to pass.
 _FAMILY = int(socket.AF_INET)
 _KIND = int(socket.SOCK_STREAM)
 _PEEK_FLAGS = int(socket.MSG_PEEK | socket.MSG_DONTWAIT)
@@ -32,7 +32,7 @@
 
     def record(self, address: str, port: int, descriptor: int) -> None:
         """Records the socket of a new connection; the oldest entry goes if there are too many."""
-        # One text for all entries takes a third less memory.
+        # Interning shares one text among the entries of an address, which saves memory.
         self._descriptor_by_endpoint[sys.intern(address), port] = descriptor
         if len(self._descriptor_by_endpoint) > ENDPOINTS_MAX:
             del self._descriptor_by_endpoint[next(iter(self._descriptor_by_endpoint))]
@@ -65,7 +65,10 @@
         handle.setopt(pycurl.SOCKOPTFUNCTION, self._allow_connection)
 
     def take_restart(self) -> bool:
-        """Returns, once, whether the call ended unsent only because its connection had ended."""
+        """Returns whether the call must start again: its kept connection had ended before use.
+
+        Only the first call of this method after such an end returns True.
+        """
         has_met_ended, self._has_met_ended = self._has_met_ended, False
         return has_met_ended
 
@@ -99,8 +102,8 @@
         local_port: Local port that the socket has, unless the descriptor belongs to another one
             now; 0 if that cannot be.
     """
-    # The base class of ``socket.socket`` takes a third of its time. The family is stated so that
-    # Python does not ask the system for it; it does not matter here.
+    # The base class of ``socket.socket`` is faster to create. The family does not matter here; with
+    # one, Python does not ask the system for it.
     view = socket.SocketType(_FAMILY, _KIND, 0, descriptor)
     try:
         if local_port and view.getsockname()[1] != local_port:
--- a/monsoonhoist/node/value_requests.py
+++ b/monsoonhoist/node/value_requests.py
@@ -19,11 +19,13 @@
 UNREADABLE_VALUE_INTERVAL_SECONDS = 30.0
 # Time after which a batch that did not arrive counts as lost.
 BATCH_TIMEOUT_SECONDS = 2.0
-# Number of keys of the first batch; about 30 KB. It grows while batches arrive fast, since each
-# batch rebuilds the tables, and shrinks on slow links, on which it holds up operators' keys.
+# Number of keys of the first batch, and its bounds. It grows while batches arrive fast, since each
+# batch rebuilds the tables, and shrinks on slow links, on which a batch delays operators' keys.
 BATCH_KEYS = 64
 BATCH_KEYS_MIN = 16
 BATCH_KEYS_MAX = 2048
+# A batch that takes less time doubles the next one; one that takes more than the second time halves
+# it.
 FAST_BATCH_SECONDS = 0.1
 SLOW_BATCH_SECONDS = 0.3
 
@@ -41,7 +43,7 @@
 
 
 class _Announcer:
-    """Values that an instance has announced and that were not received from it yet.
+    """Instance with values that it has announced and that were not received from it yet.
 
     Attributes:
         waiting_by_key: Revisions that are not requested yet.
--- a/monsoonhoist/node/views.py
+++ b/monsoonhoist/node/views.py
@@ -131,7 +131,8 @@
     def _find_known(self, tables: data.Tables) -> tuple[data.InstanceId, ...]:
         """Returns the instances known until recently, if a service states a rate for cold servers.
 
-        Without such a service they decide nothing, and views that differ in them are not published.
+        Without such a service they have no effect, and a view that differs only in them is not
+        published.
         """
         local = self._members.local_member.instance
         others = (member.instance for member in self._members.other_members())
@@ -181,7 +182,7 @@
 
 
 def _has_warm_up_rate(tables: data.Tables) -> bool:
-    """Returns whether any service states how many requests its cold servers bear."""
+    """Returns whether any service states a rate for its cold servers."""
     return any(
         servers and servers[0].warm_up_rate > 0.0
         for pool in tables.pool_by_id.values()
--- a/monsoonhoist/node/web.py
+++ b/monsoonhoist/node/web.py
@@ -14,6 +14,7 @@
 from monsoonhoist.queries import answer_builder
 
 MS_PER_SECOND = 1000
+# Time after which an idle connection is closed; this dialect has no setting for it.
 IDLE_TIMEOUT = datetime.timedelta(seconds=60)
 STATUS_INTERNAL_ERROR = 500
 
