--- a/bench/mutants.py
+++ b/bench/mutants.py
@@ -99,9 +99,9 @@
     Mutant(
         "peers with a different digest receive no bucket digests",
         "node/replication.py",
-        "if digest != self._digest and now - replied_at >= DIGEST_REPLY_INTERVAL_SECONDS:",
+        "if digest != self._digest and self._schedule.try_compare(sender):",
         "if False:",
-        "tables",
+        "reconciliation",
     ),
     Mutant(
         "servers that refused calls as draining are called",
--- a/monsoonhoist/platform/reader.py
+++ b/monsoonhoist/platform/reader.py
@@ -113,7 +113,7 @@
         if reply.status == STATUS_HISTORY_GONE:
             raise range_reader.HistoryGoneError(f"{path}: the changes are gone")
         if reply.defect is curl.Defect.TOO_LONG and path == wire_names.WATCH_PATH:
-            _log.warning("changes too long for a reply; all keys are read instead")
+            _log.warning("changes too long for a reply; the range is listed instead")
             raise range_reader.HistoryGoneError(f"{path}: the changes are longer than a reply")
         if reply.status != STATUS_OK:
             error_type = (
--- a/monsoonhoist/shards/cold_waits.py
+++ b/monsoonhoist/shards/cold_waits.py
@@ -1,21 +1,17 @@
-"""Waiting of sub-requests for the quotas of cold servers."""
+"""Waits of an owner's sub-requests for the quotas of cold servers."""
 
 import math
-from collections.abc import Callable
 
 from monsoonhoist.core import data
 from monsoonhoist.protocol import events, server_events
-from monsoonhoist.shards import server, shard, subrequest, timers
+from monsoonhoist.shards import server, server_waits, shard, subrequest, timers
 
 # Share of its remaining time that a sub-request may wait for a quota.
 WAIT_SHARE = 0.5
 
-Dispatch = Callable[[shard.ShardState, list[events.Command]], None]
-Fail = Callable[[shard.ShardState, subrequest.SubRequest, data.Refusal, list[events.Command]], None]
-
 
 class QuotaWaits:
-    """Dispatches shards again when the quota of a cold server allows a call.
+    """Refuses sub-requests that would wait too long, and dispatches shards when a quota allows.
 
     Args:
         timer_queue: Timers of the owner.
@@ -23,7 +19,12 @@
         fail: Fails a sub-request.
     """
 
-    def __init__(self, timer_queue: timers.TimerQueue, dispatch: Dispatch, fail: Fail):
+    def __init__(
+        self,
+        timer_queue: timers.TimerQueue,
+        dispatch: server_waits.Dispatch,
+        fail: server_waits.Fail,
+    ):
         self._timers = timer_queue
         self._dispatch = dispatch
         self._fail = fail
