Record a list of all keys only when its values have been applied

Cause: a change of an operators' key that was read after the list was returned before it, with the revision up to which all keys were listed; the list's older values then counted as removed. Change: a reading that overtakes another one says nothing about lists. The new scenario of features/operator_keys.feature fails without the change.

--- a/features/operator_keys.feature
+++ b/features/operator_keys.feature
@@ -77,3 +77,10 @@
       | end                             | result   |
       | all of which arrive             | received |
       | of which the last never arrives | given up |
+
+  # Guards against a change of an operators' key that is applied before the list of all keys, and
+  # with it the revision up to which keys were listed: all servers then counted as removed.
+  Scenario: A change that overtakes the list of all keys removes nothing
+    Given a service of which all keys were listed and an operators' key has changed since
+    When both readings are made before they are applied
+    Then the listed server counts as present
--- a/monsoonhoist/node/range_reader.py
+++ b/monsoonhoist/node/range_reader.py
@@ -151,9 +151,10 @@
                 for prefix in self._range_by_prefix
             ]
         while True:
-            for state in self._state_by_prefix.values():
-                if state.readings:
-                    return state.readings.popleft()
+            waiting = [state for state in self._state_by_prefix.values() if state.readings]
+            if waiting:
+                reading = waiting[0].readings.popleft()
+                return reading if len(waiting) == 1 else _without_listing(reading)
             self._has_readings.clear()
             await self._has_readings.wait()
 
@@ -312,3 +313,12 @@
     def _publish(self, state: RangeState, reading: replication.Reading) -> None:
         state.readings.append(reading)
         self._has_readings.set()
+
+
+def _without_listing(reading: replication.Reading) -> replication.Reading:
+    """Returns a reading that is overtaking others, without what it says about lists.
+
+    It may have been made after a list whose values are in a reading that waits. Had the list been
+    recorded first, its older values would count as removed.
+    """
+    return msgspec.structs.replace(reading, listed_number=0, is_complete=False)
