Restore four checks to their former strictness

The stall at the first export of metrics counts in one process again, not the best of three; the soak's bound of recovery is not extended; the share of complete answers leaves out only refusals as not_ready after a logged pause, which a trace has shown; the requests beside endless responses do not wait for calm. No trace shows that the cases which these changes passed over are allowed.

--- a/features/callers.py
+++ b/features/callers.py
@@ -106,15 +106,6 @@
             )
         ]
 
-    def undisturbed_answers(self) -> list[dict]:
-        """Returns the answers to requests during which no instance was paused."""
-        pauses = self._read_pauses()
-        return [
-            request.answer
-            for request in self.requests
-            if not any(request.overlaps(pause) for pause in pauses)
-        ]
-
     def _read_pauses(self) -> list[Pause]:
         """Returns the pauses that the instances have logged."""
         pauses = []
--- a/features/endless_replies.feature
+++ b/features/endless_replies.feature
@@ -23,8 +23,7 @@
 
   # Guards against responses without end to requests that may not run twice.
   Scenario Outline: A request that must not run twice is answered, and its server's response ends
-    Given no instance has logged a pause for 500 ms
-    And the server "records-a" has the fault "<fault>"
+    Given the server "records-a" has the fault "<fault>"
     And the server "records-b" has the fault "<fault>"
     When the caller sends 4 requests "POST" "/order/x"
     Then all statuses are 502
--- a/features/steps/endless_replies.py
+++ b/features/steps/endless_replies.py
@@ -3,54 +3,23 @@
 import collections
 import itertools
 import pathlib
-import re
 import threading
 import time
 
 import behave
 from behave import given, then, when
 
-from features import callers
 from features.steps import platform_actions
 from monsoonhoist.overload import held_bytes
-from standins import fleet, shards, site
+from standins import fleet, shards
 
 BYTES_PER_KIB = 1024
-MS_PER_SECOND = 1000
-# Time in which an instance writes its log lines.
-LOG_DELAY_SECONDS = 0.1
 BYTES_PER_MB = 1_000_000
 SEARCH_DEADLINE_MS = 2000
 # First port of the servers of the added shards, behind those of the deployment's own servers.
 FIRST_PORT = fleet.SERVER_PORT_BASE + 20
 
 
-@given("no instance has logged a pause for {ms:d} ms")
-def wait_for_unpaused(context, ms):
-    """Waits until the load of earlier scenarios no longer pauses an instance.
-
-    For 100 ms after a pause, an instance refuses requests that must not run twice.
-    """
-
-    def is_unpaused():
-        # A pause is logged when it has ended and the instance answers again.
-        numbers = range(1, context.fleet.instances + 1)
-        if not all(context.fleet.is_ready(number) for number in numbers):
-            return False
-        time.sleep(LOG_DELAY_SECONDS)
-        newest = max((read_newest_pause(context.fleet, number) for number in numbers), default=0.0)
-        return time.monotonic() - newest > ms / MS_PER_SECOND
-
-    site.wait_until(is_unpaused, "an instance is paused again and again")
-
-
-def read_newest_pause(deployment, number):
-    """Returns when the newest logged pause of an instance ended; 0.0 if there is none."""
-    text = (deployment.folder / f"instance-{number}.log").read_text(encoding="utf-8")
-    ends = re.findall(rf'"at":([0-9.]+),.*"{callers.PAUSED_MESSAGE}"', text)
-    return float(ends[-1]) if ends else 0.0
-
-
 @given('a route "{prefix}" to {count:d} more shards, whose servers have the fault "{fault}"')
 def add_faulty_shards(context, prefix, count, fault):
     """Starts one server for each new shard, and publishes a route that gathers them."""
--- a/features/steps/metrics.py
+++ b/features/steps/metrics.py
@@ -95,8 +95,6 @@
         assert series_reasons == {reason.value for reason in reasons}, series_reasons
 
 
-# Processes whose first export is measured.
-EXPORT_RUNS = 3
 # Exports the metrics of a new process and prints the longest time for which its loop stood still.
 FIRST_EXPORT = """
 import asyncio, time
@@ -118,16 +116,10 @@
 
 @when("a new instance reads its metrics for the first time")
 def export_first(context):
-    """Exports the metrics in new processes, and keeps the shortest of their longest stalls.
-
-    A stall that is the program's own occurs in each of them, one of a busy machine does not.
-    """
+    """Exports the metrics in a new process."""
     command = [sys.executable, "-c", FIRST_EXPORT]
-    outputs = [
-        subprocess.run(command, cwd=site.ROOT, capture_output=True, text=True, check=True).stdout
-        for _ in range(EXPORT_RUNS)
-    ]
-    context.longest_seconds = min(float(output) for output in outputs)
+    completed = subprocess.run(command, cwd=site.ROOT, capture_output=True, text=True, check=True)
+    context.longest_seconds = float(completed.stdout)
 
 
 @then("its event loop has not stood still for half of the gap that counts as a pause")
--- a/features/steps/snapshots.py
+++ b/features/steps/snapshots.py
@@ -40,8 +40,7 @@
 @then("at least {percent:d} % of the answers are complete")
 def check_complete_share(context, percent):
     """Checks the share of complete answers to the background callers."""
-    outcomes = [answer["outcome"] for answer in context.callers.undisturbed_answers()]
-    assert outcomes, "an instance was paused during each of the requests"
+    outcomes = [answer["outcome"] for answer in context.callers.accepted_answers()]
     complete_count = outcomes.count("answered")
     assert complete_count * 100 >= percent * len(outcomes), (
         f"{complete_count} of {len(outcomes)} answers are complete"
--- a/soak/platform.py
+++ b/soak/platform.py
@@ -111,8 +111,8 @@
     recovery_start = time.monotonic()
     numbers = range(1, deployment.instances + 1)
     while not all([await asyncio.to_thread(deployment.is_ready, number) for number in numbers]):
-        stalled_seconds = deployment.stalled_seconds(recovery_start)
-        if time.monotonic() > recovery_start + RECOVERY_MAX_SECONDS + stalled_seconds:
+        if time.monotonic() > recovery_start + RECOVERY_MAX_SECONDS:
+            stalled_seconds = deployment.stalled_seconds(recovery_start)
             unready = [number for number in numbers if not deployment.is_ready(number)]
             detail = (
                 f"instances {unready} are not ready {RECOVERY_MAX_SECONDS:g} s after the faults,"
