Give the calls, the transfer and the sockets of the HTTP client modules of their own

The records of calls are in node/http_call, the callbacks for a response in node/curl_transfer, the state of sockets in node/socket_state, the defects in core/defects, where the metrics can name them.

--- a/bench/load.py
+++ b/bench/load.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from monsoonhoist.core import data
-from monsoonhoist.node import curl
+from monsoonhoist.node import curl, http_call
 
 TIMEOUT = datetime.timedelta(seconds=10)
 CONNECT_TIMEOUT = datetime.timedelta(seconds=2)
@@ -148,7 +148,7 @@
     samples: list[Sample],
 ) -> None:
     sent_at = time.monotonic()
-    call = curl.HttpCall(
+    call = http_call.HttpCall(
         "POST",
         f"{url}/v1/query/{route}",
         msgspec.json.encode(data.Request(query=query)),
@@ -156,7 +156,7 @@
         CONNECT_TIMEOUT,
     )
 
-    def finish(reply: curl.HttpReply) -> None:
+    def finish(reply: http_call.HttpReply) -> None:
         latency = time.monotonic() - sent_at
         samples.append(_make_sample(route, sent_at - started_at, latency, reply))
 
@@ -164,7 +164,7 @@
 
 
 def _make_sample(
-    route: str, sent_at_seconds: float, latency_seconds: float, reply: curl.HttpReply
+    route: str, sent_at_seconds: float, latency_seconds: float, reply: http_call.HttpReply
 ) -> Sample:
     try:
         answer = msgspec.json.decode(reply.body, type=data.Answer)
--- a/bench/mutants.py
+++ b/bench/mutants.py
@@ -147,7 +147,7 @@
     ),
     Mutant(
         "spoiled header fields are accepted",
-        "node/curl.py",
+        "node/curl_transfer.py",
         "if _CONTROL_BYTE_PATTERN.search(value_bytes):",
         "if False:",
         "platform",
@@ -210,8 +210,8 @@
     ),
     Mutant(
         "replies to another request are forwarded",
-        "node/curl.py",
-        "return Defect.FOREIGN\n",
+        "node/curl_transfer.py",
+        "return defects.Defect.FOREIGN\n",
         "return None\n",
         "platform",
     ),
@@ -460,7 +460,7 @@
     Mutant(
         "single sending: a lost response uses up a second connection",
         "node/curl.py",
-        "if event_mask == pycurl.CSELECT_IN and single_sending.has_ended(descriptor):",
+        "if event_mask == pycurl.CSELECT_IN and socket_state.has_ended(descriptor):",
         "if False:",
         "single_sending",
     ),
--- a/bench/workloads.py
+++ b/bench/workloads.py
@@ -8,7 +8,7 @@
 from monsoonhoist.core import clock, data
 from monsoonhoist.fleet import membership, neighbours
 from monsoonhoist.kernels import kernel
-from monsoonhoist.node import curl, search
+from monsoonhoist.node import http_call, search
 from monsoonhoist.protocol import events, fanout, messages
 
 KEY_SPACE = 1_000_000
@@ -171,7 +171,7 @@
         )
 
 
-def make_backend_call(address: str, number: int) -> curl.HttpCall:
+def make_backend_call(address: str, number: int) -> http_call.HttpCall:
     """Returns a call to a backend server, with the body that the program encodes."""
     body = search.SearchBody(
         call=f"bench.{number}",
@@ -184,7 +184,7 @@
         deadline_ms=5000,
         repeatable=True,
     )
-    return curl.HttpCall(
+    return http_call.HttpCall(
         "POST",
         f"http://{address}/v1/search",
         msgspec.json.encode(body),
@@ -194,7 +194,7 @@
     )
 
 
-def check_backend_reply(reply: curl.HttpReply) -> None:
+def check_backend_reply(reply: http_call.HttpReply) -> None:
     """Decodes a reply of a backend server as the program does; exits if it is a failure."""
     event = search.read_reply(1, reply)
     if not isinstance(event, events.CallReplied):
--- a/features/steps/generated_input.py
+++ b/features/steps/generated_input.py
@@ -13,7 +13,7 @@
 from monsoonhoist import decoding, errors, settings, settings_file
 from monsoonhoist.core import data, exchange
 from monsoonhoist.kernels import traces
-from monsoonhoist.node import curl
+from monsoonhoist.node import http_call
 from monsoonhoist.platform import backend_protocol, callers, store_format
 from monsoonhoist.protocol import messages
 from monsoonhoist.queries import tickets
@@ -93,7 +93,7 @@
     protocol = backend_protocol.ServerProtocol(settings.TimingSection().backend_connect_ms)
 
     def read(value):
-        reply = curl.HttpReply(status, b"", True, False, "", (exchange.Header(name, value),))
+        reply = http_call.HttpReply(status, b"", True, False, "", (exchange.Header(name, value),))
         report = protocol.read_report(reply)
         assert report.wait_seconds >= 0.0
 
--- a/features/steps/odd_replies.py
+++ b/features/steps/odd_replies.py
@@ -7,8 +7,8 @@
 from behave import given, then, when
 
 from monsoonhoist import metrics
-from monsoonhoist.core import data
-from monsoonhoist.node import config_service, curl, replication
+from monsoonhoist.core import data, defects
+from monsoonhoist.node import config_service, http_call, replication
 from monsoonhoist.tables import native, store
 
 WAIT = datetime.timedelta(seconds=1)
@@ -37,7 +37,7 @@
 
 def make_reply(status, body, defect=None):
     """Returns a reply."""
-    return curl.HttpReply(0 if defect else status, body, True, False, "", (), defect)
+    return http_call.HttpReply(0 if defect else status, body, True, False, "", (), defect)
 
 
 def value_url(key):
@@ -71,7 +71,7 @@
         "that is not JSON": make_reply(200, b"{odd"),
         "with status 404": make_reply(404, b""),
         "with status 503": make_reply(503, b""),
-        "that is too long": make_reply(200, b"", curl.Defect.TOO_LONG),
+        "that is too long": make_reply(200, b"", defects.Defect.TOO_LONG),
     }[defect]
     context.values = {}
     context.client = make_client(context.driver)
--- a/features/steps/operator_keys.py
+++ b/features/steps/operator_keys.py
@@ -12,7 +12,7 @@
 from features import store_values
 from monsoonhoist import metrics
 from monsoonhoist.core import clock, data
-from monsoonhoist.node import curl, replication
+from monsoonhoist.node import http_call, replication
 from monsoonhoist.platform import reader, store_format
 from monsoonhoist.protocol import messages
 
@@ -149,9 +149,9 @@
                 await self._deliver(transfer, len(body))
         except TimeoutError:
             self.given_up += 1
-            transfer.on_done(curl.HttpReply(0, b"", True, True, "timed out"))
+            transfer.on_done(http_call.HttpReply(0, b"", True, True, "timed out"))
             return
-        transfer.on_done(curl.HttpReply(status, body, True, False, ""))
+        transfer.on_done(http_call.HttpReply(status, body, True, False, ""))
 
     async def _deliver(self, transfer, byte_count):
         """Waits until the link has carried a reply."""
--- a/features/steps/response_heads.py
+++ b/features/steps/response_heads.py
@@ -8,7 +8,7 @@
 from tornado import httputil
 
 from monsoonhoist.core import data, exchange
-from monsoonhoist.node import curl
+from monsoonhoist.node import curl_transfer, http_call
 from monsoonhoist.platform import backend_protocol, callers
 from monsoonhoist.protocol import events, fanout
 
@@ -55,7 +55,7 @@
 
 def read_head(lines):
     """Returns the transfer that has received a head, up to the line that it refuses."""
-    call = curl.HttpCall(
+    call = http_call.HttpCall(
         "GET",
         "http://s",
         b"",
@@ -63,7 +63,7 @@
         datetime.timedelta(seconds=1),
         expected_header=REQUEST_ID,
     )
-    transfer = curl.Transfer(None, None, call, lambda transfer, count: None)
+    transfer = curl_transfer.Transfer(None, None, call, lambda transfer, count: None)
     for line in (b"HTTP/1.1 200 OK", *lines, b""):
         if transfer.handle_header(line + b"\r\n") is not None:
             break
@@ -111,7 +111,7 @@
 def read_reply(transfer, is_plain):
     """Returns the event of a call whose response has the head that was received."""
     is_complete = transfer.is_head_complete and transfer.defect is None
-    reply = curl.HttpReply(
+    reply = http_call.HttpReply(
         status=STATUS_OK if is_complete else 0,
         body=b"0123456789abcdef" if is_complete else b"",
         sent=True,
--- a/features/steps/server_reports.py
+++ b/features/steps/server_reports.py
@@ -6,7 +6,7 @@
 from features.steps import server_choice
 from monsoonhoist import settings
 from monsoonhoist.core import data, exchange, limits
-from monsoonhoist.node import curl
+from monsoonhoist.node import http_call
 from monsoonhoist.overload import budget
 from monsoonhoist.platform import backend_protocol
 from monsoonhoist.policy import balance, hedge, order, ownership
@@ -241,7 +241,9 @@
     """Reads what the headers of a response say about the server."""
     protocol = backend_protocol.ServerProtocol(settings.TimingSection().backend_connect_ms)
     headers = (exchange.Header(name, value),)
-    context.report = protocol.read_report(curl.HttpReply(status, b"", True, False, "", headers))
+    context.report = protocol.read_report(
+        http_call.HttpReply(status, b"", True, False, "", headers)
+    )
 
 
 @then("the report has {field} {expected}")
--- a/features/steps/single_sending.py
+++ b/features/steps/single_sending.py
@@ -7,7 +7,7 @@
 
 from behave import given, then, when
 
-from monsoonhoist.node import curl, single_sending
+from monsoonhoist.node import curl, http_call, single_sending, socket_state
 from standins import shards
 
 TIMEOUT = datetime.timedelta(seconds=10)
@@ -22,7 +22,7 @@
 async def send(context, request_id, method="GET", target="/x", is_sent_once=True):
     """Sends a request and returns the reply."""
     future = asyncio.get_running_loop().create_future()
-    call = curl.HttpCall(
+    call = http_call.HttpCall(
         method=method,
         url=f"http://{context.server.address}",
         body=b"body" if method == "POST" else b"",
@@ -72,9 +72,9 @@
 @given("the client does not check connections itself")
 def disable_check(context):
     """Disables the check of a connection before libcurl reads from it."""
-    original = single_sending.has_ended
-    single_sending.has_ended = lambda descriptor, local_port=0: False
-    context.add_cleanup(setattr, single_sending, "has_ended", original)
+    original = socket_state.has_ended
+    socket_state.has_ended = lambda descriptor, local_port=0: False
+    context.add_cleanup(setattr, socket_state, "has_ended", original)
 
 
 def lose_response(context, fault, method, is_sent_once):
--- a/features/steps/slow_replies.py
+++ b/features/steps/slow_replies.py
@@ -6,7 +6,7 @@
 
 from behave import then, when
 
-from monsoonhoist.node import curl, http_fetch
+from monsoonhoist.node import curl, http_call, http_fetch
 
 CHUNK = b"x" * 100
 
@@ -37,7 +37,7 @@
         port = server.sockets[0].getsockname()[1]
         driver = curl.CurlDriver(datetime.timedelta(seconds=1))
         timeout = datetime.timedelta(milliseconds=timeout_ms)
-        call = curl.HttpCall("GET", f"http://127.0.0.1:{port}/", b"", timeout, timeout)
+        call = http_call.HttpCall("GET", f"http://127.0.0.1:{port}/", b"", timeout, timeout)
         try:
             return await http_fetch.fetch(driver, call, timeout)
         finally:
--- a/monsoonhoist/node/backends.py
+++ b/monsoonhoist/node/backends.py
@@ -8,7 +8,7 @@
 
 from monsoonhoist import metrics
 from monsoonhoist.core import clock, data, exchange
-from monsoonhoist.node import curl, task
+from monsoonhoist.node import curl, curl_transfer, http_call, task
 from monsoonhoist.protocol import events
 
 _log = logging.getLogger(__name__)
@@ -22,7 +22,7 @@
     @abc.abstractmethod
     def make_call(
         self, command: events.StartCall, call_name: str, remaining_seconds: float
-    ) -> curl.HttpCall:
+    ) -> http_call.HttpCall:
         """Returns the HTTP call for a command.
 
         Args:
@@ -32,20 +32,22 @@
         """
 
     @abc.abstractmethod
-    def make_cancellation(self, command: events.StartCall, call_name: str) -> curl.HttpCall | None:
+    def make_cancellation(
+        self, command: events.StartCall, call_name: str
+    ) -> http_call.HttpCall | None:
         """Returns the call that cancels another one, or None to close its connection instead."""
 
     @abc.abstractmethod
-    def make_health_check(self, server: data.Server) -> curl.HttpCall | None:
+    def make_health_check(self, server: data.Server) -> http_call.HttpCall | None:
         """Returns a health check, which opens a connection, or None if the protocol has none."""
 
     @abc.abstractmethod
-    def read_report(self, reply: curl.HttpReply) -> exchange.ServerReport:
+    def read_report(self, reply: http_call.HttpReply) -> exchange.ServerReport:
         """Returns what a server says about itself in a response, also to a health check."""
 
     @abc.abstractmethod
     def read_reply(
-        self, command: events.StartCall, reply: curl.HttpReply
+        self, command: events.StartCall, reply: http_call.HttpReply
     ) -> events.CallReplied | events.CallFailed:
         """Returns the event for the result of a call."""
 
@@ -60,7 +62,7 @@
     """
 
     command: events.StartCall
-    transfer: curl.Transfer
+    transfer: curl_transfer.Transfer
     started: float
 
 
@@ -136,7 +138,7 @@
         self._driver.abort(pending.transfer)
         self._report_end(pending, events.CallFailed(call_id, data.Refusal.CANCELLED, True))
 
-    def _finish(self, command: events.StartCall, reply: curl.HttpReply) -> None:
+    def _finish(self, command: events.StartCall, reply: http_call.HttpReply) -> None:
         pending = self._pending_by_call.pop(command.call_id)
         if reply.defect is not None:
             extra = {"server": command.server.server_id, "defect": reply.defect.value}
@@ -160,5 +162,5 @@
         return f"{self._name_prefix}.{call_id}"
 
 
-def _ignore_reply(reply: curl.HttpReply) -> None:
+def _ignore_reply(reply: http_call.HttpReply) -> None:
     """Ignores the reply to a cancellation; the cancelled call reports its own result."""
--- a/monsoonhoist/node/config_service.py
+++ b/monsoonhoist/node/config_service.py
@@ -15,7 +15,7 @@
 from monsoonhoist import decoding, errors, metrics
 from monsoonhoist.core import data
 from monsoonhoist.fleet import membership
-from monsoonhoist.node import curl, dialect, http_fetch, replication
+from monsoonhoist.node import curl, dialect, http_call, http_fetch, replication
 from monsoonhoist.protocol import messages
 from monsoonhoist.tables import native, store
 
@@ -139,8 +139,8 @@
         _check_status(url, reply)
         return reply.body
 
-    async def _fetch(self, url: str, timeout: datetime.timedelta) -> curl.HttpReply:
-        call = curl.HttpCall("GET", url, b"", timeout, CONNECT_TIMEOUT, is_counted=False)
+    async def _fetch(self, url: str, timeout: datetime.timedelta) -> http_call.HttpReply:
+        call = http_call.HttpCall("GET", url, b"", timeout, CONNECT_TIMEOUT, is_counted=False)
         return await http_fetch.fetch(self._driver, call)
 
 
@@ -247,7 +247,7 @@
             yield messages.TableValue(key, revision_index.index, text)
 
 
-def _check_status(url: str, reply: curl.HttpReply) -> None:
+def _check_status(url: str, reply: http_call.HttpReply) -> None:
     """Raises ``ConfigServiceError`` unless the reply has the status 200."""
     if reply.status != STATUS_OK:
         raise replication.ConfigServiceError(f"{url}: status {reply.status} {reply.error}".rstrip())
--- a/monsoonhoist/node/http_fetch.py
+++ b/monsoonhoist/node/http_fetch.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from monsoonhoist.node import curl
+from monsoonhoist.node import curl, http_call
 
 # Longest time without a byte once a response has begun.
 STALL_TIMEOUT = datetime.timedelta(seconds=2)
@@ -14,8 +14,10 @@
 
 
 async def fetch(
-    driver: curl.CurlDriver, call: curl.HttpCall, stall_timeout: datetime.timedelta = STALL_TIMEOUT
-) -> curl.HttpReply:
+    driver: curl.CurlDriver,
+    call: http_call.HttpCall,
+    stall_timeout: datetime.timedelta = STALL_TIMEOUT,
+) -> http_call.HttpReply:
     """Makes a call and returns its reply, which has status 0 if the response was given up.
 
     A long reply on a slow link takes longer than a timeout that detects a silent service soon
@@ -26,7 +28,7 @@
         call: The call; its timeout applies until the first byte of the response.
         stall_timeout: Longest time without a byte after the first.
     """
-    reply_future: asyncio.Future[curl.HttpReply] = asyncio.get_running_loop().create_future()
+    reply_future: asyncio.Future[http_call.HttpReply] = asyncio.get_running_loop().create_future()
     long_call = msgspec.structs.replace(call, timeout=call.timeout + RESPONSE_TIMEOUT)
     transfer = driver.start(long_call, reply_future.set_result)
     timeout = call.timeout
@@ -45,4 +47,4 @@
         raise
     driver.abort(transfer)
     error = f"no byte within {timeout.total_seconds():g} s, after {received_bytes} bytes"
-    return curl.HttpReply(0, b"", True, True, error)
+    return http_call.HttpReply(0, b"", True, True, error)
--- a/monsoonhoist/node/search.py
+++ b/monsoonhoist/node/search.py
@@ -7,7 +7,7 @@
 
 from monsoonhoist import decoding, errors
 from monsoonhoist.core import data, exchange
-from monsoonhoist.node import backends, curl
+from monsoonhoist.node import backends, http_call
 from monsoonhoist.protocol import events
 
 CANCEL_TIMEOUT = datetime.timedelta(seconds=1)
@@ -96,7 +96,7 @@
 
     def make_call(
         self, command: events.StartCall, call_name: str, remaining_seconds: float
-    ) -> curl.HttpCall:
+    ) -> http_call.HttpCall:
         """Returns the HTTP call that sends the search request."""
         query = command.query
         body = SearchBody(
@@ -110,7 +110,7 @@
             deadline_ms=max(1, int(remaining_seconds * MS_PER_SECOND)),
             repeatable=query.repeatable,
         )
-        return curl.HttpCall(
+        return http_call.HttpCall(
             method="POST",
             url=f"http://{command.server.address}/v1/search",
             body=msgspec.json.encode(body),
@@ -121,9 +121,9 @@
             is_sent_once=True,
         )
 
-    def make_cancellation(self, command: events.StartCall, call_name: str) -> curl.HttpCall:
+    def make_cancellation(self, command: events.StartCall, call_name: str) -> http_call.HttpCall:
         """Returns the HTTP call that cancels a call by its name."""
-        return curl.HttpCall(
+        return http_call.HttpCall(
             method="DELETE",
             url=f"http://{command.server.address}/v1/search/{call_name}",
             body=b"",
@@ -136,18 +136,18 @@
         """Returns None, since connections are opened only by calls."""
         return None
 
-    def read_report(self, reply: curl.HttpReply) -> exchange.ServerReport:
+    def read_report(self, reply: http_call.HttpReply) -> exchange.ServerReport:
         """Returns an empty report: what a server says of itself is in the body of its replies."""
         return exchange.NO_REPORT
 
     def read_reply(
-        self, command: events.StartCall, reply: curl.HttpReply
+        self, command: events.StartCall, reply: http_call.HttpReply
     ) -> events.CallReplied | events.CallFailed:
         """Returns the event for the result of a call."""
         return read_reply(command.call_id, reply)
 
 
-def read_reply(call_id: int, reply: curl.HttpReply) -> events.CallReplied | events.CallFailed:
+def read_reply(call_id: int, reply: http_call.HttpReply) -> events.CallReplied | events.CallFailed:
     """Returns the event for the result of a call."""
     if reply.status == STATUS_OK:
         return _read_results(call_id, reply.body)
--- a/monsoonhoist/node/warmup.py
+++ b/monsoonhoist/node/warmup.py
@@ -9,7 +9,7 @@
 from monsoonhoist.core import data, exchange
 from monsoonhoist.fleet import warming
 from monsoonhoist.kernels import kernel
-from monsoonhoist.node import backends, curl, task
+from monsoonhoist.node import backends, curl, http_call, task
 from monsoonhoist.protocol import events
 
 # Interval between two connections. The instances of all cells start together; the interval
@@ -87,7 +87,7 @@
                 self._driver.start(call, functools.partial(self._handle_reply, server))
                 await asyncio.sleep(CONNECT_SPACING_SECONDS)
 
-    def _handle_reply(self, server: data.Server, reply: curl.HttpReply) -> None:
+    def _handle_reply(self, server: data.Server, reply: http_call.HttpReply) -> None:
         """Reports what the server says about itself, or logs that the connection failed.
 
         The failure is not recorded for the server, whose health depends on the owner's calls only.
--- a/monsoonhoist/platform/backend_protocol.py
+++ b/monsoonhoist/platform/backend_protocol.py
@@ -5,7 +5,7 @@
 from collections.abc import Mapping
 
 from monsoonhoist.core import data, exchange
-from monsoonhoist.node import backends, curl
+from monsoonhoist.node import backends, http_call
 from monsoonhoist.platform import wire_names
 from monsoonhoist.protocol import events
 
@@ -44,7 +44,7 @@
 
     def make_call(
         self, command: events.StartCall, call_name: str, remaining_seconds: float
-    ) -> curl.HttpCall:
+    ) -> http_call.HttpCall:
         """Returns the HTTP call that forwards the request of a command."""
         request = command.query.content
         remaining_ms = max(1, int(remaining_seconds * MS_PER_SECOND))
@@ -53,7 +53,7 @@
         lines += [f"{name}:" for name in CURL_DEFAULT_HEADERS if name.lower() not in caller_headers]
         lines.append(f"{wire_names.DEADLINE_HEADER}: {remaining_ms}")
         lines.append(f"{wire_names.SERVER_ID_HEADER}: {command.server.server_id}")
-        return curl.HttpCall(
+        return http_call.HttpCall(
             method=request.method,
             url=f"http://{command.server.address}",
             body=request.body,
@@ -72,11 +72,11 @@
         """Returns None: a server drops a request when the connection is closed."""
         return None
 
-    def make_health_check(self, server: data.Server) -> curl.HttpCall | None:
+    def make_health_check(self, server: data.Server) -> http_call.HttpCall | None:
         """Returns a health check; None if the server's service has no health check path."""
         if not server.health_path:
             return None
-        return curl.HttpCall(
+        return http_call.HttpCall(
             method="GET",
             url=f"http://{server.address}{server.health_path}",
             body=b"",
@@ -86,12 +86,12 @@
             is_sent_once=True,
         )
 
-    def read_report(self, reply: curl.HttpReply) -> exchange.ServerReport:
+    def read_report(self, reply: http_call.HttpReply) -> exchange.ServerReport:
         """Returns what a server says about itself in the headers of a response."""
         return _make_report(reply.status, _values_by_name(reply.headers))
 
     def read_reply(
-        self, command: events.StartCall, reply: curl.HttpReply
+        self, command: events.StartCall, reply: http_call.HttpReply
     ) -> events.CallReplied | events.CallFailed:
         """Converts the end of a call to an event.
 
@@ -133,7 +133,7 @@
 
 
 def _make_transport_failure(
-    call_id: int, reply: curl.HttpReply, report: exchange.ServerReport
+    call_id: int, reply: http_call.HttpReply, report: exchange.ServerReport
 ) -> events.CallFailed:
     """Returns the failure of a call without a complete response.
 
@@ -149,7 +149,7 @@
 
 
 def _make_refusal(
-    call_id: int, reply: curl.HttpReply, report: exchange.ServerReport
+    call_id: int, reply: http_call.HttpReply, report: exchange.ServerReport
 ) -> events.CallFailed:
     """Returns the failure of a call whose response proves that nothing was run."""
     if reply.status == STATUS_MISDIRECTED:
@@ -180,7 +180,7 @@
     )
 
 
-def _make_response(command: events.StartCall, reply: curl.HttpReply) -> exchange.Response:
+def _make_response(command: events.StartCall, reply: http_call.HttpReply) -> exchange.Response:
     """Returns a response to forward, without the header fields of the connection.
 
     The length in a response to HEAD is not that of the body, so that it is forwarded.
--- a/monsoonhoist/platform/reader.py
+++ b/monsoonhoist/platform/reader.py
@@ -12,8 +12,8 @@
 import msgspec
 
 from monsoonhoist import decoding, errors, metrics
-from monsoonhoist.core import data
-from monsoonhoist.node import curl, http_fetch, range_reader, replication
+from monsoonhoist.core import data, defects
+from monsoonhoist.node import curl, http_call, http_fetch, range_reader, replication
 from monsoonhoist.platform import wire_names
 from monsoonhoist.protocol import messages
 from monsoonhoist.tables import evacuations
@@ -108,11 +108,11 @@
         is_operators = query["Prefix"] == wire_names.OPERATOR_KEY_PREFIX
         self._counters.count_service_read(f"operators-{kind}" if is_operators else kind)
         url = f"{self._base_url}{path}?{urllib.parse.urlencode(query, safe='/')}"
-        call = curl.HttpCall("GET", url, b"", timeout, CONNECT_TIMEOUT, is_counted=False)
+        call = http_call.HttpCall("GET", url, b"", timeout, CONNECT_TIMEOUT, is_counted=False)
         reply = await http_fetch.fetch(self._driver, call)
         if reply.status == STATUS_HISTORY_GONE:
             raise range_reader.HistoryGoneError(f"{path}: the changes are gone")
-        if reply.defect is curl.Defect.TOO_LONG and path == wire_names.WATCH_PATH:
+        if reply.defect is defects.Defect.TOO_LONG and path == wire_names.WATCH_PATH:
             _log.warning("changes too long for a reply; the range is listed instead")
             raise range_reader.HistoryGoneError(f"{path}: the changes are longer than a reply")
         if reply.status != STATUS_OK:
