Judge the lines of a response's head with their ends

Callers saw: 200 with a body that was not the server's. Where a line of the head held only a CR, an LF stood in place of a CR, or a value held two LF, libcurl ends the head there and takes the rest of it for the begin of the body; a single LF splits a line into two fields.

Cause: the client judged each line after it had stripped all CR and LF from its end, took any line that was then empty for the end of the head, and any line that began with "HTTP/" for a new status line, which dropped the fields before it. Where the head ends was libcurl's verdict, which is more lenient than RFC 9112.

Change: node/response_reader judges a head as a whole by the grammar of RFC 9112 (node/http_grammar), with the ends of its lines, which curl's debug callback passes on as they arrived. The fields of a response that is not accepted are dropped. libcurl joins folded lines before that, as RFC 9112 (5.2) allows.

Evidence: features/broken_answers.feature (whole path, three instances) and response_heads.feature (the client on a connection) with standins/spoiled_responses.

--- /dev/null
+++ b/features/broken_answers.feature
@@ -0,0 +1,53 @@
+@fleet
+Feature: Broken answers of backend servers
+  A server in trouble sends answers whose head is spoiled, or whose body is not what the head says.
+  None of them may reach a caller, and none of them proves anything.
+
+  # Guards against the incident of 2026-12-07: broken answers that were forwarded as complete ones.
+  Scenario Outline: A broken answer reaches no caller
+    Given the servers of "records" and "alpha" send answers with the fault "<fault>"
+    And they <end> each connection after an answer
+    When the caller sends 3 requests "POST" "/order/x"
+    Then no answer is a server's, and what is refused has not run
+    And none of them has run twice
+    When the caller sends 3 requests "GET" "/record/x"
+    Then no answer is a server's
+    When the caller sends 3 requests "GET" "/find/a"
+    Then all statuses are 200
+    And no answer lists a proof of the server "alpha"
+
+    Examples: a line whose end is wrong
+      | fault                   | end   |
+      | CR line before length   | close |
+      | CR before length        | close |
+      | LF for CR before length | close |
+      | two LF in value         | close |
+      | LF in value             | keep  |
+      | LF without CR           | keep  |
+      | CR twice                | keep  |
+
+    Examples: a first line whose end is wrong
+      | fault                  | end   |
+      | LF after reason        | keep  |
+
+    Examples: a later line that begins like a status line
+      | fault               | end   |
+      | HTTP/1.1 as a field | close |
+      | second status line  | keep  |
+
+    Examples: refused before the incident
+      | fault                | end   |
+      | blank in name        | keep  |
+      | control byte in name | keep  |
+
+  # Guards against broken refusals that are taken for a proof.
+  Scenario Outline: A broken answer does not prove that a request has not run
+    Given the servers of "records" and "alpha" send answers with the fault "<fault>"
+    And they say of each request that it has not run
+    When the caller sends 3 requests "POST" "/order/x"
+    Then no answer is a server's, and what is refused has not run
+    And none of them has run twice
+
+    Examples:
+      | fault            |
+      | CR twice         |
--- a/features/response_heads.feature
+++ b/features/response_heads.feature
@@ -11,3 +11,25 @@
 
   Scenario: A head that is accepted says what the server sent
     Then each field that is accepted of a generated head is one of its lines
+
+  Scenario Outline: A response with a fault is refused, and its connection is not used again
+    Then the client refuses the fault <fault>, on connections that are closed and kept
+
+    Examples: refused since the incident of 2026-12-07
+      | fault                     |
+      | CR line before length     |
+      | CR before length          |
+      | LF for CR before length   |
+      | two LF in value           |
+      | LF in value               |
+      | LF without CR             |
+      | LF after reason           |
+      | HTTP/1.1 as a field       |
+
+  Scenario Outline: A sound response is accepted in whatever parts it arrives
+    Given a response in the parts <parts>
+    Then the client accepts it
+
+    Examples:
+      | parts                       |
+      | an interim head, a response |
--- /dev/null
+++ b/features/steps/answered_bytes.py
@@ -0,0 +1,166 @@
+"""Steps in which the HTTP client reads given bytes from a connection."""
+
+import asyncio
+import contextlib
+import datetime
+
+from behave import given, then
+
+from monsoonhoist.core import exchange
+from monsoonhoist.node import curl, http_call
+from standins import spoiled_responses
+
+TIMEOUT = datetime.timedelta(seconds=5)
+# Pause between the parts of a response, in which the client reads the earlier ones.
+PAUSE_SECONDS = 0.01
+REQUEST_ID = exchange.Header("X-Request-Id", "r-1")
+CONTENT = bytes(range(64))
+HEAD_LINES = (b"HTTP/1.1 200 OK", b"X-Request-Id: r-1", b"X-Server-Stamp: s.r-1.7")
+SOUND_RESPONSE = b"\r\n".join(
+    (*HEAD_LINES, spoiled_responses.FIELD, b"Content-Length: 64", b"", CONTENT)
+)
+CHUNKED_RESPONSE = b"\r\n".join(
+    (
+        *HEAD_LINES,
+        b"Transfer-Encoding: chunked",
+        b"X-Backend-Load: 1,2,3,100",
+        b"",
+        b"20;a=b",
+        CONTENT[:32],
+        b"20",
+        CONTENT[32:],
+        b"0",
+        b"",
+        b"",
+    )
+)
+
+
+class ByteServer:
+    """A server that answers the n-th request with the n-th response.
+
+    Args:
+        responses: The bytes of each response, in parts that are sent one after the other.
+        closes: Whether each connection is closed after a response.
+    """
+
+    def __init__(self, responses, closes=True):
+        self._responses = iter(responses)
+        self._closes = closes
+        self._server = None
+        self.url = ""
+        self.connection_count = 0
+
+    async def __aenter__(self):
+        """Starts listening on a free port."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.url = f"http://127.0.0.1:{self._server.sockets[0].getsockname()[1]}/"
+        return self
+
+    async def __aexit__(self, *error):
+        """Stops listening."""
+        self._server.close()
+
+    async def _serve(self, reader, writer):
+        self.connection_count += 1
+        # The handler is cancelled at the end of the step, which asyncio would log as an error.
+        with contextlib.suppress(
+            asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError
+        ):
+            while True:
+                await reader.readuntil(b"\r\n\r\n")
+                first, *others = next(self._responses)
+                writer.write(first)
+                for part in others:
+                    await asyncio.sleep(PAUSE_SECONDS)
+                    writer.write(part)
+                await writer.drain()
+                if self._closes:
+                    break
+        writer.close()
+
+
+async def fetch(driver, url, method="GET", own_connection=False):
+    """Sends a request and returns the reply."""
+    call = http_call.HttpCall(
+        method,
+        url,
+        b"",
+        TIMEOUT,
+        TIMEOUT,
+        own_connection=own_connection,
+        expected_header=REQUEST_ID,
+        is_sent_once=True,
+    )
+    future = asyncio.get_running_loop().create_future()
+    driver.start(call, future.set_result)
+    async with asyncio.timeout(2 * TIMEOUT.total_seconds()):
+        return await future
+
+
+def read_responses(responses, closes=True, count=None, **options):
+    """Returns the replies to requests that are sent one after the other, and the server."""
+
+    async def run():
+        driver = curl.CurlDriver(TIMEOUT)
+        async with ByteServer(responses, closes) as server:
+            replies = [
+                await fetch(driver, server.url, **options) for _ in range(count or len(responses))
+            ]
+            driver.close()
+        return replies, server
+
+    return asyncio.run(run())
+
+
+@then("the client refuses the fault {fault}, on connections that are closed and kept")
+def check_fault(context, fault):
+    """Checks a fault of the stand-in, for requests on new and on kept connections."""
+    response = spoiled_responses.spoil(SOUND_RESPONSE, fault)
+    for own_connection in (True, False):
+        (reply,), _ = read_responses([(response,)], own_connection=own_connection)
+        check_refused(reply)
+    # A sound response before and after it shows that its connection is not used again.
+    responses = [(SOUND_RESPONSE,), (response,), (SOUND_RESPONSE,)]
+    (first, second, third), server = read_responses(responses, closes=False)
+    check_refused(second)
+    for reply in (first, third):
+        assert (reply.status, reply.body) == (200, CONTENT), reply
+    assert server.connection_count == 2, server.connection_count
+
+
+def check_refused(reply):
+    """Checks that a reply is none, and that nothing of it is left."""
+    assert (reply.status, reply.body, reply.headers) == (0, b"", ()), reply
+    assert reply.defect is not None, reply
+
+
+@given("a response in the parts {parts}")
+def make_parts(context, parts):
+    """Cuts a response into parts, between which the server pauses."""
+    short = SOUND_RESPONSE.replace(b"Content-Length: 64", b"Content-Length: 4")
+    head_end = short.index(b"\r\n\r\n") + 4
+    chunk_end = CHUNKED_RESPONSE.rindex(b"0\r\n\r\n")
+    large = b"\r\n".join((*HEAD_LINES, b"Content-Length: 30000", b"", b"x" * 60_000))
+    context.response = {
+        "head and 2 bytes, 62 bytes, of which 2 count": (
+            short[: head_end + 2],
+            short[head_end + 2 :],
+        ),
+        "60000 bytes, of which 30000 count": (large,),
+        "chunks, the last one and more": (
+            CHUNKED_RESPONSE[:chunk_end],
+            CHUNKED_RESPONSE[chunk_end:] + b"extra",
+        ),
+        "chunks, one byte at a time": tuple(
+            CHUNKED_RESPONSE[place : place + 1] for place in range(len(CHUNKED_RESPONSE))
+        ),
+        "an interim head, a response": (b"HTTP/1.1 103 Early\r\nA: b\r\n\r\n", SOUND_RESPONSE),
+    }[parts]
+
+
+@then("the client accepts it")
+def check_parts_accepted(context):
+    """Checks that the response is accepted."""
+    (reply,), _ = read_responses([context.response])
+    assert (reply.status, reply.body) == (200, CONTENT), reply
--- /dev/null
+++ b/features/steps/broken_answers.py
@@ -0,0 +1,67 @@
+"""Steps with servers that send broken answers."""
+
+from behave import given, then
+
+# Statuses of answers that an instance gives in place of a server's.
+STATUS_NOT_RUN = 503
+OWN_STATUSES = {502, STATUS_NOT_RUN, 504}
+
+
+def servers_of(context, services):
+    """Returns the servers of some services."""
+    return [
+        server
+        for name, server in context.fleet.server_by_name.items()
+        if name.rpartition("-")[0] in services
+    ]
+
+
+@given('the servers of "{first}" and "{second}" send answers with the fault "{fault}"')
+def set_faults(context, first, second, fault):
+    """Sets the fault of all servers of two services."""
+    context.broken_servers = servers_of(context, (first, second))
+    for server in context.broken_servers:
+        server.behaviour.fault = fault
+
+
+@given("they {end} each connection after an answer")
+def set_end(context, end):
+    """Sets whether the servers close their connections."""
+    for server in context.broken_servers:
+        server.behaviour.closes_connection = end == "close"
+
+
+@given("they say of each request that it has not run")
+def set_denial(context):
+    """Makes the servers deny that requests have run."""
+    for server in context.broken_servers:
+        server.behaviour.denies_run = True
+
+
+@then("no answer is a server's")
+def check_own(context):
+    """Checks that the instances have answered by themselves."""
+    for reply in context.replies:
+        assert reply.status in OWN_STATUSES, (reply.status, reply.body)
+        assert "X-Server-Stamp" not in reply.headers, reply.headers.items()
+
+
+@then("no answer is a server's, and what is refused has not run")
+def check_promises(context):
+    """Checks the instances' own answers, and what they promise."""
+    check_own(context)
+    for request_id, reply in zip(context.request_ids, context.replies, strict=True):
+        if reply.status == STATUS_NOT_RUN:
+            assert count_runs(context, request_id) == 0, request_id
+
+
+@then("none of them has run twice")
+def check_runs(context):
+    """Checks in the servers' records how often each request ran."""
+    for request_id in context.request_ids:
+        assert count_runs(context, request_id) <= 1, request_id
+
+
+def count_runs(context, request_id):
+    """Returns how often a request ran."""
+    return sum(request.ran for request in context.fleet.received_requests(request_id))
--- a/features/steps/response_heads.py
+++ b/features/steps/response_heads.py
@@ -3,6 +3,7 @@
 import datetime
 
 import hypothesis
+import pycurl
 from behave import then
 from hypothesis import strategies
 from tornado import httputil
@@ -63,9 +64,10 @@
         datetime.timedelta(seconds=1),
         expected_header=REQUEST_ID,
     )
-    transfer = curl_transfer.Transfer(None, None, call, lambda transfer, count: None)
+    transfer = curl_transfer.Transfer(None, None, call, lambda *_: None, lambda _: None)
     for line in (b"HTTP/1.1 200 OK", *lines, b""):
-        if transfer.handle_header(line + b"\r\n") is not None:
+        transfer.handle_debug(pycurl.INFOTYPE_HEADER_IN, line + b"\r\n")
+        if transfer.defect is not None:
             break
     return transfer
 
@@ -110,14 +112,14 @@
 
 def read_reply(transfer, is_plain):
     """Returns the event of a call whose response has the head that was received."""
-    is_complete = transfer.is_head_complete and transfer.defect is None
+    is_complete = transfer.reader.is_head_complete and transfer.defect is None
     reply = http_call.HttpReply(
         status=STATUS_OK if is_complete else 0,
         body=b"0123456789abcdef" if is_complete else b"",
         sent=True,
         timed_out=False,
         error="",
-        headers=tuple(transfer.headers),
+        headers=transfer.reader.headers,
         defect=transfer.defect,
     )
     protocol = backend_protocol.ServerProtocol(datetime.timedelta(seconds=1))
@@ -173,7 +175,7 @@
         fields = {
             (line.partition(b":")[0], line.partition(b":")[2].strip(b" \t")) for line in lines
         }
-        for header in transfer.headers:
+        for header in transfer.reader.headers:
             received = (header.name.encode("latin-1"), header.value.encode("latin-1"))
             assert received in fields, (received, lines)
 
--- a/features/steps/single_sending.py
+++ b/features/steps/single_sending.py
@@ -73,7 +73,7 @@
 def disable_check(context):
     """Disables the check of a connection before libcurl reads from it."""
     original = socket_state.has_ended
-    socket_state.has_ended = lambda descriptor, local_port=0: False
+    socket_state.has_ended = lambda descriptor: False
     context.add_cleanup(setattr, socket_state, "has_ended", original)
 
 
@@ -172,4 +172,6 @@
 @then("it does not count as ended")
 def check_not_ended(context):
     """Checks the connection, which must raise no error."""
-    assert not context.connections.has_ended("127.0.0.1", 1)
+    descriptor = context.connections.find("127.0.0.1", 1)
+    state = socket_state.peek(descriptor, 1)
+    assert state is socket_state.SocketState.UNKNOWN, state
--- a/monsoonhoist/core/defects.py
+++ b/monsoonhoist/core/defects.py
@@ -8,11 +8,15 @@
 
     Attributes:
         FOREIGN: It belongs to another request, according to ``HttpCall.expected_header``.
-        MALFORMED: Its head has a line that is no header field.
         TOO_LONG: It is longer than one response may be, or it or the body of its request is the
             longest while all in progress together are too long.
+        STATUS_LINE: Its first line is no status line of HTTP/1.
+        LINE_END: A line of its head does not end with CR and LF, or has a CR elsewhere.
+        FIELD: A line of its head is no header field.
     """
 
     FOREIGN = "foreign"
-    MALFORMED = "malformed"
     TOO_LONG = "too long"
+    STATUS_LINE = "status line"
+    LINE_END = "line end"
+    FIELD = "field"
--- a/monsoonhoist/node/curl.py
+++ b/monsoonhoist/node/curl.py
@@ -31,6 +31,7 @@
 IDLE_CONNECTIONS_MAX = 4096
 # Encoding of request lines and header fields, which keeps all bytes.
 HEADER_ENCODING = "latin-1"
+
 _log = logging.getLogger(__name__)
 
 
@@ -54,7 +55,7 @@
         idle_connections_max: int = IDLE_CONNECTIONS_MAX,
     ):
         self._held: held_transfers.HeldTransfers[curl_transfer.Transfer] = (
-            held_transfers.HeldTransfers(responses_bytes_max, self._end_discarded)
+            held_transfers.HeldTransfers(responses_bytes_max, self._end_defective)
         )
         self._idle_seconds = max(1, round(idle_timeout.total_seconds()))
         self._loop = asyncio.get_running_loop()
@@ -75,7 +76,9 @@
         """Starts a call; ``on_done`` is called once with its result."""
         handle = self._idle_handles.pop() if self._idle_handles else pycurl.Curl()
         guard = single_sending.SendGuard(self._connections) if call.is_sent_once else None
-        transfer = curl_transfer.Transfer(handle, on_done, call, self._held.add, guard)
+        transfer = curl_transfer.Transfer(
+            handle, on_done, call, self._held.add, self._end_soon, guard
+        )
         self._set_options(handle, call, transfer)
         self._transfer_by_handle[handle] = transfer
         self._multi.add_handle(handle)
@@ -90,9 +93,14 @@
         self._held.release(transfer)
         self._release(transfer.handle)
 
-    def _end_discarded(self, transfer: curl_transfer.Transfer) -> None:
+    def _end_soon(self, transfer: curl_transfer.Transfer) -> None:
+        # curl must not be called from its own callback.
+        self._loop.call_soon(self._end_defective, transfer)
+
+    def _end_defective(self, transfer: curl_transfer.Transfer) -> None:
+        """Ends a call whose response is not accepted, unless it has ended."""
         if self._transfer_by_handle.get(transfer.handle) is transfer:
-            self._finish(transfer, pycurl.E_WRITE_ERROR, "the calls in progress hold too much")
+            self._finish(transfer, pycurl.E_WRITE_ERROR, "")
 
     def close(self) -> None:
         """Ends all calls without calling ``on_done`` and closes all connections."""
@@ -117,7 +125,8 @@
         if call.own_connection:
             handle.setopt(pycurl.FRESH_CONNECT, 1)
             handle.setopt(pycurl.FORBID_REUSE, 1)
-        handle.setopt(pycurl.HEADERFUNCTION, transfer.handle_header)
+        handle.setopt(pycurl.VERBOSE, 1)
+        handle.setopt(pycurl.DEBUGFUNCTION, transfer.handle_debug)
         if call.target:
             handle.setopt(pycurl.REQUEST_TARGET, request_target.encode(call.target))
         else:
@@ -172,17 +181,10 @@
             return
         del self._transfer_by_handle[handle]
         self._held.release(transfer)
-        # curl reports success if the server closes the connection within the head.
-        is_complete = not code and transfer.is_head_complete and transfer.defect is None
-        reply = http_call.HttpReply(
-            status=handle.getinfo(pycurl.RESPONSE_CODE) if is_complete else 0,
-            body=transfer.body.getvalue() if is_complete else b"",
-            sent=handle.getinfo(pycurl.REQUEST_SIZE) > 0,
-            timed_out=code == pycurl.E_OPERATION_TIMEDOUT,
-            error="" if is_complete else message or _describe_end(transfer),
-            headers=tuple(transfer.headers),
-            defect=transfer.defect,
-        )
+        reply = transfer.make_reply(code, message)
+        if reply.defect is not None and not code:
+            # curl would keep the connection.
+            socket_state.shut_down(handle.getinfo(pycurl.ACTIVESOCKET))
         self._release(handle)
         try:
             transfer.on_done(reply)
@@ -200,13 +202,6 @@
             handle.close()
 
 
-def _describe_end(transfer: curl_transfer.Transfer) -> str:
-    """Returns why a call that curl reports as successful has no complete response."""
-    if transfer.defect is not None:
-        return f"the response is {transfer.defect.value}"
-    return "the head of the response is incomplete"
-
-
 def _to_milliseconds(duration: datetime.timedelta) -> int:
     """Returns whole milliseconds, at least 1, since curl interprets 0 as no limit."""
     return max(1, int(duration.total_seconds() * MS_PER_SECOND))
--- a/monsoonhoist/node/curl_transfer.py
+++ b/monsoonhoist/node/curl_transfer.py
@@ -1,18 +1,16 @@
 """A call in progress: curl's callbacks for the bytes of its response."""
 
 import io
-import re
 from collections.abc import Callable
 
 import pycurl
 
-from monsoonhoist.core import defects, exchange
-from monsoonhoist.node import http_call, single_sending
+from monsoonhoist.core import defects
+from monsoonhoist.node import http_call, response_reader, single_sending
 
 # A call whose response has a longer body is ended.
 RESPONSE_BYTES_MAX = 8_388_608
-# A call whose response has a longer head, more lines in it, or both with interim heads and trailer
-# fields, is ended.
+# A call whose response has a longer head, or more lines in it, both with interim heads, is ended.
 HEAD_BYTES_MAX = 131_072
 HEAD_LINES_MAX = 1_000
 # Memory that a header field takes beyond its bytes.
@@ -20,11 +18,10 @@
 # Bytes that a response must hold before it is counted with the others in progress, so that short
 # responses, which are most, are not.
 COUNTED_BYTES_MIN = 4_096
-# Encoding of header fields, which keeps all bytes.
-HEADER_ENCODING = "latin-1"
-# Name of a header field, and the bytes that its value must not have (RFC 9110, section 5).
-_FIELD_NAME_PATTERN = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
-_CONTROL_BYTE_PATTERN = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
+# Kind of the lines of heads that curl passes to its debug callback.
+_HEADER_IN = pycurl.INFOTYPE_HEADER_IN
+# curl ends a head at a line that begins with one of these bytes.
+_HEAD_END_BYTES = b"\r\n"
 
 
 class Transfer:
@@ -35,6 +32,7 @@
         on_done: Called once with the result.
         call: The call.
         hold: Called with this transfer and the number of bytes that it holds in addition.
+        end_soon: Called with this transfer if its response is not accepted.
         send_guard: Keeps curl from sending the request again; None if curl may do so.
     """
 
@@ -44,95 +42,101 @@
         on_done: Callable[[http_call.HttpReply], None],
         call: http_call.HttpCall,
         hold: Callable[["Transfer", int], None],
+        end_soon: Callable[["Transfer"], None],
         send_guard: single_sending.SendGuard | None = None,
     ):
         self.handle = handle
         self.on_done = on_done
-        self.body = io.BytesIO()
-        self.headers: list[exchange.Header] = []
+        self.reader = response_reader.ResponseReader(call.expected_header)
         self.defect: defects.Defect | None = None
-        self.is_head_complete = False
         self.send_guard = send_guard
-        self._expected_header = call.expected_header
-        self._expected_name = call.expected_header.name.lower() if call.expected_header else ""
         self._is_counted = call.is_counted
         self._hold = hold
+        self._end_soon = end_soon
+        self._head_lines: list[bytes] = []
         self._head_bytes = 0
-        self._head_lines = 0
+        self._head_line_count = 0
+        self._body = io.BytesIO()
         self._uncounted_bytes = 0
 
     @property
     def received_bytes(self) -> int:
         """Bytes of the response that have arrived."""
-        return self._head_bytes + self.body.tell()
+        return self._head_bytes + self._body.tell()
 
     def awaits_response(self) -> bool:
         """Returns whether the request, which must be sent once, is sent and has no response yet."""
-        return self.send_guard is not None and self.send_guard.is_sent and not self._head_lines
+        is_sent = self.send_guard is not None and self.send_guard.is_sent
+        return is_sent and not self._head_bytes
 
-    def handle_header(self, line: bytes) -> int | None:
-        """Records a header line; returns -1 to make curl end the call and close its connection."""
-        if self.defect is None:
-            self.defect = self._find_excess(line) or self._handle_line(line)
-        return None if self.defect is None else -1
+    def handle_debug(self, kind: int, chunk: bytes) -> None:
+        """Reads a line of a head before curl does."""
+        if self.defect is not None:
+            return
+        if kind == _HEADER_IN:
+            self._read_line(chunk)
+        if self.defect is not None:
+            self._end_soon(self)
 
-    def _find_excess(self, line: bytes) -> defects.Defect | None:
-        """Counts a line of any head or trailer; returns a defect if there are too many."""
-        self._head_lines += 1
+    def _read_line(self, line: bytes) -> None:
+        self._head_lines.append(line)
+        self._head_line_count += 1
         self._head_bytes += len(line)
-        self._count(len(line) + HEADER_OVERHEAD_BYTES)
-        if self._head_lines > HEAD_LINES_MAX or self._head_bytes > HEAD_BYTES_MAX:
-            return defects.Defect.TOO_LONG
-        return self.defect
-
-    def _handle_line(self, line: bytes) -> defects.Defect | None:
-        # A status line begins a response; the headers of an interim one are discarded.
-        if line.startswith(b"HTTP/"):
-            self.headers.clear()
-            self.is_head_complete = False
-            return None
-        # What follows the head are trailer fields, which may be discarded (RFC 9110, 6.5.1).
-        if self.is_head_complete:
-            return None
-        field = line.rstrip(b"\r\n")
-        if not field:
-            self.is_head_complete = True
-            return None
-        return self._record_field(field)
-
-    def _record_field(self, field: bytes) -> defects.Defect | None:
-        """Records a header field; returns what is wrong with it."""
-        name_bytes, colon, value_bytes = field.partition(b":")
-        if not colon or not _FIELD_NAME_PATTERN.fullmatch(name_bytes):
-            return defects.Defect.MALFORMED
-        if _CONTROL_BYTE_PATTERN.search(value_bytes):
-            return defects.Defect.MALFORMED
-        name = name_bytes.decode(HEADER_ENCODING)
-        value = value_bytes.strip(b" \t").decode(HEADER_ENCODING)
-        self.headers.append(exchange.Header(name, value))
-        if name.lower() == self._expected_name and value != self._expected_header.value:
-            return defects.Defect.FOREIGN
-        return None
+        self._uncounted_bytes += len(line) + HEADER_OVERHEAD_BYTES
+        if self._uncounted_bytes >= COUNTED_BYTES_MIN:
+            self._count_held()
+        if self._head_bytes > HEAD_BYTES_MAX or self._head_line_count > HEAD_LINES_MAX:
+            self.defect = defects.Defect.TOO_LONG
+        elif line[0] in _HEAD_END_BYTES:
+            lines, self._head_lines = self._head_lines, []
+            self.defect = self.reader.read_head(lines)
 
     def write_body(self, chunk: bytes) -> int:
         """Records a chunk of the body; returns fewer bytes than given to make curl end the call."""
-        if self.body.tell() + len(chunk) > RESPONSE_BYTES_MAX:
+        if self._body.tell() + len(chunk) > RESPONSE_BYTES_MAX:
             self.discard()
         if self.defect is not None:
             return 0
-        self.body.write(chunk)
-        self._count(len(chunk))
+        self._body.write(chunk)
+        self._uncounted_bytes += len(chunk)
+        if self._uncounted_bytes >= COUNTED_BYTES_MIN:
+            self._count_held()
         return len(chunk) if self.defect is None else 0
 
-    def _count(self, byte_count: int) -> None:
+    def _count_held(self) -> None:
         """Counts bytes that this response holds; it is discarded if it is the one to be ended."""
-        self._uncounted_bytes += byte_count
-        if self._uncounted_bytes >= COUNTED_BYTES_MIN and self._is_counted:
-            count, self._uncounted_bytes = self._uncounted_bytes, 0
+        count, self._uncounted_bytes = self._uncounted_bytes, 0
+        if self._is_counted:
             self._hold(self, count)
 
     def discard(self) -> None:
         """Drops what was received of a response that is too long."""
         self.defect = defects.Defect.TOO_LONG
-        self.body = io.BytesIO()
-        self.headers.clear()
+        self._body = io.BytesIO()
+        self._head_lines.clear()
+
+    def make_reply(self, code: int, message: str) -> http_call.HttpReply:
+        """Returns the result of the call when curl has ended it.
+
+        Args:
+            code: Error of curl; 0 for none.
+            message: Error message of curl; empty for none.
+        """
+        # curl reports success if the server closes the connection within the head.
+        is_sound = self.reader.is_head_complete and self.defect is None
+        is_complete = not code and is_sound
+        return http_call.HttpReply(
+            status=self.reader.status if is_complete else 0,
+            body=self._body.getvalue() if is_complete else b"",
+            sent=self.handle.getinfo(pycurl.REQUEST_SIZE) > 0,
+            timed_out=code == pycurl.E_OPERATION_TIMEDOUT,
+            error="" if is_complete else self._describe_end(message),
+            headers=self.reader.headers if is_sound else (),
+            defect=self.defect,
+        )
+
+    def _describe_end(self, message: str) -> str:
+        """Returns why there is no complete response, given the message of curl."""
+        if self.defect is not None:
+            return f"response not accepted: {self.defect.value}"
+        return message or "the head of the response is incomplete"
--- a/monsoonhoist/node/http_call.py
+++ b/monsoonhoist/node/http_call.py
@@ -47,8 +47,9 @@
         body: Response body.
         sent: Whether any byte of the request may have been sent.
         timed_out: Whether the call ended at its timeout.
-        error: Error message of curl; empty if there is a response.
-        headers: Header fields of the response.
+        error: Why there is no complete response; empty if there is one.
+        headers: Header fields of the response, also if its body is incomplete; empty if its head is
+            incomplete, or if it was not accepted.
         defect: Why the response was not accepted; None if it was, or if there is none.
     """
 
--- /dev/null
+++ b/monsoonhoist/node/http_grammar.py
@@ -0,0 +1,28 @@
+"""Grammar of HTTP/1 responses (RFC 9112; fields and tokens: RFC 9110, section 5.6).
+
+Bytes are matched as Latin-1, which keeps all of them, and lines with their ends. A line that ends
+with LF alone does not match, although a recipient may accept it (RFC 9112, section 2.2): in the
+head of a faulty server it hides a changed byte, and with it the end of the head or the length of
+the body.
+"""
+
+import re
+
+ENCODING = "latin-1"
+LINE_END = "\r\n"
+_TOKEN = r"[!#$%&'*+.^_`|~0-9A-Za-z-]+"
+_TEXT = r"[\t\x20-\x7e\x80-\xff]*"
+_STATUS_LINE = r"HTTP/[^\r\n ]* *([0-9]{1,3})[^\r\n]*\r\n"
+_FIELD_LINE = rf"{_TOKEN}:{_TEXT}\r\n"
+
+# Groups: the status, and the lines of all fields.
+HEAD = re.compile(rf"{_STATUS_LINE}((?:{_FIELD_LINE})*)\r\n")
+STATUS_LINE = re.compile(_STATUS_LINE)
+FIELD_LINE = re.compile(_FIELD_LINE)
+# Groups: the name, and the value with the blanks around it.
+FIELD = re.compile(rf"({_TOKEN}):({_TEXT})\r\n")
+
+
+def has_odd_end(line: str) -> bool:
+    """Returns whether a line does not end with CR and LF, or has a CR elsewhere."""
+    return not line.endswith(LINE_END) or "\r" in line[: -len(LINE_END)]
--- /dev/null
+++ b/monsoonhoist/node/response_reader.py
@@ -0,0 +1,79 @@
+"""Judges a response by the bytes of its connection, beside the HTTP library that transfers it.
+
+The library accepts heads that RFC 9112 does not, and reports success for a response that more bytes
+follow. Here nothing is accepted but what the grammar allows, and the verdict is final: whatever
+reads responses takes it from here.
+
+The library replaces folded lines before it passes them on, as a recipient may (RFC 9112, section
+5.2), so that a fold cannot be noticed here.
+"""
+
+from monsoonhoist.core import defects, exchange
+from monsoonhoist.node import http_grammar
+
+# Statuses of final responses; those below them are interim (RFC 9110, section 15).
+FINAL_STATUS_MIN = 200
+INTERIM_STATUS_MIN = 100
+
+
+class ResponseReader:
+    """Reads one response, with the interim ones before it.
+
+    Args:
+        expected_header: Header that the response must not contradict; None for none.
+
+    Attributes:
+        status: Status of the response; 0 before it is known.
+        headers: Header fields of the response; empty before its head is complete.
+        is_head_complete: Whether the head of the response has been read.
+    """
+
+    def __init__(self, expected_header: exchange.Header | None):
+        self.status = 0
+        self.headers: tuple[exchange.Header, ...] = ()
+        self.is_head_complete = False
+        self._expected_value = expected_header.value if expected_header else ""
+        self._expected_values: list[str] = []
+        self._judged_values_by_name: dict[str, list[str]] = {}
+        if expected_header:
+            self._judged_values_by_name[expected_header.name.lower()] = self._expected_values
+
+    def read_head(self, lines: list[bytes]) -> defects.Defect | None:
+        """Reads the lines of a head, with their ends; returns what is wrong with them."""
+        match = http_grammar.HEAD.fullmatch(b"".join(lines).decode(http_grammar.ENCODING))
+        if match is None:
+            return _find_line_defect(lines)
+        self.status = int(match[1])
+        if INTERIM_STATUS_MIN <= self.status < FINAL_STATUS_MIN:
+            return None
+        self.is_head_complete = True
+        self._record_fields(http_grammar.FIELD.findall(match[2]))
+        if any(value != self._expected_value for value in self._expected_values):
+            return defects.Defect.FOREIGN
+        return None
+
+    def _record_fields(self, fields: list[tuple[str, str]]) -> None:
+        """Records the header fields, and apart from them those that this reader judges."""
+        headers = []
+        for name, text in fields:
+            value = text.strip(" \t")
+            headers.append(exchange.Header(name, value))
+            judged_values = self._judged_values_by_name.get(name.lower())
+            if judged_values is not None:
+                judged_values.append(value)
+        self.headers = tuple(headers)
+
+
+def _find_line_defect(lines: list[bytes]) -> defects.Defect:
+    """Returns what is wrong with the first wrong line of a head."""
+    status_line, *field_lines = [line.decode(http_grammar.ENCODING) for line in lines]
+    if not http_grammar.STATUS_LINE.fullmatch(status_line):
+        is_end = http_grammar.has_odd_end(status_line)
+        return defects.Defect.LINE_END if is_end else defects.Defect.STATUS_LINE
+    wrong_line = next(
+        line
+        for line in field_lines
+        if line != http_grammar.LINE_END and not http_grammar.FIELD_LINE.fullmatch(line)
+    )
+    is_end = http_grammar.has_odd_end(wrong_line)
+    return defects.Defect.LINE_END if is_end else defects.Defect.FIELD
--- a/monsoonhoist/node/single_sending.py
+++ b/monsoonhoist/node/single_sending.py
@@ -32,10 +32,9 @@
         if len(self._descriptor_by_endpoint) > ENDPOINTS_MAX:
             del self._descriptor_by_endpoint[next(iter(self._descriptor_by_endpoint))]
 
-    def has_ended(self, address: str, port: int) -> bool:
-        """Returns whether a connection is known to have ended."""
-        descriptor = self._descriptor_by_endpoint.get((address, port))
-        return descriptor is not None and socket_state.has_ended(descriptor, port)
+    def find(self, address: str, port: int) -> int | None:
+        """Returns the descriptor of a kept connection, or None if it is unknown."""
+        return self._descriptor_by_endpoint.get((address, port))
 
 
 class SendGuard:
@@ -75,12 +74,23 @@
             return pycurl.PREREQFUNC_ABORT
         if self._descriptor is not None:
             self._connections.record(local_address, local_port, self._descriptor)
-        elif self._connections.has_ended(local_address, local_port):
-            self._has_met_ended = True
-            return pycurl.PREREQFUNC_ABORT
+        else:
+            self._descriptor = self._connections.find(local_address, local_port)
+            if not self._is_usable(local_port):
+                self._has_met_ended = True
+                return pycurl.PREREQFUNC_ABORT
         self.is_sent = True
         return pycurl.PREREQFUNC_OK
 
+    def _is_usable(self, local_port: int) -> bool:
+        """Returns whether the kept connection of the call is not known to have ended."""
+        if self._descriptor is None:
+            return True
+        state = socket_state.peek(self._descriptor, local_port)
+        if state is socket_state.SocketState.UNKNOWN:
+            self._descriptor = None
+        return state is not socket_state.SocketState.ENDED
+
     def _allow_connection(self, descriptor: int, purpose: int) -> int:
         """Callback of curl before it opens a connection."""
         if self.is_sent:
--- a/monsoonhoist/node/socket_state.py
+++ b/monsoonhoist/node/socket_state.py
@@ -1,5 +1,6 @@
 """State of sockets that another library owns, known by their descriptors."""
 
+import enum
 import errno
 import socket
 
@@ -10,8 +11,29 @@
 _ENDED_ERRORS = (errno.ECONNRESET, errno.EPIPE, errno.ETIMEDOUT, errno.EHOSTUNREACH)
 
 
-def has_ended(descriptor: int, local_port: int = 0) -> bool:
-    """Returns whether a socket has been closed or reset by its peer and holds no more data.
+class SocketState(enum.Enum):
+    """State of a connected socket.
+
+    Attributes:
+        QUIET: It is open and holds no data.
+        READABLE: It holds data.
+        ENDED: Its peer has closed or reset it, and it holds no data.
+        UNKNOWN: It cannot be told, or the socket is another one.
+    """
+
+    QUIET = enum.auto()
+    READABLE = enum.auto()
+    ENDED = enum.auto()
+    UNKNOWN = enum.auto()
+
+
+def has_ended(descriptor: int) -> bool:
+    """Returns whether a socket has been closed or reset by its peer and holds no more data."""
+    return peek(descriptor) is SocketState.ENDED
+
+
+def peek(descriptor: int, local_port: int = 0) -> SocketState:
+    """Returns the state of a connected socket without reading from it.
 
     Args:
         descriptor: Descriptor of the socket.
@@ -25,14 +47,35 @@
     except OSError:
         # The descriptor has been closed, so that the connection is another one. An exception in a
         # callback of curl would end all calls, also later ones.
-        return False
+        return SocketState.UNKNOWN
     try:
         if local_port and view.getsockname()[1] != local_port:
-            return False
-        return not view.recv(1, _PEEK_FLAGS)
+            return SocketState.UNKNOWN
+        return SocketState.READABLE if view.recv(1, _PEEK_FLAGS) else SocketState.ENDED
     except BlockingIOError:
-        return False
+        return SocketState.QUIET
     except OSError as error:
-        return error.errno in _ENDED_ERRORS
+        return SocketState.ENDED if error.errno in _ENDED_ERRORS else SocketState.UNKNOWN
+    finally:
+        view.detach()
+
+
+def shut_down(descriptor: int) -> None:
+    """Ends the connection of a socket, so that it is not used again; its owner closes it.
+
+    Args:
+        descriptor: Descriptor of the socket; negative if it is closed already.
+    """
+    if descriptor < 0:
+        return
+    try:
+        view = socket.SocketType(_FAMILY, _KIND, 0, descriptor)
+    except OSError:
+        return
+    try:
+        view.shutdown(socket.SHUT_RDWR)
+    except OSError:
+        # The peer has ended it already.
+        return
     finally:
         view.detach()
--- a/standins/shards.py
+++ b/standins/shards.py
@@ -10,6 +10,8 @@
 import socket
 import struct
 
+from standins import spoiled_responses
+
 # Number and size of the records of a shard.
 RECORDS = 12
 RECORD_BYTES = 16
@@ -37,10 +39,13 @@
             status of an interim response, ``trailer`` in chunks with a field after the last one,
             ``endless_head``, ``endless_line``, ``endless_interim``, ``endless_fields``,
             ``endless_body`` and ``endless_trailer`` with bytes until the connection is closed, and
-            ``not_http`` with bytes that are not HTTP.
+            ``not_http`` with bytes that are not HTTP. A name of ``spoiled_responses.FAULT_BY_NAME``
+            changes a sound reply.
         remaining_faults: Number of further requests that the fault affects; -1 for no limit.
         is_leaving: Whether the server says in each reply that it is leaving.
         body_bytes: Length of the replies' bodies; 0 for the records of the shard.
+        closes_connection: Whether the server closes the connection after each reply.
+        denies_run: Whether each reply says, although the request ran, that it did not.
     """
 
     work_seconds: float = 0.005
@@ -48,6 +53,8 @@
     remaining_faults: int = -1
     is_leaving: bool = False
     body_bytes: int = 0
+    closes_connection: bool = False
+    denies_run: bool = False
 
 
 @dataclasses.dataclass
@@ -194,7 +201,8 @@
         while fault in _ENDLESS_BYTES_BY_FAULT:
             writer.write(_ENDLESS_BYTES_BY_FAULT[fault])
             await writer.drain()
-        return fault not in ("truncated", "cut_head", "not_http")
+        is_cut = fault in ("truncated", "cut_head", "not_http")
+        return not is_cut and not self.behaviour.closes_connection
 
     def _next_fault(self) -> str:
         """Returns the fault of the next reply and decrements the number of further faults."""
@@ -207,22 +215,12 @@
 
     def _encode_reply(self, request: ReceivedRequest, fault: str) -> bytes:
         """Returns the bytes of an HTTP response with the given fault."""
+        if fault in spoiled_responses.FAULT_BY_NAME:
+            return spoiled_responses.spoil(self._encode_reply(request, ""), fault)
         if fault == "not_http":
             return b"\x00\x01\x02 no answer\r\n\r\n"
+        head = self._encode_head(request, fault)
         body = b"x" * self.behaviour.body_bytes or self.shard_records(request.request_id)
-        status = _STATUS_BY_FAULT.get(fault, "200 OK")
-        request_id = "another" if fault == "foreign_id" else request.request_id
-        lines = [f"HTTP/1.1 {status}", f"X-Request-Id: {request_id}"]
-        if fault != "no_proof":
-            separator = _PROOF_SEPARATOR_BY_FAULT.get(fault, ".")
-            number = len(self.received_requests)
-            lines.append(f"X-Server-Stamp: {self.name}.{request.request_id}{separator}{number}")
-        if fault == "encoded":
-            lines.append("Content-Encoding: gzip")
-        if self.behaviour.is_leaving:
-            lines.append("Server-Leaving: 1")
-        lines += ["X-Backend-Load: 0,0,2,100", _EXTRA_HEADER_BY_FAULT.get(fault, "X-Extra: kept")]
-        head = "\r\n".join(lines).encode() + b"\r\n"
         if fault in ("cut_head", "endless_head", "endless_line", "endless_fields"):
             return head
         if fault == "endless_interim":
@@ -239,6 +237,26 @@
         sent_body = b"" if request.method == "HEAD" else body
         return head + f"Content-Length: {len(body)}\r\n\r\n".encode() + sent_body
 
+    def _encode_head(self, request: ReceivedRequest, fault: str) -> bytes:
+        """Returns the head of a response, without the fields that tell where the body ends."""
+        status = _STATUS_BY_FAULT.get(fault, "200 OK")
+        if self.behaviour.denies_run:
+            status = "503 Busy"
+        request_id = "another" if fault == "foreign_id" else request.request_id
+        lines = [f"HTTP/1.1 {status}", f"X-Request-Id: {request_id}"]
+        if fault != "no_proof":
+            separator = _PROOF_SEPARATOR_BY_FAULT.get(fault, ".")
+            number = len(self.received_requests)
+            lines.append(f"X-Server-Stamp: {self.name}.{request.request_id}{separator}{number}")
+        if fault == "encoded":
+            lines.append("Content-Encoding: gzip")
+        if self.behaviour.denies_run:
+            lines.append("X-Not-Run: 1")
+        if self.behaviour.is_leaving:
+            lines.append("Server-Leaving: 1")
+        lines += ["X-Backend-Load: 0,0,2,100", _EXTRA_HEADER_BY_FAULT.get(fault, "X-Extra: kept")]
+        return "\r\n".join(lines).encode() + b"\r\n"
+
 
 _ENDLESS_BYTES_BY_FAULT = {
     "endless_head": b"X-Filler: " + b"x" * 4096 + b"\r\n",
