Accept only status lines of HTTP/1 as the first line of a response

Callers saw: 200 with the whole body where the server had sent status 2000, "200xOK", HTTP/2.1 or HTTP/3.7, or a control byte in the reason. A first line that is no status line says nothing of the answer.

Change: the status line must match RFC 9112, section 4, and the status is read from it.

--- a/features/broken_answers.feature
+++ b/features/broken_answers.feature
@@ -26,8 +26,14 @@
       | LF without CR           | keep  |
       | CR twice                | keep  |
 
-    Examples: a first line whose end is wrong
+    Examples: a first line that is no status line
       | fault                  | end   |
+      | status 2000            | close |
+      | status 2000            | keep  |
+      | status 200xOK          | close |
+      | version 2.1            | close |
+      | version 3.7            | close |
+      | control byte in reason | keep  |
       | LF after reason        | keep  |
 
     Examples: a later line that begins like a status line
@@ -51,3 +57,4 @@
     Examples:
       | fault            |
       | CR twice         |
+      | version 2.1      |
--- a/features/response_heads.feature
+++ b/features/response_heads.feature
@@ -23,6 +23,11 @@
       | two LF in value           |
       | LF in value               |
       | LF without CR             |
+      | status 2000               |
+      | status 200xOK             |
+      | version 2.1               |
+      | version 3.7               |
+      | control byte in reason    |
       | LF after reason           |
       | HTTP/1.1 as a field       |
 
--- a/monsoonhoist/node/http_grammar.py
+++ b/monsoonhoist/node/http_grammar.py
@@ -12,10 +12,10 @@
 LINE_END = "\r\n"
 _TOKEN = r"[!#$%&'*+.^_`|~0-9A-Za-z-]+"
 _TEXT = r"[\t\x20-\x7e\x80-\xff]*"
-_STATUS_LINE = r"HTTP/[^\r\n ]* *([0-9]{1,3})[^\r\n]*\r\n"
+_STATUS_LINE = rf"HTTP/1\.([0-9]) ([0-9]{{3}}) {_TEXT}\r\n"
 _FIELD_LINE = rf"{_TOKEN}:{_TEXT}\r\n"
 
-# Groups: the status, and the lines of all fields.
+# Groups: the minor version, the status, and the lines of all fields.
 HEAD = re.compile(rf"{_STATUS_LINE}((?:{_FIELD_LINE})*)\r\n")
 STATUS_LINE = re.compile(_STATUS_LINE)
 FIELD_LINE = re.compile(_FIELD_LINE)
--- a/monsoonhoist/node/response_reader.py
+++ b/monsoonhoist/node/response_reader.py
@@ -43,11 +43,11 @@
         match = http_grammar.HEAD.fullmatch(b"".join(lines).decode(http_grammar.ENCODING))
         if match is None:
             return _find_line_defect(lines)
-        self.status = int(match[1])
+        self.status = int(match[2])
         if INTERIM_STATUS_MIN <= self.status < FINAL_STATUS_MIN:
             return None
         self.is_head_complete = True
-        self._record_fields(http_grammar.FIELD.findall(match[2]))
+        self._record_fields(http_grammar.FIELD.findall(match[3]))
         if any(value != self._expected_value for value in self._expected_values):
             return defects.Defect.FOREIGN
         return None
