Refuse statuses that no final response has

Callers saw: 101 with the body, 600, and 999, from servers in trouble. A 101 on a connection that stayed open ended only at the call's timeout, since libcurl then waits for the other protocol.

Cause: any status was passed on. 101 answers a request to switch protocols, which is never made, and statuses above 599 have no class (RFC 9110, section 15).

Change: 101 and statuses outside 100 to 599 are a defect, known at the end of the head.

Status 000, as in the issue, was handled already: libcurl refuses it, and so does the reader now.

--- a/features/broken_answers.feature
+++ b/features/broken_answers.feature
@@ -36,6 +36,13 @@
       | control byte in reason | keep  |
       | LF after reason        | keep  |
 
+    Examples: a status that is none of a final answer
+      | fault      | end   |
+      | status 101 | close |
+      | status 101 | keep  |
+      | status 600 | close |
+      | status 999 | keep  |
+
     Examples: a later line that begins like a status line
       | fault               | end   |
       | HTTP/1.1 as a field | close |
@@ -43,6 +50,8 @@
 
     Examples: refused before the incident
       | fault                | end   |
+      | status 000           | close |
+      | status 000           | keep  |
       | blank in name        | keep  |
       | control byte in name | keep  |
 
--- a/features/response_heads.feature
+++ b/features/response_heads.feature
@@ -29,6 +29,9 @@
       | version 3.7               |
       | control byte in reason    |
       | LF after reason           |
+      | status 101                |
+      | status 600                |
+      | status 999                |
       | HTTP/1.1 as a field       |
 
   Scenario Outline: A sound response is accepted in whatever parts it arrives
--- a/monsoonhoist/core/defects.py
+++ b/monsoonhoist/core/defects.py
@@ -11,6 +11,7 @@
         TOO_LONG: It is longer than one response may be, or it or the body of its request is the
             longest while all in progress together are too long.
         STATUS_LINE: Its first line is no status line of HTTP/1.
+        STATUS: Its status is none of a final response, or that of a switch of protocols.
         LINE_END: A line of its head does not end with CR and LF, or has a CR elsewhere.
         FIELD: A line of its head is no header field.
     """
@@ -18,5 +19,6 @@
     FOREIGN = "foreign"
     TOO_LONG = "too long"
     STATUS_LINE = "status line"
+    STATUS = "status"
     LINE_END = "line end"
     FIELD = "field"
--- a/monsoonhoist/node/response_reader.py
+++ b/monsoonhoist/node/response_reader.py
@@ -11,9 +11,11 @@
 from monsoonhoist.core import defects, exchange
 from monsoonhoist.node import http_grammar
 
+STATUS_SWITCHING_PROTOCOLS = 101
 # Statuses of final responses; those below them are interim (RFC 9110, section 15).
 FINAL_STATUS_MIN = 200
 INTERIM_STATUS_MIN = 100
+STATUS_MAX = 599
 
 
 class ResponseReader:
@@ -44,7 +46,9 @@
         if match is None:
             return _find_line_defect(lines)
         self.status = int(match[2])
-        if INTERIM_STATUS_MIN <= self.status < FINAL_STATUS_MIN:
+        if not _is_expected(self.status):
+            return defects.Defect.STATUS
+        if self.status < FINAL_STATUS_MIN:
             return None
         self.is_head_complete = True
         self._record_fields(http_grammar.FIELD.findall(match[3]))
@@ -64,6 +68,12 @@
         self.headers = tuple(headers)
 
 
+def _is_expected(status: int) -> bool:
+    """Returns whether a status may be answered; no request asks for a switch of protocols."""
+    is_valid = INTERIM_STATUS_MIN <= status <= STATUS_MAX
+    return is_valid and status != STATUS_SWITCHING_PROTOCOLS
+
+
 def _find_line_defect(lines: list[bytes]) -> defects.Defect:
     """Returns what is wrong with the first wrong line of a head."""
     status_line, *field_lines = [line.decode(http_grammar.ENCODING) for line in lines]
