Refuse heads that do not say in one valid way where the body ends

Callers saw: 200 for answers with two transfer codings, a coding beside a length, or a length of more than 64 bits. libcurl takes such a length for none, so that a body that was cut off looked whole.

Cause: the fields that frame the body were libcurl's matter alone.

Change: a transfer coding must be that of chunks alone, without a length and not in HTTP/1.0; a length must be one number of at most 18 digits (RFC 9112, sections 6.1 to 6.3).

--- a/features/broken_answers.feature
+++ b/features/broken_answers.feature
@@ -48,6 +48,12 @@
       | HTTP/1.1 as a field | close |
       | second status line  | keep  |
 
+    Examples: a head that does not say where the body ends
+      | fault                 | end   |
+      | coding twice          | keep  |
+      | coding and length     | keep  |
+      | length beyond 64 bits | close |
+
     Examples: refused before the incident
       | fault                | end   |
       | status 000           | close |
--- a/features/response_heads.feature
+++ b/features/response_heads.feature
@@ -33,6 +33,9 @@
       | status 600                |
       | status 999                |
       | HTTP/1.1 as a field       |
+      | coding twice              |
+      | coding and length         |
+      | length beyond 64 bits     |
 
   Scenario Outline: A sound response is accepted in whatever parts it arrives
     Given a response in the parts <parts>
--- a/monsoonhoist/core/defects.py
+++ b/monsoonhoist/core/defects.py
@@ -14,6 +14,8 @@
         STATUS: Its status is none of a final response, or that of a switch of protocols.
         LINE_END: A line of its head does not end with CR and LF, or has a CR elsewhere.
         FIELD: A line of its head is no header field.
+        LENGTH: The length of its body is no number, or has several values.
+        CODING: Its transfer coding is not that of chunks alone.
     """
 
     FOREIGN = "foreign"
@@ -22,3 +24,5 @@
     STATUS = "status"
     LINE_END = "line end"
     FIELD = "field"
+    LENGTH = "length"
+    CODING = "transfer coding"
--- a/monsoonhoist/node/http_grammar.py
+++ b/monsoonhoist/node/http_grammar.py
@@ -21,6 +21,8 @@
 FIELD_LINE = re.compile(_FIELD_LINE)
 # Groups: the name, and the value with the blanks around it.
 FIELD = re.compile(rf"({_TOKEN}):({_TEXT})\r\n")
+# Value of ``Content-Length`` (RFC 9110, section 8.6), with digits for less than 64 bits.
+LENGTH = re.compile(r"[0-9]{1,18}")
 
 
 def has_odd_end(line: str) -> bool:
--- a/monsoonhoist/node/response_reader.py
+++ b/monsoonhoist/node/response_reader.py
@@ -11,6 +11,9 @@
 from monsoonhoist.core import defects, exchange
 from monsoonhoist.node import http_grammar
 
+CONTENT_LENGTH = "content-length"
+TRANSFER_ENCODING = "transfer-encoding"
+CHUNKED = "chunked"
 STATUS_SWITCHING_PROTOCOLS = 101
 # Statuses of final responses; those below them are interim (RFC 9110, section 15).
 FINAL_STATUS_MIN = 200
@@ -34,9 +37,14 @@
         self.status = 0
         self.headers: tuple[exchange.Header, ...] = ()
         self.is_head_complete = False
+        self._lengths: list[str] = []
+        self._codings: list[str] = []
         self._expected_value = expected_header.value if expected_header else ""
         self._expected_values: list[str] = []
-        self._judged_values_by_name: dict[str, list[str]] = {}
+        self._judged_values_by_name = {
+            CONTENT_LENGTH: self._lengths,
+            TRANSFER_ENCODING: self._codings,
+        }
         if expected_header:
             self._judged_values_by_name[expected_header.name.lower()] = self._expected_values
 
@@ -54,7 +62,7 @@
         self._record_fields(http_grammar.FIELD.findall(match[3]))
         if any(value != self._expected_value for value in self._expected_values):
             return defects.Defect.FOREIGN
-        return None
+        return self._find_framing_defect(has_chunks=match[1] != "0")
 
     def _record_fields(self, fields: list[tuple[str, str]]) -> None:
         """Records the header fields, and apart from them those that this reader judges."""
@@ -67,6 +75,20 @@
                 judged_values.append(value)
         self.headers = tuple(headers)
 
+    def _find_framing_defect(self, has_chunks: bool) -> defects.Defect | None:
+        """Returns what is wrong with the fields that tell where the body ends (section 6).
+
+        Args:
+            has_chunks: Whether the version of the protocol has bodies in chunks.
+        """
+        lengths = self._lengths
+        if self._codings:
+            is_chunked = len(self._codings) == 1 and self._codings[0].lower() == CHUNKED
+            return None if is_chunked and has_chunks and not lengths else defects.Defect.CODING
+        if lengths and not (len(set(lengths)) == 1 and http_grammar.LENGTH.fullmatch(lengths[0])):
+            return defects.Defect.LENGTH
+        return None
+
 
 def _is_expected(status: int) -> bool:
     """Returns whether a status may be answered; no request asks for a switch of protocols."""
