Refuse responses that bytes follow, since their length is not the body's

Callers saw: 200 with the body cut at a wrong length: a digit of the length had become a blank, a tab or another digit. Such a head is valid; only the bytes behind the body show that the length is wrong.

Cause: libcurl drops these bytes, closes the connection and reports success.

Change: curl's debug callback receives all bytes of the connection. node/response_body compares their number with the length; a response that more follow is not accepted. Bytes that libcurl has not read, since it reads no further than the body, are looked for on the socket, unless the body came with the head. Where libcurl keeps the connection of a response that is not accepted, it is shut down.

What cannot be known: bytes that arrive after the response was forwarded, or never. An answer whose last part is lost with its length changed to match is a valid answer.

--- a/features/broken_answers.feature
+++ b/features/broken_answers.feature
@@ -16,6 +16,15 @@
     Then all statuses are 200
     And no answer lists a proof of the server "alpha"
 
+    Examples: a length that is shorter than the body
+      | fault                     | end   |
+      | length: first digit blank | close |
+      | length: first digit blank | keep  |
+      | length: last digit tab    | close |
+      | length: first digit 0     | close |
+      | length: 0                 | close |
+      | length: 0                 | keep  |
+
     Examples: a line whose end is wrong
       | fault                   | end   |
       | CR line before length   | close |
@@ -54,6 +63,12 @@
       | coding and length     | keep  |
       | length beyond 64 bits | close |
 
+    Examples: bytes after the body
+      | fault              | end   |
+      | bytes after body   | close |
+      | bytes after body   | keep  |
+      | body of status 204 | keep  |
+
     Examples: refused before the incident
       | fault                | end   |
       | status 000           | close |
@@ -73,3 +88,4 @@
       | fault            |
       | CR twice         |
       | version 2.1      |
+      | bytes after body |
--- a/features/response_heads.feature
+++ b/features/response_heads.feature
@@ -12,11 +12,24 @@
   Scenario: A head that is accepted says what the server sent
     Then each field that is accepted of a generated head is one of its lines
 
+  # Guards against heads that libcurl accepts and RFC 9112 does not, and against the opposite.
+  # The long run, which is started by hand, puts in all bytes: scripts/test -D bytes=all.
+  Scenario Outline: A head with one changed byte is read as RFC 9112 says
+    Then the client accepts a head with <framing> and one changed byte only where RFC 9112 does
+
+    Examples:
+      | framing  |
+      | a length |
+
   Scenario Outline: A response with a fault is refused, and its connection is not used again
     Then the client refuses the fault <fault>, on connections that are closed and kept
 
     Examples: refused since the incident of 2026-12-07
       | fault                     |
+      | length: first digit blank |
+      | length: last digit tab    |
+      | length: first digit 0     |
+      | length: 0                 |
       | CR line before length     |
       | CR before length          |
       | LF for CR before length   |
@@ -36,6 +49,17 @@
       | coding twice              |
       | coding and length         |
       | length beyond 64 bits     |
+      | bytes after body          |
+      | body of status 204        |
+
+  Scenario Outline: Bytes after a body are noticed wherever they arrive
+    Given a response in the parts <parts>
+    Then the client refuses it, whether its connection is kept or not
+
+    Examples:
+      | parts                                        |
+      | head and 2 bytes, 62 bytes, of which 2 count |
+      | 60000 bytes, of which 30000 count            |
 
   Scenario Outline: A sound response is accepted in whatever parts it arrives
     Given a response in the parts <parts>
--- a/features/steps/answered_bytes.py
+++ b/features/steps/answered_bytes.py
@@ -6,6 +6,7 @@
 
 from behave import given, then
 
+from features import rfc9112
 from monsoonhoist.core import exchange
 from monsoonhoist.node import curl, http_call
 from standins import spoiled_responses
@@ -34,6 +35,9 @@
         b"",
     )
 )
+RESPONSE_BY_NAME = {"a length": SOUND_RESPONSE, "chunks": CHUNKED_RESPONSE}
+# Bytes with a meaning in a head, and some without.
+INSERTED_BYTES = b"\x00\t\n\r ,09:;aA\x7f\xe9"
 
 
 class ByteServer:
@@ -113,6 +117,55 @@
     return asyncio.run(run())
 
 
+def changed_heads(response, values):
+    """Yields a response with each byte of its head removed, doubled, replaced, and one inserted.
+
+    Args:
+        response: The sound response.
+        values: The bytes that are put in, each at each place.
+    """
+    head_end = response.index(b"\r\n\r\n") + 4
+    for place in range(head_end):
+        before, byte, after = response[:place], response[place : place + 1], response[place + 1 :]
+        yield before + after
+        yield before + byte + byte + after
+        for value in values:
+            yield before + bytes([value]) + after
+            yield before + bytes([value]) + byte + after
+
+
+def check_reply(stream, reply):
+    """Compares a reply with what RFC 9112 says of the bytes."""
+    message = rfc9112.read(stream)
+    if reply.status:
+        assert message is not None, ("accepted", stream, reply)
+        assert (reply.status, reply.body) == (message.status, message.body), (stream, reply)
+    elif message is not None:
+        assert is_refusal_allowed(message), ("refused", stream, reply)
+
+
+def is_refusal_allowed(message):
+    """Returns whether a valid response may be refused.
+
+    It may belong to another request, or have a minor version that libcurl does not know.
+    """
+    is_foreign = message.values_by_name.get(b"x-request-id", [b"r-1"]) != [b"r-1"]
+    return is_foreign or message.minor_version > 1
+
+
+@then("the client accepts a head with {name} and one changed byte only where RFC 9112 does")
+def check_changed_heads(context, name):
+    """Checks a head with one change at each of its places, by ``-D bytes=all`` with all bytes."""
+    is_long_run = context.config.userdata.get("bytes") == "all"
+    inserted = bytes(range(256)) if is_long_run else INSERTED_BYTES
+    streams = list(changed_heads(RESPONSE_BY_NAME[name], inserted))
+    replies, _ = read_responses([(stream,) for stream in streams])
+    for stream, reply in zip(streams, replies, strict=True):
+        check_reply(stream, reply)
+    accepted = sum(reply.status > 0 for reply in replies)
+    print(f"{len(streams)} heads, {accepted} accepted")
+
+
 @then("the client refuses the fault {fault}, on connections that are closed and kept")
 def check_fault(context, fault):
     """Checks a fault of the stand-in, for requests on new and on kept connections."""
@@ -159,6 +212,16 @@
     }[parts]
 
 
+@then("the client refuses it, whether its connection is kept or not")
+def check_parts_refused(context):
+    """Checks that the response is refused."""
+    for own_connection in (True, False):
+        (reply,), _ = read_responses(
+            [context.response], closes=False, own_connection=own_connection
+        )
+        check_refused(reply)
+
+
 @then("the client accepts it")
 def check_parts_accepted(context):
     """Checks that the response is accepted."""
--- a/features/steps/response_heads.py
+++ b/features/steps/response_heads.py
@@ -64,7 +64,9 @@
         datetime.timedelta(seconds=1),
         expected_header=REQUEST_ID,
     )
-    transfer = curl_transfer.Transfer(None, None, call, lambda *_: None, lambda _: None)
+    transfer = curl_transfer.Transfer(
+        None, None, call, lambda *_: None, lambda _: None, curl_transfer.EventCount()
+    )
     for line in (b"HTTP/1.1 200 OK", *lines, b""):
         transfer.handle_debug(pycurl.INFOTYPE_HEADER_IN, line + b"\r\n")
         if transfer.defect is not None:
--- a/monsoonhoist/core/defects.py
+++ b/monsoonhoist/core/defects.py
@@ -16,6 +16,7 @@
         FIELD: A line of its head is no header field.
         LENGTH: The length of its body is no number, or has several values.
         CODING: Its transfer coding is not that of chunks alone.
+        AFTER_BODY: Bytes followed its body, which no request was waiting for.
     """
 
     FOREIGN = "foreign"
@@ -26,3 +27,4 @@
     FIELD = "field"
     LENGTH = "length"
     CODING = "transfer coding"
+    AFTER_BODY = "bytes after the body"
--- a/monsoonhoist/node/curl.py
+++ b/monsoonhoist/node/curl.py
@@ -67,6 +67,7 @@
         self._multi.setopt(pycurl.M_TIMERFUNCTION, self._events.set_timer)
         kept_max = min(idle_connections_max, IDLE_CONNECTIONS_MAX)
         self._multi.setopt(pycurl.M_MAXCONNECTS, kept_max)
+        self._event_count = curl_transfer.EventCount()
         self._transfer_by_handle: dict[pycurl.Curl, curl_transfer.Transfer] = {}
         self._idle_handles: collections.deque[pycurl.Curl] = collections.deque()
 
@@ -77,7 +78,7 @@
         handle = self._idle_handles.pop() if self._idle_handles else pycurl.Curl()
         guard = single_sending.SendGuard(self._connections) if call.is_sent_once else None
         transfer = curl_transfer.Transfer(
-            handle, on_done, call, self._held.add, self._end_soon, guard
+            handle, on_done, call, self._held.add, self._end_soon, self._event_count, guard
         )
         self._set_options(handle, call, transfer)
         self._transfer_by_handle[handle] = transfer
@@ -146,6 +147,7 @@
 
     def _run_socket_action(self, descriptor: int, event_mask: int) -> None:
         """Lets curl process a socket or its timer, then reports the calls that are finished."""
+        self._event_count.value += 1
         if event_mask == pycurl.CSELECT_IN and socket_state.has_ended(descriptor):
             self._end_unanswered(descriptor)
         self._multi.socket_action(descriptor, event_mask)
--- a/monsoonhoist/node/curl_transfer.py
+++ b/monsoonhoist/node/curl_transfer.py
@@ -18,12 +18,24 @@
 # Bytes that a response must hold before it is counted with the others in progress, so that short
 # responses, which are most, are not.
 COUNTED_BYTES_MIN = 4_096
-# Kind of the lines of heads that curl passes to its debug callback.
+# Kinds of the bytes that curl passes to its debug callback.
 _HEADER_IN = pycurl.INFOTYPE_HEADER_IN
+_DATA_IN = pycurl.INFOTYPE_DATA_IN
 # curl ends a head at a line that begins with one of these bytes.
 _HEAD_END_BYTES = b"\r\n"
 
 
+class EventCount:
+    """Number of events of sockets and timers that curl has processed.
+
+    Attributes:
+        value: The number.
+    """
+
+    def __init__(self) -> None:
+        self.value = 0
+
+
 class Transfer:
     """A call in progress, with the part of the response received so far.
 
@@ -33,6 +45,7 @@
         call: The call.
         hold: Called with this transfer and the number of bytes that it holds in addition.
         end_soon: Called with this transfer if its response is not accepted.
+        events: Number of events that curl has processed.
         send_guard: Keeps curl from sending the request again; None if curl may do so.
     """
 
@@ -43,19 +56,24 @@
         call: http_call.HttpCall,
         hold: Callable[["Transfer", int], None],
         end_soon: Callable[["Transfer"], None],
+        events: EventCount,
         send_guard: single_sending.SendGuard | None = None,
     ):
         self.handle = handle
         self.on_done = on_done
-        self.reader = response_reader.ResponseReader(call.expected_header)
+        self.reader = response_reader.ResponseReader(call.method, call.expected_header)
         self.defect: defects.Defect | None = None
         self.send_guard = send_guard
         self._is_counted = call.is_counted
         self._hold = hold
         self._end_soon = end_soon
+        self._events = events
+        # The event at which the head was complete.
+        self._head_event = 0
         self._head_lines: list[bytes] = []
         self._head_bytes = 0
         self._head_line_count = 0
+        self._chunk_count = 0
         self._body = io.BytesIO()
         self._uncounted_bytes = 0
 
@@ -70,11 +88,16 @@
         return is_sent and not self._head_bytes
 
     def handle_debug(self, kind: int, chunk: bytes) -> None:
-        """Reads a line of a head before curl does."""
+        """Reads a line of a head, or bytes of the connection after it, before curl does.
+
+        Of curl's callbacks, only this one receives the bytes that follow a body.
+        """
         if self.defect is not None:
             return
         if kind == _HEADER_IN:
             self._read_line(chunk)
+        elif kind == _DATA_IN and chunk:
+            self._read_chunk(chunk)
         if self.defect is not None:
             self._end_soon(self)
 
@@ -89,8 +112,25 @@
             self.defect = defects.Defect.TOO_LONG
         elif line[0] in _HEAD_END_BYTES:
             lines, self._head_lines = self._head_lines, []
+            self._head_event = self._events.value
             self.defect = self.reader.read_head(lines)
 
+    def _read_chunk(self, chunk: bytes) -> None:
+        self._chunk_count += 1
+        self.defect = self.reader.read_body(chunk)
+        if self.defect is None and self.reader.is_body_complete and self._has_unread():
+            self.defect = defects.Defect.AFTER_BODY
+
+    def _has_unread(self) -> bool:
+        """Returns whether bytes have arrived that curl has not read.
+
+        What arrives with the head is read with it. Only later does curl read no further than the
+        body, so that bytes may remain.
+        """
+        if self._chunk_count == 1 and self._head_event == self._events.value:
+            return False
+        return self.send_guard is not None and self.send_guard.has_unread()
+
     def write_body(self, chunk: bytes) -> int:
         """Records a chunk of the body; returns fewer bytes than given to make curl end the call."""
         if self._body.tell() + len(chunk) > RESPONSE_BYTES_MAX:
--- a/monsoonhoist/node/response_reader.py
+++ b/monsoonhoist/node/response_reader.py
@@ -9,12 +9,15 @@
 """
 
 from monsoonhoist.core import defects, exchange
-from monsoonhoist.node import http_grammar
+from monsoonhoist.node import http_grammar, response_body
 
 CONTENT_LENGTH = "content-length"
 TRANSFER_ENCODING = "transfer-encoding"
 CHUNKED = "chunked"
+METHOD_HEAD = "HEAD"
 STATUS_SWITCHING_PROTOCOLS = 101
+STATUS_NO_CONTENT = 204
+STATUS_NOT_MODIFIED = 304
 # Statuses of final responses; those below them are interim (RFC 9110, section 15).
 FINAL_STATUS_MIN = 200
 INTERIM_STATUS_MIN = 100
@@ -25,6 +28,7 @@
     """Reads one response, with the interim ones before it.
 
     Args:
+        method: Method of the request.
         expected_header: Header that the response must not contradict; None for none.
 
     Attributes:
@@ -33,10 +37,11 @@
         is_head_complete: Whether the head of the response has been read.
     """
 
-    def __init__(self, expected_header: exchange.Header | None):
+    def __init__(self, method: str, expected_header: exchange.Header | None):
         self.status = 0
         self.headers: tuple[exchange.Header, ...] = ()
         self.is_head_complete = False
+        self._method = method
         self._lengths: list[str] = []
         self._codings: list[str] = []
         self._expected_value = expected_header.value if expected_header else ""
@@ -47,6 +52,16 @@
         }
         if expected_header:
             self._judged_values_by_name[expected_header.name.lower()] = self._expected_values
+        self._body: response_body.Body | None = None
+
+    @property
+    def is_body_complete(self) -> bool:
+        """Whether all bytes of the response have been read, so that no more may follow."""
+        return self._body is not None and self._body.is_complete
+
+    def read_body(self, chunk: bytes) -> defects.Defect | None:
+        """Reads bytes of the connection after the head; returns what is wrong with them."""
+        return self._body.read(chunk) if chunk and self._body is not None else None
 
     def read_head(self, lines: list[bytes]) -> defects.Defect | None:
         """Reads the lines of a head, with their ends; returns what is wrong with them."""
@@ -62,7 +77,10 @@
         self._record_fields(http_grammar.FIELD.findall(match[3]))
         if any(value != self._expected_value for value in self._expected_values):
             return defects.Defect.FOREIGN
-        return self._find_framing_defect(has_chunks=match[1] != "0")
+        defect = self._find_framing_defect(has_chunks=match[1] != "0")
+        if defect is None:
+            self._body = self._make_body()
+        return defect
 
     def _record_fields(self, fields: list[tuple[str, str]]) -> None:
         """Records the header fields, and apart from them those that this reader judges."""
@@ -89,6 +107,14 @@
             return defects.Defect.LENGTH
         return None
 
+    def _make_body(self) -> response_body.Body:
+        """Returns the reader of the body (RFC 9112, section 6.3)."""
+        if self._method == METHOD_HEAD or self.status in (STATUS_NO_CONTENT, STATUS_NOT_MODIFIED):
+            return response_body.SizedBody(0)
+        if self._lengths:
+            return response_body.SizedBody(int(self._lengths[0]))
+        return response_body.UnsizedBody()
+
 
 def _is_expected(status: int) -> bool:
     """Returns whether a status may be answered; no request asks for a switch of protocols."""
--- a/monsoonhoist/node/single_sending.py
+++ b/monsoonhoist/node/single_sending.py
@@ -66,6 +66,10 @@
         has_met_ended, self._has_met_ended = self._has_met_ended, False
         return has_met_ended
 
+    def has_unread(self) -> bool:
+        """Returns whether the connection of the call holds bytes that curl has not read."""
+        return self._descriptor is not None and socket_state.has_unread(self._descriptor)
+
     def _allow_request(
         self, remote_address: str, local_address: str, remote_port: int, local_port: int
     ) -> int:
--- a/monsoonhoist/node/socket_state.py
+++ b/monsoonhoist/node/socket_state.py
@@ -2,12 +2,16 @@
 
 import enum
 import errno
+import fcntl
 import socket
+import termios
 
 # Plain integers, since members of an enumeration are slower to pass.
 _FAMILY = int(socket.AF_INET)
 _KIND = int(socket.SOCK_STREAM)
 _PEEK_FLAGS = int(socket.MSG_PEEK | socket.MSG_DONTWAIT)
+# The number of bytes that the system returns as a C integer, if it is 0.
+_NO_BYTES = bytes(4)
 _ENDED_ERRORS = (errno.ECONNRESET, errno.EPIPE, errno.ETIMEDOUT, errno.EHOSTUNREACH)
 
 
@@ -32,6 +36,14 @@
     return peek(descriptor) is SocketState.ENDED
 
 
+def has_unread(descriptor: int) -> bool:
+    """Returns whether a socket holds data."""
+    try:
+        return fcntl.ioctl(descriptor, termios.FIONREAD, _NO_BYTES) != _NO_BYTES
+    except OSError:
+        return False
+
+
 def peek(descriptor: int, local_port: int = 0) -> SocketState:
     """Returns the state of a connected socket without reading from it.
 
