Judge the chunks of a body, and the bytes behind them

Callers saw: 200 for bodies whose chunks end with LF alone or whose trailer has a line that is no field; and bytes behind the last chunk were dropped, and the connection was used again.

Cause: the chunks were libcurl's matter alone, which is lenient there and reports success with "leftovers".

Change: node/response_body reads the chunks beside libcurl: sizes, extensions, ends and trailer fields must be those of RFC 9112, section 7.1, and nothing may follow.

Spoiled chunk sizes were handled already.

--- a/features/broken_answers.feature
+++ b/features/broken_answers.feature
@@ -63,10 +63,18 @@
       | coding and length     | keep  |
       | length beyond 64 bits | close |
 
+    Examples: a body that is not in valid chunks
+      | fault                 | end  |
+      | LF after chunk size   | keep |
+      | LF after chunk        | keep |
+      | blank in trailer name | keep |
+
     Examples: bytes after the body
       | fault              | end   |
       | bytes after body   | close |
       | bytes after body   | keep  |
+      | bytes after chunks | close |
+      | bytes after chunks | keep  |
       | body of status 204 | keep  |
 
     Examples: refused before the incident
--- a/features/response_heads.feature
+++ b/features/response_heads.feature
@@ -20,6 +20,7 @@
     Examples:
       | framing  |
       | a length |
+      | chunks   |
 
   Scenario Outline: A response with a fault is refused, and its connection is not used again
     Then the client refuses the fault <fault>, on connections that are closed and kept
@@ -49,7 +50,11 @@
       | coding twice              |
       | coding and length         |
       | length beyond 64 bits     |
+      | LF after chunk size       |
+      | LF after chunk            |
+      | blank in trailer name     |
       | bytes after body          |
+      | bytes after chunks        |
       | body of status 204        |
 
   Scenario Outline: Bytes after a body are noticed wherever they arrive
@@ -60,6 +65,7 @@
       | parts                                        |
       | head and 2 bytes, 62 bytes, of which 2 count |
       | 60000 bytes, of which 30000 count            |
+      | chunks, the last one and more                |
 
   Scenario Outline: A sound response is accepted in whatever parts it arrives
     Given a response in the parts <parts>
@@ -67,4 +73,5 @@
 
     Examples:
       | parts                       |
+      | chunks, one byte at a time  |
       | an interim head, a response |
--- a/monsoonhoist/core/defects.py
+++ b/monsoonhoist/core/defects.py
@@ -13,9 +13,10 @@
         STATUS_LINE: Its first line is no status line of HTTP/1.
         STATUS: Its status is none of a final response, or that of a switch of protocols.
         LINE_END: A line of its head does not end with CR and LF, or has a CR elsewhere.
-        FIELD: A line of its head is no header field.
+        FIELD: A line of its head or trailer is no header field.
         LENGTH: The length of its body is no number, or has several values.
         CODING: Its transfer coding is not that of chunks alone.
+        CHUNK: A chunk of its body does not begin or end as chunks do.
         AFTER_BODY: Bytes followed its body, which no request was waiting for.
     """
 
@@ -27,4 +28,5 @@
     FIELD = "field"
     LENGTH = "length"
     CODING = "transfer coding"
+    CHUNK = "chunk"
     AFTER_BODY = "bytes after the body"
--- a/monsoonhoist/node/response_reader.py
+++ b/monsoonhoist/node/response_reader.py
@@ -111,6 +111,8 @@
         """Returns the reader of the body (RFC 9112, section 6.3)."""
         if self._method == METHOD_HEAD or self.status in (STATUS_NO_CONTENT, STATUS_NOT_MODIFIED):
             return response_body.SizedBody(0)
+        if self._codings:
+            return response_body.ChunkedBody()
         if self._lengths:
             return response_body.SizedBody(int(self._lengths[0]))
         return response_body.UnsizedBody()
