Count heads that libcurl cannot read as not accepted

Seen: a server counted as leaving, for as long as the table lists no later start of it, because an answer with two lengths or a line without colon said so: what a call without response carries in its head was believed, and for a head that libcurl refused no defect was known. Such calls ended as connection_lost, without a line in the log.

Cause: only the defects that this program found were told apart from lost connections.

Change: libcurl's errors for heads are the defect "unreadable". The fields were no longer passed on since the reader judges heads; the calls now end as malformed_reply and are logged. Such a reply starts no backoff of its server, as other malformed replies do not.

That lengths, names, codings and NUL of these examples are refused was handled already; only the defect is new.

--- a/features/broken_answers.feature
+++ b/features/broken_answers.feature
@@ -97,3 +97,22 @@
       | CR twice         |
       | version 2.1      |
       | bytes after body |
+      | two lengths      |
+
+  # Guards against a server that counts as leaving because a broken answer says so.
+  Scenario Outline: What a broken answer says of its server is not believed
+    Given the server "records-a" has started again, with the fault "<fault>"
+    And the server "records-a" says that it is leaving
+    When the caller sends 12 requests "GET" "/record/x"
+    Then the server "records-a" has received some of them
+    When the server "records-a" answers as usual
+    And 6000 ms have passed
+    And the caller sends 24 requests "GET" "/record/x"
+    Then the server "records-a" has received some of them
+
+    Examples:
+      | fault            |
+      | LF without CR    |
+      | two lengths      |
+      | no colon         |
+      | bytes after body |
--- a/features/response_heads.feature
+++ b/features/response_heads.feature
@@ -37,6 +37,7 @@
       | two LF in value           |
       | LF in value               |
       | LF without CR             |
+      | CR twice                  |
       | status 2000               |
       | status 200xOK             |
       | version 2.1               |
@@ -47,6 +48,7 @@
       | status 600                |
       | status 999                |
       | HTTP/1.1 as a field       |
+      | second status line        |
       | coding twice              |
       | coding and length         |
       | length beyond 64 bits     |
@@ -57,6 +59,32 @@
       | bytes after chunks        |
       | body of status 204        |
 
+    Examples: refused before it
+      | fault                  |
+      | status 000             |
+      | status 00              |
+      | status 020             |
+      | status 099             |
+      | status OK              |
+      | length with letter     |
+      | length with sign       |
+      | length hexadecimal     |
+      | length with point      |
+      | length list            |
+      | length empty           |
+      | two lengths            |
+      | blank in name          |
+      | blank after name       |
+      | tab in name            |
+      | control byte in name   |
+      | byte above 127 in name |
+      | no colon               |
+      | NUL in name            |
+      | NUL in value           |
+      | NUL in reason          |
+      | unknown coding         |
+      | spoiled chunk size     |
+
   Scenario Outline: Bytes after a body are noticed wherever they arrive
     Given a response in the parts <parts>
     Then the client refuses it, whether its connection is kept or not
--- a/features/steps/broken_answers.py
+++ b/features/steps/broken_answers.py
@@ -1,6 +1,6 @@
 """Steps with servers that send broken answers."""
 
-from behave import given, then
+from behave import given, then, when
 
 # Statuses of answers that an instance gives in place of a server's.
 STATUS_NOT_RUN = 503
@@ -38,6 +38,14 @@
         server.behaviour.denies_run = True
 
 
+@when('the server "{name}" answers as usual')
+def reset_server(context, name):
+    """Ends the fault of a server, and what it says of itself."""
+    server = context.fleet.server_by_name[name]
+    server.behaviour.fault = ""
+    server.behaviour.is_leaving = False
+
+
 @then("no answer is a server's")
 def check_own(context):
     """Checks that the instances have answered by themselves."""
--- a/monsoonhoist/core/defects.py
+++ b/monsoonhoist/core/defects.py
@@ -18,6 +18,7 @@
         CODING: Its transfer coding is not that of chunks alone.
         CHUNK: A chunk of its body does not begin or end as chunks do.
         AFTER_BODY: Bytes followed its body, which no request was waiting for.
+        UNREADABLE: The HTTP library could not read its head.
     """
 
     FOREIGN = "foreign"
@@ -30,3 +31,4 @@
     CODING = "transfer coding"
     CHUNK = "chunk"
     AFTER_BODY = "bytes after the body"
+    UNREADABLE = "unreadable"
--- a/monsoonhoist/node/curl_transfer.py
+++ b/monsoonhoist/node/curl_transfer.py
@@ -23,6 +23,12 @@
 _DATA_IN = pycurl.INFOTYPE_DATA_IN
 # curl ends a head at a line that begins with one of these bytes.
 _HEAD_END_BYTES = b"\r\n"
+# Errors of curl for heads that it cannot read.
+_UNREADABLE_CODES = (
+    pycurl.E_UNSUPPORTED_PROTOCOL,
+    pycurl.E_FTP_WEIRD_SERVER_REPLY,
+    pycurl.E_BAD_CONTENT_ENCODING,
+)
 
 
 class EventCount:
@@ -162,6 +168,8 @@
             code: Error of curl; 0 for none.
             message: Error message of curl; empty for none.
         """
+        if self.defect is None and code in _UNREADABLE_CODES:
+            self.defect = defects.Defect.UNREADABLE
         # curl reports success if the server closes the connection within the head.
         is_sound = self.reader.is_head_complete and self.defect is None
         is_complete = not code and is_sound
