Do not send a request on a kept connection that holds bytes

Seen: a request was answered with bytes that had arrived on the idle connection before it was sent. A second answer without request id, or the rest of a body whose length was wrong, was taken for the answer.

Cause: before a kept connection is reused, it was only checked whether it has ended. libcurl itself looks at idle connections only once a second.

Change: a kept connection that holds bytes is replaced like one that has ended.

Not covered: calls that libcurl may send again by itself, to the store and the configuration service, are not checked.

--- a/features/response_heads.feature
+++ b/features/response_heads.feature
@@ -103,3 +103,8 @@
       | parts                       |
       | chunks, one byte at a time  |
       | an interim head, a response |
+
+  # Guards against bytes that were sent too late to be noticed and are taken for the next answer.
+  Scenario: Bytes on an idle connection are not taken for the answer to the next request
+    When bytes of another answer arrive on a kept connection, and a request follows
+    Then the request is answered with its own answer
--- a/features/steps/answered_bytes.py
+++ b/features/steps/answered_bytes.py
@@ -3,8 +3,9 @@
 import asyncio
 import contextlib
 import datetime
+import itertools
 
-from behave import given, then
+from behave import given, then, when
 
 from features import rfc9112
 from monsoonhoist.core import exchange
@@ -227,3 +228,29 @@
     """Checks that the response is accepted."""
     (reply,), _ = read_responses([context.response])
     assert (reply.status, reply.body) == (200, CONTENT), reply
+
+
+@when("bytes of another answer arrive on a kept connection, and a request follows")
+def send_after_late_bytes(context):
+    """Sends two requests, between which the server sends an answer that nobody asked for.
+
+    The answer has no request id, so that only its place tells that it belongs to no request.
+    """
+    late = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother"
+
+    async def run():
+        driver = curl.CurlDriver(TIMEOUT)
+        responses = itertools.chain([(SOUND_RESPONSE, late)], itertools.repeat((SOUND_RESPONSE,)))
+        async with ByteServer(responses, closes=False) as server:
+            await fetch(driver, server.url)
+            await asyncio.sleep(2 * PAUSE_SECONDS)
+            context.reply = await fetch(driver, server.url)
+            driver.close()
+
+    asyncio.run(run())
+
+
+@then("the request is answered with its own answer")
+def check_own_answer(context):
+    """Checks the answer to the second request."""
+    assert (context.reply.status, context.reply.body) == (200, CONTENT), context.reply
--- a/monsoonhoist/node/single_sending.py
+++ b/monsoonhoist/node/single_sending.py
@@ -38,7 +38,10 @@
 
 
 class SendGuard:
-    """Allows curl to send the request of one call once, on a connection that has not ended.
+    """Allows curl to send the request of one call once, on a connection that is in order.
+
+    A kept connection is not if it has ended, or if it holds bytes: they belong to no request, and
+    curl would take them for the response.
 
     Args:
         connections: Connections that may be reused.
@@ -51,7 +54,7 @@
         self.is_sent = False
         self._connections = connections
         self._descriptor: int | None = None
-        self._has_met_ended = False
+        self._has_met_unusable = False
 
     def set_options(self, handle: pycurl.Curl) -> None:
         """Registers the callbacks of this guard."""
@@ -59,12 +62,12 @@
         handle.setopt(pycurl.SOCKOPTFUNCTION, self._allow_connection)
 
     def take_restart(self) -> bool:
-        """Returns whether the call must start again: its kept connection had ended before use.
+        """Returns whether the call must start again: its kept connection was not in order.
 
-        Only the first call of this method after such an end returns True.
+        Only the first call of this method after such a connection returns True.
         """
-        has_met_ended, self._has_met_ended = self._has_met_ended, False
-        return has_met_ended
+        has_met_unusable, self._has_met_unusable = self._has_met_unusable, False
+        return has_met_unusable
 
     def has_unread(self) -> bool:
         """Returns whether the connection of the call holds bytes that curl has not read."""
@@ -81,19 +84,19 @@
         else:
             self._descriptor = self._connections.find(local_address, local_port)
             if not self._is_usable(local_port):
-                self._has_met_ended = True
+                self._has_met_unusable = True
                 return pycurl.PREREQFUNC_ABORT
         self.is_sent = True
         return pycurl.PREREQFUNC_OK
 
     def _is_usable(self, local_port: int) -> bool:
-        """Returns whether the kept connection of the call is not known to have ended."""
+        """Returns whether the kept connection of the call is not known to be out of order."""
         if self._descriptor is None:
             return True
         state = socket_state.peek(self._descriptor, local_port)
         if state is socket_state.SocketState.UNKNOWN:
             self._descriptor = None
-        return state is not socket_state.SocketState.ENDED
+        return state not in (socket_state.SocketState.ENDED, socket_state.SocketState.READABLE)
 
     def _allow_connection(self, descriptor: int, purpose: int) -> int:
         """Callback of curl before it opens a connection."""
