Tell malformed replies of native servers from lost connections

Seen: in the native dialect a reply that was not accepted counted as connection_lost, which looks like a fault of the network and starts a backoff of the server.

Cause: the native protocol did not look at the defect of a reply.

Change: it ends such a call as malformed_reply, as the other dialect does.

--- a/features/steps/broken_answers.py
+++ b/features/steps/broken_answers.py
@@ -38,6 +38,14 @@
         server.behaviour.denies_run = True
 
 
+@given('the servers "{first}" and "{second}" send replies with the fault "{fault}"')
+def set_native_faults(context, first, second, fault):
+    """Sets the fault of two servers of the native dialect until the scenario ends."""
+    for name in (first, second):
+        context.site.set_behaviour(name, fault=fault)
+        context.add_cleanup(context.site.set_behaviour, name, fault="")
+
+
 @when('the server "{name}" answers as usual')
 def reset_server(context, name):
     """Ends the fault of a server, and what it says of itself."""
--- a/monsoonhoist/node/search.py
+++ b/monsoonhoist/node/search.py
@@ -157,6 +157,8 @@
         return events.CallFailed(call_id, data.Refusal.CANCELLED, True)
     if reply.status:
         return events.CallFailed(call_id, data.Refusal.BACKEND_ERROR, True)
+    if reply.defect is not None:
+        return events.CallFailed(call_id, data.Refusal.MALFORMED_REPLY, True)
     if not reply.sent:
         return events.CallFailed(call_id, data.Refusal.CONNECT_FAILED, False)
     reason = data.Refusal.TIMEOUT if reply.timed_out else data.Refusal.CONNECTION_LOST
--- a/standins/backends.py
+++ b/standins/backends.py
@@ -18,7 +18,7 @@
 from monsoonhoist.core import data
 from monsoonhoist.node import search as protocol
 from monsoonhoist.tables import pools
-from standins import index
+from standins import index, spoiled_responses
 
 MS_PER_SECOND = 1000
 # Standard deviation of the logarithm of the work time, which is log-normally distributed.
@@ -38,6 +38,8 @@
         draining: Whether the server is draining: it refuses new calls and reports so in its
             replies.
         lost: Whether the server accepts calls but never replies.
+        fault: Fault of the replies to searches, a name of ``spoiled_responses.FAULT_BY_NAME``, or
+            empty for none. The connection is closed after each faulty reply.
     """
 
     median_ms: float = 8.0
@@ -48,6 +50,7 @@
     snapshots: list[int] = msgspec.field(default_factory=lambda: [1])
     draining: bool = False
     lost: bool = False
+    fault: str = ""
 
 
 class Statistics(msgspec.Struct):
@@ -189,7 +192,11 @@
             await asyncio.sleep(self._sample_work_seconds())
         finally:
             self._release_slot()
-        _respond(request, protocol.STATUS_OK, msgspec.json.encode(self._make_reply(body, snapshot)))
+        reply = msgspec.json.encode(self._make_reply(body, snapshot))
+        if self.behaviour.fault:
+            await _respond_spoiled(request, reply, self.behaviour.fault)
+        else:
+            _respond(request, protocol.STATUS_OK, reply)
 
     def _refusal_code(self, body: protocol.SearchBody) -> str:
         """Returns the code of the reason to refuse a call, or an empty string to accept it."""
@@ -276,6 +283,17 @@
     connection.finish()
 
 
+async def _respond_spoiled(request: httputil.HTTPServerRequest, body: bytes, fault: str) -> None:
+    """Sends a response with a fault, and closes the connection."""
+    stream = request.connection.stream
+    if stream is None or stream.closed():
+        return
+    lines = (b"HTTP/1.1 200 OK", spoiled_responses.FIELD, b"Content-Length: %d" % len(body))
+    response = b"\r\n".join((*lines, b"", body))
+    await stream.write(spoiled_responses.spoil(response, fault))
+    stream.close()
+
+
 def make_servers(part: pools.PoolPart, behaviour: Behaviour, seed: int) -> list[BackendServer]:
     """Returns a server for each record of a pool's table; the servers do not listen yet."""
     services = sorted({record.service for record in part.servers})
