Name the request in the log of a response that is not accepted, and count these responses

It has the request's id and the defect now, and monsoonhoist_responses_not_accepted_total counts each defect.

--- a/features/broken_answers.feature
+++ b/features/broken_answers.feature
@@ -116,3 +116,11 @@
       | two lengths      |
       | no colon         |
       | bytes after body |
+
+  Scenario: A broken answer is logged with its request, and counted
+    Given the server "records-a" has started again, with the fault "LF without CR"
+    When the caller sends 24 requests "GET" "/record/x"
+    Then all statuses are 200
+    And the log names the defect "line end" of the server "records-a" and one of the requests
+    When the metrics of instance 1 are read
+    Then "monsoonhoist_responses_not_accepted_total" with "defect=line end" is at least 1
--- a/features/steps/broken_answers.py
+++ b/features/steps/broken_answers.py
@@ -81,3 +81,16 @@
 def count_runs(context, request_id):
     """Returns how often a request ran."""
     return sum(request.ran for request in context.fleet.received_requests(request_id))
+
+
+@then('the log names the defect "{defect}" of the server "{name}" and one of the requests')
+def check_log(context, defect, name):
+    """Checks the log lines of responses that were not accepted."""
+    lines = [
+        line
+        for number in context.fleet.process_by_number
+        for line in context.fleet.log(number)
+        if line["message"] == "response not accepted" and line.get("server") == name
+    ]
+    requests = {line.get("request_id") for line in lines if line["defect"] == defect}
+    assert requests & set(context.request_ids), lines
--- a/monsoonhoist/metrics.py
+++ b/monsoonhoist/metrics.py
@@ -13,7 +13,7 @@
 from collections.abc import Callable
 from typing import Protocol
 
-from monsoonhoist.core import data, scheduling
+from monsoonhoist.core import data, defects, scheduling
 from monsoonhoist.shards import slow_start
 from monsoonhoist.tables import store
 
@@ -163,6 +163,9 @@
         self._ended_connections = self._make_counter(
             "ended_connections", "Kept connections to servers that had ended before a call"
         )
+        self._defects = self._make_counter(
+            "responses_not_accepted", "Responses of servers that were not accepted, by defect"
+        )
         self._calls_not_allowed = self._make_counter(
             "calls_not_allowed", "Extra calls not made, by limit"
         )
@@ -222,6 +225,8 @@
             self._refusals.add(0, reason=refusal.value)
         for retry in data.RetryReason:
             self._retries.add(0, reason=retry.value)
+        for defect in defects.Defect:
+            self._defects.add(0, defect=defect.value)
         for bound in data.Bound:
             self._calls_not_allowed.add(0, bound=bound.value)
         for cause in slow_start.Cause:
@@ -275,6 +280,10 @@
         """Counts a call to a backend server."""
         self._calls.add(1)
 
+    def count_defect(self, defect: defects.Defect) -> None:
+        """Counts a response of a server that was not accepted."""
+        self._defects.add(1, defect=defect.value)
+
     def count_sub_requests(self, count: int) -> None:
         """Counts sub-requests received by the owner."""
         self._sub_requests.add(count)
--- a/monsoonhoist/node/backends.py
+++ b/monsoonhoist/node/backends.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from monsoonhoist import metrics
-from monsoonhoist.core import clock, data, exchange
+from monsoonhoist.core import clock, data, defects, exchange
 from monsoonhoist.node import curl, curl_transfer, http_call, task
 from monsoonhoist.protocol import events
 
@@ -118,7 +118,7 @@
             call = self._protocol.make_call(
                 command, self._call_name(command.call_id), remaining_seconds
             )
-            transfer = self._driver.start(call, lambda reply: self._finish(command, reply))
+            transfer = self._driver.start(call, lambda reply: self._finish(command, call, reply))
         except Exception:
             _log.exception("call not started", extra={"server": command.server.server_id})
             reason = data.Refusal.INTERNAL_ERROR
@@ -138,11 +138,12 @@
         self._driver.abort(pending.transfer)
         self._report_end(pending, events.CallFailed(call_id, data.Refusal.CANCELLED, True))
 
-    def _finish(self, command: events.StartCall, reply: http_call.HttpReply) -> None:
+    def _finish(
+        self, command: events.StartCall, call: http_call.HttpCall, reply: http_call.HttpReply
+    ) -> None:
         pending = self._pending_by_call.pop(command.call_id)
         if reply.defect is not None:
-            extra = {"server": command.server.server_id, "defect": reply.defect.value}
-            _log.warning("response not accepted", extra=extra)
+            self._report_defect(command, call, reply.defect)
         try:
             event = self._protocol.read_reply(command, reply)
         except Exception:
@@ -150,6 +151,19 @@
             event = events.CallFailed(command.call_id, data.Refusal.MALFORMED_REPLY, True)
         self._report_end(pending, event)
 
+    def _report_defect(
+        self, command: events.StartCall, call: http_call.HttpCall, defect: defects.Defect
+    ) -> None:
+        """Logs and counts a response that was not accepted."""
+        self._counters.count_defect(defect)
+        header = call.expected_header
+        extra = {
+            "request_id": header.value if header else command.query.query_id,
+            "server": command.server.server_id,
+            "defect": defect.value,
+        }
+        _log.warning("response not accepted", extra=extra)
+
     def _report_end(
         self, pending: _PendingCall, event: events.CallReplied | events.CallFailed
     ) -> None:
