--- a/features/response_heads.feature
+++ b/features/response_heads.feature
@@ -104,6 +104,11 @@
       | chunks, one byte at a time  |
       | an interim head, a response |
 
+  # Guards against libcurl's success for a connection that ends within the head.
+  Scenario: A head that is cut off is no response
+    Given a response in the parts a head without its end
+    Then the client has no response when the connection is closed
+
   # Guards against bytes that were sent too late to be noticed and are taken for the next answer.
   Scenario: Bytes on an idle connection are not taken for the answer to the next request
     When bytes of another answer arrive on a kept connection, and a request follows
--- a/features/steps/answered_bytes.py
+++ b/features/steps/answered_bytes.py
@@ -209,18 +209,28 @@
         "chunks, one byte at a time": tuple(
             CHUNKED_RESPONSE[place : place + 1] for place in range(len(CHUNKED_RESPONSE))
         ),
+        "a head without its end": (SOUND_RESPONSE[:head_end][:-2],),
         "an interim head, a response": (b"HTTP/1.1 103 Early\r\nA: b\r\n\r\n", SOUND_RESPONSE),
     }[parts]
 
 
 @then("the client refuses it, whether its connection is kept or not")
 def check_parts_refused(context):
-    """Checks that the response is refused."""
+    """Checks that the response is refused, and that the next one comes on another connection."""
     for own_connection in (True, False):
-        (reply,), _ = read_responses(
-            [context.response], closes=False, own_connection=own_connection
+        (reply, next_reply), server = read_responses(
+            [context.response, (SOUND_RESPONSE,)], closes=False, own_connection=own_connection
         )
         check_refused(reply)
+        assert (next_reply.status, next_reply.body) == (200, CONTENT), next_reply
+        assert server.connection_count == 2, server.connection_count
+
+
+@then("the client has no response when the connection is closed")
+def check_no_response(context):
+    """Checks that the connection counts as lost, and that nothing of the response is left."""
+    (reply,), _ = read_responses([context.response])
+    assert (reply.status, reply.body, reply.headers) == (0, b"", ()), reply
 
 
 @then("the client accepts it")
--- a/monsoonhoist/metrics.py
+++ b/monsoonhoist/metrics.py
@@ -161,7 +161,7 @@
         )
         self._pauses = self._make_counter("pauses", "Pauses of the process that were noticed")
         self._ended_connections = self._make_counter(
-            "ended_connections", "Kept connections to servers that had ended before a call"
+            "ended_connections", "Kept connections to servers that could not be used for a call"
         )
         self._defects = self._make_counter(
             "responses_not_accepted", "Responses of servers that were not accepted, by defect"
--- a/monsoonhoist/node/curl.py
+++ b/monsoonhoist/node/curl.py
@@ -45,7 +45,8 @@
         idle_connections_max: Most connections that are kept for reuse.
 
     Attributes:
-        on_ended_connection: Called when a kept connection had ended before it was reused.
+        on_ended_connection: Called when a kept connection could not be reused, since it had ended
+            or held bytes.
     """
 
     def __init__(
