--- a/features/response_heads.feature
+++ b/features/response_heads.feature
@@ -12,6 +12,9 @@
   Scenario: A head that is accepted says what the server sent
     Then each field that is accepted of a generated head is one of its lines
 
+  Scenario: A head with an odd part is refused, whatever stands beside it
+    Then each generated head with an odd first line, line end or framing is refused
+
   # Guards against heads that libcurl accepts and RFC 9112 does not, and against the opposite.
   # The long run, which is started by hand, puts in all bytes: scripts/test -D bytes=all.
   Scenario Outline: A head with one changed byte is read as RFC 9112 says
--- a/features/steps/response_heads.py
+++ b/features/steps/response_heads.py
@@ -27,6 +27,25 @@
     b"X-Extra: kept",
     b"X-Empty:",
 )
+SOUND_FIRST_LINE = b"HTTP/1.1 200 OK"
+SOUND_LINE_END = b"\r\n"
+ODD_FIRST_LINES = (
+    b"HTTP/1.1 101 Odd",
+    b"HTTP/1.1 600 Odd",
+    b"HTTP/1.1 000 Odd",
+    b"HTTP/1.1 2000 OK",
+    b"HTTP/1.1 200xOK",
+    b"HTTP/2.1 200 OK",
+)
+ODD_LINE_ENDS = (b"\n", b"\r\r\n")
+# Lines that make any head with them one to refuse: no fields, and lengths that contradict others.
+ODD_LINES = (
+    b"HTTP/1.1: x",
+    SOUND_FIRST_LINE,
+    b"Content-Length: 4x",
+    b"Content-Length: 99999999999999999999",
+    b"Transfer-Encoding: chunked, chunked",
+)
 ODD_VALUES = (b"nan", b"inf", b"-1", b"1e400", b"9" * 5000, b"1,,2", b"\xe9\xff", b"\x00", b"a, b")
 
 
@@ -54,7 +73,7 @@
     return strategies.lists(line.filter(bool), max_size=12)
 
 
-def read_head(lines):
+def read_head(lines, first_line=SOUND_FIRST_LINE, line_end=SOUND_LINE_END):
     """Returns the transfer that has received a head, up to the line that it refuses."""
     call = http_call.HttpCall(
         "GET",
@@ -67,8 +86,8 @@
     transfer = curl_transfer.Transfer(
         None, None, call, lambda *_: None, lambda _: None, curl_transfer.EventCount()
     )
-    for line in (b"HTTP/1.1 200 OK", *lines, b""):
-        transfer.handle_debug(pycurl.INFOTYPE_HEADER_IN, line + b"\r\n")
+    for line in (first_line, *lines, b""):
+        transfer.handle_debug(pycurl.INFOTYPE_HEADER_IN, line + line_end)
         if transfer.defect is not None:
             break
     return transfer
@@ -182,3 +201,25 @@
             assert received in fields, (received, lines)
 
     check_heads(check)
+
+
+@then("each generated head with an odd first line, line end or framing is refused")
+def check_odd_refused(context):
+    """Checks that no odd part is made up for by the lines beside it."""
+    odd_parts = strategies.one_of(
+        strategies.sampled_from(ODD_FIRST_LINES).map(lambda line: (line, (), SOUND_LINE_END)),
+        strategies.sampled_from(ODD_LINE_ENDS).map(lambda end: (SOUND_FIRST_LINE, (), end)),
+        strategies.sampled_from(ODD_LINES).map(
+            lambda line: (SOUND_FIRST_LINE, (line,), SOUND_LINE_END)
+        ),
+    )
+
+    @hypothesis.settings(max_examples=EXAMPLES_MAX, derandomize=True, database=None, deadline=None)
+    @hypothesis.given(heads(), odd_parts, strategies.integers(0, 12))
+    def run(lines, parts, place):
+        first_line, odd_lines, line_end = parts
+        all_lines = [*lines[:place], *odd_lines, *lines[place:]]
+        transfer = read_head(all_lines, first_line, line_end)
+        assert transfer.defect is not None, (first_line, all_lines, line_end)
+
+    run()
--- a/monsoonhoist/node/response_reader.py
+++ b/monsoonhoist/node/response_reader.py
@@ -128,12 +128,12 @@
     """Returns what is wrong with the first wrong line of a head."""
     status_line, *field_lines = [line.decode(http_grammar.ENCODING) for line in lines]
     if not http_grammar.STATUS_LINE.fullmatch(status_line):
-        is_end = http_grammar.has_odd_end(status_line)
-        return defects.Defect.LINE_END if is_end else defects.Defect.STATUS_LINE
+        has_odd_end = http_grammar.has_odd_end(status_line)
+        return defects.Defect.LINE_END if has_odd_end else defects.Defect.STATUS_LINE
     wrong_line = next(
         line
         for line in field_lines
         if line != http_grammar.LINE_END and not http_grammar.FIELD_LINE.fullmatch(line)
     )
-    is_end = http_grammar.has_odd_end(wrong_line)
-    return defects.Defect.LINE_END if is_end else defects.Defect.FIELD
+    has_odd_end = http_grammar.has_odd_end(wrong_line)
+    return defects.Defect.LINE_END if has_odd_end else defects.Defect.FIELD
