End a call at once when its head is not accepted, as before

Cause: mine, not the load. The bound and the test stay as they are.

Change: curl's header callback returns an error as soon as a defect is known.

--- a/monsoonhoist/node/curl.py
+++ b/monsoonhoist/node/curl.py
@@ -127,6 +127,7 @@
         if call.own_connection:
             handle.setopt(pycurl.FRESH_CONNECT, 1)
             handle.setopt(pycurl.FORBID_REUSE, 1)
+        handle.setopt(pycurl.HEADERFUNCTION, transfer.handle_header)
         handle.setopt(pycurl.VERBOSE, 1)
         handle.setopt(pycurl.DEBUGFUNCTION, transfer.handle_debug)
         if call.target:
--- a/monsoonhoist/node/curl_transfer.py
+++ b/monsoonhoist/node/curl_transfer.py
@@ -107,6 +107,13 @@
         if self.defect is not None:
             self._end_soon(self)
 
+    def handle_header(self, line: bytes) -> int | None:
+        """Returns -1 to make curl end the call at once if its response is not accepted.
+
+        Otherwise curl would go on with an endless head until its connection has no more bytes.
+        """
+        return None if self.defect is None else -1
+
     def _read_line(self, line: bytes) -> None:
         self._head_lines.append(line)
         self._head_line_count += 1
