--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -98,6 +98,7 @@
         self.version = 1
         self._service_by_server: dict[str, str] = {}
         self._born_by_server: dict[str, int] = {}
+        self._sequence_by_server: dict[str, int] = {}
         self._loop = asyncio.new_event_loop()
         self._thread = threading.Thread(target=self._loop.run_forever, daemon=True)
 
@@ -157,6 +158,8 @@
         return self.run_in_thread(call())
 
     def _register_server(self, name: str, state: str) -> None:
+        """Writes a server's item; each of its items has a higher number than the one before."""
+        self._sequence_by_server[name] = self._sequence_by_server.get(name, 0) + 1
         registration = {
             "Service": self._service_by_server[name],
             "Addr": self.address_of(name),
@@ -165,7 +168,7 @@
             "Slots": SLOTS,
             "State": state,
             "WarmupLeftMs": 0,
-            "Seq": 1,
+            "Seq": self._sequence_by_server[name],
             "born": self._born_by_server.get(name, 1),
         }
         self.store.put(f"servers/{name}", json.dumps(registration).encode())
@@ -179,6 +182,7 @@
     def register_start(self, name: str) -> None:
         """Registers a later start of a server."""
         self._born_by_server[name] = self._born_by_server.get(name, 1) + 1
+        self._sequence_by_server[name] = 0
         self.set_state(name, "ready")
 
     def set_state(self, name: str, state: str) -> None:
