--- a/features/environment.py
+++ b/features/environment.py
@@ -51,6 +51,9 @@
 
 # Cell size of the deployment on the users' platform; 0 to derive it from the tables.
 CELL_SIZE_BY_TAG = {"fleet": 0, "fleet_cell": fleet.INSTANCE_COUNT}
+# Number of instances of a deployment in which some instances learn of a change only from others.
+SIX_TAG = "fleet_six"
+SIX_INSTANCES = 6
 # Options of a small deployment on machines with little memory and few descriptors.
 UNTRUSTED_TAG = "fleet_untrusted"
 UNTRUSTED_OPTIONS = {
@@ -105,6 +108,8 @@
     """Starts the deployment of a tag."""
     if tag in CELL_SIZE_BY_TAG:
         behave.use_fixture(running_fleet, context, CELL_SIZE_BY_TAG[tag])
+    if tag == SIX_TAG:
+        behave.use_fixture(running_fleet, context, 0, instances=SIX_INSTANCES)
     if tag == UNTRUSTED_TAG:
         behave.use_fixture(running_fleet, context, 0, **UNTRUSTED_OPTIONS)
     if tag in SITE_OPTIONS_BY_TAG:
