Draw returns of the store from older copies in the soak

The soak knew no store that loses what it has acknowledged. The operator and the servers write again within 1.9 s what was lost, half of the servers a newer item; some drained servers are removed instead.

CONFIG and DRAIN count from the latest acknowledgement, and not for 4 s after a return; that a version is not rolled back is checked all the while.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from soak import clients, proxied_fleet
+from soak import clients, proxied_fleet, returning_fleet
 from standins import fleet, shards
 
 # Longest time from the publication of a version until it is in force at an instance.
@@ -211,7 +211,7 @@
             (
                 version.number
                 for version in deployment.versions
-                if version.published_at <= request.sent_at - CONFIG_DELAY_MAX_SECONDS
+                if _was_due(version, request.sent_at)
             ),
             default=-1,
         )
@@ -225,6 +225,17 @@
             proven.append((request.ended_at, possible[0]))
 
 
+def _was_due(version: proxied_fleet.PublishedVersion, sent_at: float) -> bool:
+    """Returns whether a version had to be in force when a request was sent.
+
+    A version that the store has lost is due again when it has been acknowledged again.
+    """
+    return any(
+        acknowledgement.start + CONFIG_DELAY_MAX_SECONDS <= sent_at < acknowledgement.end
+        for acknowledgement in version.acknowledgements
+    )
+
+
 def _describe_probe(request: clients.RequestRecord) -> str:
     return f"{request.target} got {request.status} at {request.sent_at:.2f}"
 
@@ -254,13 +265,19 @@
         proxied_fleet.LINKS,
     )
     start = request.sent_at - UNDISTURBED_SECONDS - CONFIG_DELAY_MAX_SECONDS
-    return deployment.is_disturbed(prefixes, start, request.ended_at)
+    return deployment.is_disturbed(prefixes, start, request.ended_at) or deployment.is_disturbed(
+        (returning_fleet.RETURN,), request.sent_at - UNDISTURBED_SECONDS, request.ended_at
+    )
 
 
 def check_draining(
     deployment: proxied_fleet.ProxiedFleet, server_records: ServerRecords
 ) -> Iterable[Violation]:
-    """Checks that draining servers receive no requests after the time limit."""
+    """Checks that draining and removed servers receive no requests after the time limit.
+
+    While the store is away or has just returned from an older copy, nothing is checked. The limit
+    runs from the acknowledgement, also if that was given soon after a return.
+    """
     prefixes = ("instance", proxied_fleet.STORE, proxied_fleet.LINKS, "server")
     for request_id, records in server_records.records_by_id.items():
         for name, record in records:
@@ -272,7 +289,12 @@
                 ):
                     continue
                 start = drained_server.start - UNDISTURBED_SECONDS
-                if not deployment.is_disturbed(prefixes, start, record.received_at):
+                since_return = record.received_at - UNDISTURBED_SECONDS
+                if not deployment.is_disturbed(
+                    prefixes, start, record.received_at
+                ) and not deployment.is_disturbed(
+                    (returning_fleet.RETURN,), since_return, record.received_at
+                ):
                     delay = record.received_at - drained_server.start
                     yield Violation("DRAIN", f"{request_id} reached {name} after {delay:.2f} s")
 
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -42,6 +42,8 @@
         DRAIN: A backend server is registered as draining, and as ready at the end.
         EDIT: A new version of the configuration is published.
         RESHARD: As ``EDIT``, with another set of shards.
+        STORE_RETURN: The store is away and comes back from an older copy; see
+            ``return_plan``.
     """
 
     KILL = "kill"
@@ -58,6 +60,7 @@
     DRAIN = "drain"
     EDIT = "edit"
     RESHARD = "reshard"
+    STORE_RETURN = "store_return"
 
 
 ROUTINE_KINDS = (
@@ -73,6 +76,7 @@
     FaultKind.STORE_LINK: ("delay", "one_way", "silence", "reset"),
     FaultKind.SERVER: ("error", "lost", "shed", "foreign_id", "truncated", "no_proof"),
     FaultKind.SERVER_LINK: ("delay", "one_way", "silence", "reset"),
+    FaultKind.STORE_RETURN: ("refuse", "reset"),
 }
 # Relative frequency of each kind.
 WEIGHT_BY_KIND = {
@@ -99,11 +103,13 @@
     Attributes:
         at: Start, in seconds from the start of the load.
         kind: Kind of the fault.
-        how: Variant, one of ``VARIANTS_BY_KIND``; empty if the kind has only one.
+        how: Variant, one of ``VARIANTS_BY_KIND``; empty if the kind has only one. The item of
+            a drained server is removed instead if it is ``removed``.
         instance: Number of the affected instance, from 1.
         other: Number of the instance at the other end of a link.
         place: Number from which the affected server is derived.
         for_s: Length in seconds; a drain lasts longer by ``proxied_fleet.DRAIN_LIMIT_SECONDS``.
+        copy_age_s: Age of the copy from which the store comes back, in seconds.
     """
 
     at: float
@@ -113,6 +119,7 @@
     other: int
     place: int
     for_s: float
+    copy_age_s: float = 0.0
 
 
 class Plan(msgspec.Struct, frozen=True):
@@ -141,6 +148,7 @@
         lines += [
             f"  {fault.at:6.2f} s  {fault.kind.value} {fault.how} instance={fault.instance}"
             f" other={fault.other} place={fault.place} for {fault.for_s:.2f} s"
+            + (f" copy of {fault.copy_age_s:.2f} s before" if fault.copy_age_s else "")
             for fault in self.faults
         ]
         return "\n".join(lines)
--- a/soak/platform.py
+++ b/soak/platform.py
@@ -5,7 +5,7 @@
 import random
 import time
 
-from soak import checks, clients, plan, proxied_fleet
+from soak import checks, clients, plan, proxied_fleet, returning_fleet
 
 CLIENTS_PER_INSTANCE = 3
 # Mean pause of a client between requests, and pause between probes of the version in force, for up
@@ -24,7 +24,7 @@
 
 def run(fault_plan: plan.Plan) -> list[checks.Violation]:
     """Runs a plan and returns the violations that were found."""
-    deployment = proxied_fleet.ProxiedFleet(fault_plan)
+    deployment = returning_fleet.ReturningFleet(fault_plan)
     try:
         deployment.start()
         deployment.publish_next()
--- a/soak/proxied_fleet.py
+++ b/soak/proxied_fleet.py
@@ -4,9 +4,10 @@
 import dataclasses
 import signal
 import time
+from collections.abc import Callable
 
 from soak import plan, proxy
-from standins import fleet
+from standins import fleet, store
 
 # The store's proxy for instance N listens on this port plus N, and the proxy of a backend server on
 # the server's port plus the offset. Instances listen for streams on PEER_LISTEN_PORT, and their
@@ -32,6 +33,8 @@
 STALL = "stall"
 STALL_MIN_SECONDS = 0.2
 STALL_CHECK_SECONDS = 0.05
+# Pause before a write is sent again that the store refused because it was away.
+WRITE_RETRY_SECONDS = 0.05
 
 
 @dataclasses.dataclass
@@ -56,18 +59,33 @@
 
     Attributes:
         number: Number of the version, from 0, and of the route that it adds.
-        published_at: Time at which the store had accepted it, in monotonic seconds.
+        published_at: Time at which the store had accepted it first, in monotonic seconds.
         gathered_shards: Shards of the gathered route.
+        revision: Revision that the store acknowledged last.
+        acknowledgements: Times at which the store had accepted it, and lost it again.
     """
 
     number: int
     published_at: float
     gathered_shards: frozenset[str]
+    revision: int
+    acknowledgements: list["Acknowledgement"]
+
+
+@dataclasses.dataclass
+class Acknowledgement:
+    """A period in which the store has a write that it acknowledged at its start.
+
+    ``end`` is infinite unless the store lost the write by coming back from an older copy.
+    """
+
+    start: float
+    end: float = float("inf")
 
 
 @dataclasses.dataclass
 class DrainedServer:
-    """A server that was registered as draining; ``end`` is infinite while it is."""
+    """A server that was registered as draining or removed; ``end`` is infinite while it is."""
 
     server: str
     start: float
@@ -86,6 +104,7 @@
         drained_servers: Servers that were registered as draining.
         start_times_by_instance: Start times of the processes of each instance.
         sigterm_times_by_instance: Times of SIGTERM to each instance.
+        drain_by_server: Entries of ``drained_servers`` that have not ended, by server.
         overdue_instances: Instances that did not end within the grace period after SIGTERM.
     """
 
@@ -94,6 +113,8 @@
         self.disturbances: list[Disturbance] = []
         self.versions: list[PublishedVersion] = []
         self.drained_servers: list[DrainedServer] = []
+        self.drain_by_server: dict[str, DrainedServer] = {}
+        self._drained_services: set[str] = set()
         self.start_times_by_instance: dict[int, list[float]] = {}
         self.sigterm_times_by_instance: dict[int, list[float]] = {}
         self.overdue_instances: list[str] = []
@@ -151,16 +172,20 @@
         Args:
             changes_shards: Whether the gathered route moves to the next set of shards.
         """
-        if changes_shards:
-            self._shard_set_index = (self._shard_set_index + 1) % len(SHARD_SETS)
+        shard_set_index = (self._shard_set_index + changes_shards) % len(SHARD_SETS)
         number = len(self.versions)
         route_numbers = range(max(0, number - ROUTE_LIFETIME_VERSIONS + 1), number + 1)
         extra = tuple(
             fleet.make_plain_route(f"v{n}", f"/v{n}/", "idempotent", 1) for n in route_numbers
         )
-        gathered = SHARD_SETS[self._shard_set_index]
+        gathered = SHARD_SETS[shard_set_index]
         self.publish(gathered, extra)
-        self.versions.append(PublishedVersion(number, time.monotonic(), frozenset(gathered)))
+        now = time.monotonic()
+        revision = self.written_by_key[fleet.CONFIG_KEY].revision
+        self.versions.append(
+            PublishedVersion(number, now, frozenset(gathered), revision, [Acknowledgement(now)])
+        )
+        self._shard_set_index = shard_set_index
 
     async def inject_fault(self, fault: plan.Fault) -> None:
         """Injects a fault, waits for its end and removes it."""
@@ -172,9 +197,9 @@
             case plan.FaultKind.KILL_ALL:
                 await self._kill_all(fault)
             case plan.FaultKind.EDIT:
-                self.publish_next()
+                await self.write(self.publish_next)
             case plan.FaultKind.RESHARD:
-                self.publish_next(changes_shards=True)
+                await self.write(lambda: self.publish_next(changes_shards=True))
             case plan.FaultKind.DRAIN:
                 await self._drain_server(fault)
             case plan.FaultKind.SERVER:
@@ -186,6 +211,16 @@
             case _:
                 await self._inject_link_fault(fault)
 
+    async def write(self, write: Callable[[], None]) -> None:
+        """Writes to the store, again and again while it is away."""
+        while True:
+            try:
+                write()
+            except store.StoreAwayError:
+                await asyncio.sleep(WRITE_RETRY_SECONDS)
+            else:
+                return
+
     def _send_signal(self, number: int, signal_number: signal.Signals) -> None:
         process = self.process_by_number[number]
         if process.poll() is None:
@@ -197,7 +232,7 @@
             if fault.kind is plan.FaultKind.RESTART:
                 await self._restart(fault.instance)
                 return
-            disturbance = self._record_disturbance(f"instance {fault.instance}")
+            disturbance = self.record_disturbance(f"instance {fault.instance}")
             is_kill = fault.kind is plan.FaultKind.KILL
             self._send_signal(fault.instance, signal.SIGKILL if is_kill else signal.SIGSTOP)
             await asyncio.sleep(fault.for_s)
@@ -210,7 +245,7 @@
     async def _restart(self, number: int) -> None:
         """Stops an instance gracefully, or by SIGKILL after the grace period, and restarts it."""
         self.sigterm_times_by_instance.setdefault(number, []).append(time.monotonic())
-        disturbance = self._record_disturbance(f"restart {number}")
+        disturbance = self.record_disturbance(f"restart {number}")
         process = self.process_by_number[number]
         self._send_signal(number, signal.SIGTERM)
         start = time.monotonic()
@@ -233,7 +268,7 @@
         locks = [self._lock_by_instance.setdefault(number, asyncio.Lock()) for number in numbers]
         for lock in locks:
             await lock.acquire()
-        disturbances = [self._record_disturbance(f"instance {number}") for number in numbers]
+        disturbances = [self.record_disturbance(f"instance {number}") for number in numbers]
         for number in numbers:
             self._send_signal(number, signal.SIGKILL)
         await asyncio.sleep(fault.for_s)
@@ -245,21 +280,26 @@
     async def _drain_server(self, fault: plan.Fault) -> None:
         name = self._choose_server(fault)
         service = name.rpartition("-")[0]
-        if any(
-            draining.server.startswith(service) and draining.end > time.monotonic()
-            for draining in self.drained_servers
-        ):
+        if service in self._drained_services:
             return
-        self.set_state(name, "draining")
+        self._drained_services.add(service)
+        await self.write(lambda: self.set_state(name, fault.how or "draining"))
+        self.drain_by_server[name] = self.record_drain(name)
+        await asyncio.sleep(DRAIN_LIMIT_SECONDS + fault.for_s)
+        drained = self.drain_by_server.pop(name)
+        drained.end = min(drained.end, time.monotonic())
+        self._drained_services.remove(service)
+        await self.write(lambda: self.set_state(name, "ready"))
+
+    def record_drain(self, name: str) -> DrainedServer:
+        """Records that the store has accepted that a server is draining or removed."""
         drained = DrainedServer(name, time.monotonic())
         self.drained_servers.append(drained)
-        await asyncio.sleep(DRAIN_LIMIT_SECONDS + fault.for_s)
-        drained.end = time.monotonic()
-        self.set_state(name, "ready")
+        return drained
 
     async def _inject_server_fault(self, fault: plan.Fault) -> None:
         behaviour = self.server_by_name[self._choose_server(fault)].behaviour
-        disturbance = self._record_disturbance(f"server {self._choose_server(fault)}")
+        disturbance = self.record_disturbance(f"server {self._choose_server(fault)}")
         behaviour.fault = fault.how
         await asyncio.sleep(fault.for_s)
         behaviour.fault = ""
@@ -276,7 +316,7 @@
         if fault.how == "forget":
             self.call_in_thread(self.store.discard_history)
             return
-        disturbance = self._record_disturbance(STORE)
+        disturbance = self.record_disturbance(STORE)
         self.store.fault = fault.how
         await asyncio.sleep(fault.for_s)
         self.store.fault = ""
@@ -294,7 +334,7 @@
                 self._server_proxy_by_name[self._choose_server(fault)],
                 f"server {self._choose_server(fault)}",
             )
-        disturbance = self._record_disturbance(target)
+        disturbance = self.record_disturbance(target)
         self.call_in_thread(lambda: faulty_proxy.inject_fault(fault.how, source))
         await asyncio.sleep(fault.for_s)
         self.call_in_thread(lambda: faulty_proxy.clear_fault(source))
@@ -325,7 +365,8 @@
             if disturbance.target == STALL
         )
 
-    def _record_disturbance(self, target: str) -> Disturbance:
+    def record_disturbance(self, target: str) -> Disturbance:
+        """Records that something is disturbed from now on."""
         disturbance = Disturbance(target, time.monotonic())
         self.disturbances.append(disturbance)
         return disturbance
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -16,6 +16,8 @@
 import threading
 from collections.abc import Callable
 
+import msgspec
+
 from standins import ports, shards, site, store
 
 PORT_BASE = ports.FLEET_PORT_BASE
@@ -34,6 +36,7 @@
 # Services that replace some of ``SHARDS`` when a test changes the shards.
 SPARE_SHARDS = ("epsilon", "zeta")
 HOST_NAME = "club.example"
+CONFIG_KEY = "op/config"
 # Limits of each backend server.
 MAX_CONNECTIONS = 30
 SLOTS = 4
@@ -42,6 +45,18 @@
 _SECTION = re.compile(r"{{#([^}]+)}}(.*?){{/\1}}", re.DOTALL)
 
 
+class WrittenItem(msgspec.Struct, frozen=True):
+    """What was last written to a key of the store.
+
+    Attributes:
+        revision: Revision that the store acknowledged.
+        value: The value; None if the key was removed.
+    """
+
+    revision: int
+    value: bytes | None
+
+
 class Reply:
     """A reply to a caller.
 
@@ -79,6 +94,7 @@
         server_by_name: Backend servers, two for each service.
         process_by_number: Processes of the instances by number.
         version: Version of the latest published configuration.
+        written_by_key: Latest write of the operator and of each server, by key of the store.
     """
 
     def __init__(
@@ -96,6 +112,7 @@
         self.server_by_name: dict[str, shards.ShardServer] = {}
         self.process_by_number: dict[int, subprocess.Popen] = {}
         self.version = 1
+        self.written_by_key: dict[str, WrittenItem] = {}
         self._service_by_server: dict[str, str] = {}
         self._born_by_server: dict[str, int] = {}
         self._sequence_by_server: dict[str, int] = {}
@@ -171,7 +188,18 @@
             "Seq": self._sequence_by_server[name],
             "born": self._born_by_server.get(name, 1),
         }
-        self.store.put(f"servers/{name}", json.dumps(registration).encode())
+        self.write_item(f"servers/{name}", json.dumps(registration).encode())
+
+    def write_item(self, key: str, value: bytes | None) -> None:
+        """Writes an item of the operator or of a server, or removes it if the value is None.
+
+        It must be called in the thread of the event loop.
+
+        Raises:
+            store.StoreAwayError: If the store is away.
+        """
+        revision = self.store.remove(key) if value is None else self.store.put(key, value)
+        self.written_by_key[key] = WrittenItem(revision, value)
 
     def add_server(self, server: shards.ShardServer, service: str) -> None:
         """Registers a further backend server, which is running, for a service."""
@@ -188,7 +216,7 @@
     def set_state(self, name: str, state: str) -> None:
         """Registers a server with a state, or unregisters it if the state is ``removed``."""
         if state == "removed":
-            self.call_in_thread(lambda: self.store.remove(f"servers/{name}"))
+            self.call_in_thread(lambda: self.write_item(f"servers/{name}", None))
         else:
             self.call_in_thread(lambda: self._register_server(name, state))
 
@@ -233,7 +261,7 @@
         limits = self.request_limits if request_limits is None else request_limits
         if limits:
             config["Limits"] = limits
-        self.call_in_thread(lambda: self.store.put("op/config", json.dumps(config).encode()))
+        self.call_in_thread(lambda: self.write_item(CONFIG_KEY, json.dumps(config).encode()))
         return self.version
 
     def start_instance(self, number: int) -> None:
--- a/standins/store.py
+++ b/standins/store.py
@@ -110,8 +110,8 @@
         self._append_event(item)
         return self.revision
 
-    def remove(self, key: str) -> None:
-        """Removes an item.
+    def remove(self, key: str) -> int:
+        """Removes an item and returns the revision of its removal.
 
         Raises:
             StoreAwayError: If the store is away.
@@ -119,6 +119,7 @@
         self._begin_write(key)
         self.item_by_key.pop(key, None)
         self._append_event({"Key": key, "Rev": self.revision, "Removed": True})
+        return self.revision
 
     def discard_history(self) -> None:
         """Discards the history; watches from an earlier revision receive status 410."""
