--- a/bench/mutants.py
+++ b/bench/mutants.py
@@ -514,7 +514,7 @@
     ),
     Mutant(
         "failed reads of the configuration service are not retried",
-        "node/replication.py",
+        "node/table_reader.py",
         "return delay * random.uniform(0.75, 1.25)",
         "return 3600.0",
         seed=6,
@@ -556,9 +556,9 @@
     ),
     Mutant(
         "an unexpected error ends the watch of the configuration service",
-        "node/replication.py",
+        "node/service_watcher.py",
         "            except Exception:",
-        "            except ZeroDivisionError if False else ConfigServiceError:",
+        "            except ZeroDivisionError if False else table_reader.ConfigServiceError:",
         "malformed_input",
     ),
     Mutant(
--- a/features/steps/odd_replies.py
+++ b/features/steps/odd_replies.py
@@ -8,7 +8,7 @@
 
 from monsoonhoist import metrics
 from monsoonhoist.core import data, defects
-from monsoonhoist.node import config_service, http_call, replication
+from monsoonhoist.node import config_service, http_call, table_reader
 from monsoonhoist.tables import native, store
 
 WAIT = datetime.timedelta(seconds=1)
@@ -114,7 +114,7 @@
         read(context, 1)
     except config_service.UnreadableValueError as error:
         raise AssertionError("the value counts as unreadable") from error
-    except replication.ConfigServiceError:
+    except table_reader.ConfigServiceError:
         return
     raise AssertionError("the service has been read")
 
--- a/features/steps/odd_values.py
+++ b/features/steps/odd_values.py
@@ -8,7 +8,7 @@
 from features import store_values
 from monsoonhoist import metrics, settings
 from monsoonhoist.core import clock, data
-from monsoonhoist.node import replication
+from monsoonhoist.node import replication, service_watcher, table_reader
 from monsoonhoist.platform import store_format
 from monsoonhoist.protocol import messages
 from monsoonhoist.tables import store
@@ -124,7 +124,7 @@
     assert sorted(context.harness.store.revision_by_key) == keys.split(", ")
 
 
-class FailingReader(replication.TableReader):
+class FailingReader(table_reader.TableReader):
     """A reader that fails with an unexpected error at its first call.
 
     Attributes:
@@ -141,7 +141,7 @@
             raise ZeroDivisionError("for the test")
         if self.calls > 2:
             await asyncio.Event().wait()
-        return replication.Reading((messages.TableValue(data.TableKey("a"), 1, "text"),))
+        return table_reader.Reading((messages.TableValue(data.TableKey("a"), 1, "text"),))
 
     def reset(self):
         """Does nothing."""
@@ -166,7 +166,7 @@
     """Runs a watcher of the configuration service for at most 5 s."""
 
     async def run():
-        watcher = replication.ConfigServiceWatcher(
+        watcher = service_watcher.ConfigServiceWatcher(
             settings.TimingSection().service_retry_ms / 50,
             context.reader,
             context.replicator,
--- a/features/steps/operator_keys.py
+++ b/features/steps/operator_keys.py
@@ -12,7 +12,7 @@
 from features import store_values
 from monsoonhoist import metrics
 from monsoonhoist.core import clock, data
-from monsoonhoist.node import http_call, replication
+from monsoonhoist.node import http_call, replication, service_watcher
 from monsoonhoist.platform import reader, store_format
 from monsoonhoist.protocol import messages
 
@@ -335,7 +335,7 @@
         lambda: (),
         lambda: record_delays(context, replicator.store),
     )
-    watcher = replication.ConfigServiceWatcher(
+    watcher = service_watcher.ConfigServiceWatcher(
         RETRY_DELAY, store_reader, replicator, lambda: True, lambda: None
     )
     replicator.offer(context.known_values, "peer")
--- a/monsoonhoist/node/config_service.py
+++ b/monsoonhoist/node/config_service.py
@@ -15,7 +15,7 @@
 from monsoonhoist import decoding, errors, metrics
 from monsoonhoist.core import data
 from monsoonhoist.fleet import membership
-from monsoonhoist.node import curl, dialect, http_call, http_fetch, replication
+from monsoonhoist.node import curl, dialect, http_call, http_fetch, table_reader
 from monsoonhoist.protocol import messages
 from monsoonhoist.tables import native, store
 
@@ -56,7 +56,7 @@
     text: str
 
 
-class UnreadableValueError(replication.ConfigServiceError):
+class UnreadableValueError(table_reader.ConfigServiceError):
     """The service works, but its reply for one value cannot be used."""
 
 
@@ -90,7 +90,7 @@
             wait: Longest wait, after which the revisions are returned unchanged.
 
         Raises:
-            replication.ConfigServiceError: If no usable reply was received.
+            table_reader.ConfigServiceError: If no usable reply was received.
         """
         self._counters.count_service_read("watch")
         wait_ms = int(wait.total_seconds() * MS_PER_SECOND)
@@ -102,7 +102,7 @@
 
         Raises:
             UnreadableValueError: If the reply for this value cannot be used.
-            replication.ConfigServiceError: If no reply was received.
+            table_reader.ConfigServiceError: If no reply was received.
         """
         self._counters.count_service_read("value")
         url = f"{self._config_url}/v1/values/{urllib.parse.quote(key, safe='/')}"
@@ -122,7 +122,7 @@
         """Returns the instance list, without the entries that cannot be read.
 
         Raises:
-            replication.ConfigServiceError: If no usable reply was received.
+            table_reader.ConfigServiceError: If no usable reply was received.
         """
         body = await self._get(self._instances_url, READ_TIMEOUT)
         listed = []
@@ -144,7 +144,7 @@
         return await http_fetch.fetch(self._driver, call)
 
 
-class ConfigServiceReader(replication.TableReader):
+class ConfigServiceReader(table_reader.TableReader):
     """Reads the keys that have newer revisions, after waiting for a change.
 
     Args:
@@ -157,7 +157,7 @@
         self._wait_max = wait_max
         self._index = 0
 
-    async def read(self, table_store: store.TableStore) -> replication.Reading:
+    async def read(self, table_store: store.TableStore) -> table_reader.Reading:
         """Waits for a change and returns the values that are newer than the store's.
 
         A value that cannot be read is left out and requested again by the next call. Changed
@@ -167,7 +167,7 @@
         changes = tuple(_find_evacuation_changes(revision_index, table_store))
         if changes:
             # They do not wait for other values, which the next call reads by the same index.
-            return replication.Reading(changes, is_complete=False)
+            return table_reader.Reading(changes, is_complete=False)
         values = []
         for key, number in sorted(revision_index.number_by_key.items()):
             is_evacuation = key.startswith(native.EVACUATION_KEY_PREFIX)
@@ -179,7 +179,7 @@
                 extra = {"key": key, "number": number, "error": str(error)}
                 _log.error("value not read", extra=extra)
         self._index = revision_index.index
-        return replication.Reading(tuple(values))
+        return table_reader.Reading(tuple(values))
 
     def reset(self) -> None:
         """Makes the next read cover all keys."""
@@ -219,7 +219,7 @@
         while True:
             try:
                 self._handle_instances(await self._client.fetch_instances())
-            except replication.ConfigServiceError as error:
+            except table_reader.ConfigServiceError as error:
                 _log.warning("instance list not read", extra={"error": str(error)})
             except Exception:
                 # The list is read again after the usual interval, as after any other failure.
@@ -250,11 +250,13 @@
 def _check_status(url: str, reply: http_call.HttpReply) -> None:
     """Raises ``ConfigServiceError`` unless the reply has the status 200."""
     if reply.status != STATUS_OK:
-        raise replication.ConfigServiceError(f"{url}: status {reply.status} {reply.error}".rstrip())
+        raise table_reader.ConfigServiceError(
+            f"{url}: status {reply.status} {reply.error}".rstrip()
+        )
 
 
 def _decode(body: bytes, reply_type: type) -> object:
     try:
         return decoding.decode_json(body, reply_type)
     except errors.MalformedInputError as error:
-        raise replication.ConfigServiceError(f"malformed reply: {error}") from error
+        raise table_reader.ConfigServiceError(f"malformed reply: {error}") from error
--- a/monsoonhoist/node/dialect.py
+++ b/monsoonhoist/node/dialect.py
@@ -10,7 +10,7 @@
 
 from monsoonhoist import errors, metrics, settings
 from monsoonhoist.fleet import membership
-from monsoonhoist.node import backends, curl, replication
+from monsoonhoist.node import backends, curl, table_reader
 from monsoonhoist.tables import store
 
 MODULE_BY_NAME = {
@@ -72,7 +72,7 @@
     @abc.abstractmethod
     def make_reader(
         self, driver: curl.CurlDriver, counters: metrics.Metrics
-    ) -> replication.TableReader:
+    ) -> table_reader.TableReader:
         """Returns the reader of the configuration service."""
 
     @abc.abstractmethod
--- a/monsoonhoist/node/native.py
+++ b/monsoonhoist/node/native.py
@@ -8,8 +8,8 @@
     dialect,
     http_servers,
     node,
-    replication,
     search,
+    table_reader,
     web,
 )
 from monsoonhoist.tables import native, store
@@ -52,7 +52,7 @@
 
     def make_reader(
         self, driver: curl.CurlDriver, counters: metrics.Metrics
-    ) -> replication.TableReader:
+    ) -> table_reader.TableReader:
         """Returns the reader of the configuration service."""
         client = self._make_client(driver, counters)
         return config_service.ConfigServiceReader(client, self.config.timing.watch_ms)
--- a/monsoonhoist/node/node.py
+++ b/monsoonhoist/node/node.py
@@ -24,6 +24,7 @@
     readiness,
     replication,
     request_log,
+    service_watcher,
     stream_protocol,
     ticket_runner,
     trace,
@@ -118,7 +119,7 @@
         self._member_gossip = member_gossip.MemberGossip(
             self.members, self.send, self._streams.gossiping_instances
         )
-        self._watcher = replication.ConfigServiceWatcher(
+        self._watcher = service_watcher.ConfigServiceWatcher(
             config.timing.service_retry_ms,
             self.dialect.make_reader(self._driver, self.counters),
             self.replicator,
--- a/monsoonhoist/node/range_reader.py
+++ b/monsoonhoist/node/range_reader.py
@@ -18,7 +18,7 @@
 import msgspec
 
 from monsoonhoist.core import data
-from monsoonhoist.node import replication
+from monsoonhoist.node import table_reader
 from monsoonhoist.protocol import messages
 from monsoonhoist.tables import store
 
@@ -34,11 +34,11 @@
 _log = logging.getLogger(__name__)
 
 
-class HistoryGoneError(replication.ConfigServiceError):
+class HistoryGoneError(table_reader.ConfigServiceError):
     """The changes after a revision cannot be read: they are gone, or too long for a reply."""
 
 
-class NoReplyError(replication.ConfigServiceError):
+class NoReplyError(table_reader.ConfigServiceError):
     """No reply was received, so that other requests in progress may be lost as well."""
 
 
@@ -105,7 +105,7 @@
     def __init__(self) -> None:
         self.revision: int | None = None
         self.listed_number: int | None = None
-        self.readings: collections.deque[replication.Reading] = collections.deque()
+        self.readings: collections.deque[table_reader.Reading] = collections.deque()
         self.watch_timeout: asyncio.Timeout | None = None
         self.has_list = asyncio.Event()
 
@@ -115,7 +115,7 @@
         self.has_list.set()
 
 
-class RangeReader(replication.TableReader):
+class RangeReader(table_reader.TableReader):
     """Lists and watches ranges of keys side by side.
 
     Args:
@@ -140,7 +140,7 @@
         self._tasks: list[asyncio.Task[None]] = []
         self._has_readings = asyncio.Event()
 
-    async def read(self, table_store: store.TableStore) -> replication.Reading:
+    async def read(self, table_store: store.TableStore) -> table_reader.Reading:
         """Waits until any range has a new reading, and returns it.
 
         A failed request is returned as a reading with an error; it is repeated by itself.
@@ -189,17 +189,17 @@
                 state.revision = None
                 await asyncio.sleep(RELIST_DELAY_SECONDS)
                 continue
-            except replication.ConfigServiceError as error:
+            except table_reader.ConfigServiceError as error:
                 if isinstance(error, NoReplyError):
                     self._restart_other_watches(state)
-                self._publish(state, replication.Reading((), error=str(error)))
+                self._publish(state, table_reader.Reading((), error=str(error)))
             except Exception as error:
                 # An error of the program must not end the task, nor delay the other ranges.
                 _log.exception("range not read", extra={"prefix": prefix})
                 state.revision = None
-                self._publish(state, replication.Reading((), error=repr(error)))
+                self._publish(state, table_reader.Reading((), error=repr(error)))
             failures += 1
-            await asyncio.sleep(replication.retry_delay_seconds(self._retry_delay, failures))
+            await asyncio.sleep(table_reader.retry_delay_seconds(self._retry_delay, failures))
 
     async def _list(self, state: RangeState, prefix: str, table_store: store.TableStore) -> None:
         """Reads a range page by page; keys that the service no longer has get empty values.
@@ -224,7 +224,7 @@
                 values += self._list_included(page, prefix, table_store)
                 offered_at = -math.inf
             if loop.time() - offered_at >= OFFER_INTERVAL_SECONDS:
-                self._publish(state, replication.Reading(tuple(values), is_complete=False))
+                self._publish(state, table_reader.Reading(tuple(values), is_complete=False))
                 values = []
                 offered_at = loop.time()
             after = page.next_after
@@ -308,14 +308,14 @@
         listed_numbers = [other.listed_number for other in self._state_by_prefix.values()]
         is_complete = None not in listed_numbers
         listed_number = min(listed_numbers) if is_complete else 0
-        self._publish(state, replication.Reading(values, listed_number, is_complete))
+        self._publish(state, table_reader.Reading(values, listed_number, is_complete))
 
-    def _publish(self, state: RangeState, reading: replication.Reading) -> None:
+    def _publish(self, state: RangeState, reading: table_reader.Reading) -> None:
         state.readings.append(reading)
         self._has_readings.set()
 
 
-def _without_listing(reading: replication.Reading) -> replication.Reading:
+def _without_listing(reading: table_reader.Reading) -> table_reader.Reading:
     """Returns a reading that is overtaking others, without what it says about lists.
 
     It may have been made after a list whose values are in a reading that waits. Had the list been
--- a/monsoonhoist/node/readiness.py
+++ b/monsoonhoist/node/readiness.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 
 from monsoonhoist.core import clock, data
-from monsoonhoist.node import replication
+from monsoonhoist.node import replication, service_watcher
 
 CHECK_INTERVAL_SECONDS = 0.05
 # Wait for the configuration service, after which tables from peers are sufficient.
@@ -27,7 +27,7 @@
         self,
         time_source: clock.Clock,
         replicator: replication.TableReplicator,
-        watcher: replication.ConfigServiceWatcher,
+        watcher: service_watcher.ConfigServiceWatcher,
         connected_instances: Callable[[], tuple[data.InstanceId, ...]],
     ):
         self._clock = time_source
--- a/monsoonhoist/node/replication.py
+++ b/monsoonhoist/node/replication.py
@@ -9,16 +9,11 @@
 only at its start, after a pause of its process, and while it has no stream to another instance.
 """
 
-import abc
-import asyncio
-import datetime
 import logging
 import random
 from collections.abc import Callable, Iterable, Iterator
 from typing import TypeVar
 
-import msgspec
-
 from monsoonhoist import errors, metrics
 from monsoonhoist.core import clock, data
 from monsoonhoist.node import evacuation_log, value_requests
@@ -29,14 +24,11 @@
 # full. Both keep messages well below the length of a frame.
 MESSAGE_KEYS_MAX = 4096
 MESSAGE_VALUES_BYTES = 1_048_576
-# Interval at which an instance that is not a watcher checks whether it has become one.
-ROLE_CHECK_INTERVAL_SECONDS = 0.25
 # How long announcements of keys that operators do not write are collected. Peers that announce the
 # same values meanwhile need no announcement, so the delay varies by up to a half.
 ANNOUNCE_DELAY_SECONDS = 0.05
 # Most keys listed in the log line about accepted values.
 LOGGED_KEYS_MAX = 5
-RETRY_MAX_SECONDS = 1.5
 
 # Not ``__name__``: operators select log lines by this name, which the module had before it was
 # renamed.
@@ -46,46 +38,6 @@
 EntryT = TypeVar("EntryT")
 
 
-class ConfigServiceError(errors.MonsoonError):
-    """The configuration service did not return a usable reply."""
-
-
-class Reading(msgspec.Struct, frozen=True):
-    """Result of reading the configuration service.
-
-    Attributes:
-        values: New values.
-        listed_number: Revision number up to which all keys of the service were read; 0 if only
-            changes were read, or if the service numbers the revisions of each key by themselves.
-        is_complete: Whether all keys have been read since the last reset of the reader.
-        error: Why a request failed; empty if none did. The reader repeats it by itself.
-    """
-
-    values: tuple[messages.TableValue, ...]
-    listed_number: int = 0
-    is_complete: bool = True
-    error: str = ""
-
-
-class TableReader(abc.ABC):
-    """Reads table values from the configuration service."""
-
-    @abc.abstractmethod
-    async def read(self, table_store: store.TableStore) -> Reading:
-        """Waits for a change, up to the timeout of the watch, and returns new values.
-
-        The first call after ``reset`` does not wait and covers all keys.
-
-        Raises:
-            ConfigServiceError: If the service did not return a usable reply, and the reader leaves
-                the delay before the next request to its caller.
-        """
-
-    @abc.abstractmethod
-    def reset(self) -> None:
-        """Makes the next read cover all keys."""
-
-
 class TableReplicator:
     """Stores table values and exchanges them with peers.
 
@@ -304,95 +256,3 @@
     """Yields the entries in lists of at most ``MESSAGE_KEYS_MAX``."""
     for start in range(0, len(entries), MESSAGE_KEYS_MAX):
         yield entries[start : start + MESSAGE_KEYS_MAX]
-
-
-class ConfigServiceWatcher:
-    """Reads the configuration service while this instance is a watcher.
-
-    Args:
-        retry_delay: Delay after a failed call; it doubles with each consecutive failure, up to
-            ``RETRY_MAX_SECONDS``, and varies at random by up to a quarter.
-        reader: Reads the service.
-        replicator: Receives the values.
-        is_watcher: Returns whether this instance should currently read the service.
-        on_read: Called after each successful read.
-        reads_at_start: Whether to read the service at the start even if not a watcher.
-
-    Attributes:
-        has_read_all: Whether all keys have been read since the start or last restart.
-    """
-
-    def __init__(
-        self,
-        retry_delay: datetime.timedelta,
-        reader: TableReader,
-        replicator: TableReplicator,
-        is_watcher: Callable[[], bool],
-        on_read: Callable[[], None],
-        reads_at_start: bool = True,
-    ):
-        self.has_read_all = False
-        self._must_read = reads_at_start
-        self._on_read = on_read
-        self._retry_delay = retry_delay
-        self._reader = reader
-        self._replicator = replicator
-        self._is_watcher = is_watcher
-        self._task: asyncio.Task[None] | None = None
-
-    def start(self) -> None:
-        """Starts watching."""
-        self._task = asyncio.create_task(self._run(), name="service watcher")
-
-    def stop(self) -> None:
-        """Stops watching."""
-        if self._task is not None:
-            self._task.cancel()
-        self._reader.reset()
-
-    def restart(self) -> None:
-        """Aborts a pending watch and reads all keys again."""
-        self.stop()
-        self.has_read_all = False
-        self._must_read = True
-        self.start()
-
-    async def _run(self) -> None:
-        failures = 0
-        while True:
-            if not self._must_read and not self._is_watcher():
-                self._reader.reset()
-                await asyncio.sleep(ROLE_CHECK_INTERVAL_SECONDS)
-                continue
-            try:
-                reading = await self._reader.read(self._replicator.store)
-                if reading.error:
-                    _log.warning("configuration service not read", extra={"error": reading.error})
-                    failures += 1
-                    continue
-                self._replicator.offer(reading.values, "service")
-                self._replicator.store.record_listing(reading.listed_number)
-                if reading.is_complete:
-                    self.has_read_all = True
-                    self._must_read = False
-                self._on_read()
-                if failures:
-                    _log.info("configuration service read again")
-                failures = 0
-            except ConfigServiceError as error:
-                _log.warning("configuration service not read", extra={"error": str(error)})
-                failures += 1
-                await asyncio.sleep(retry_delay_seconds(self._retry_delay, failures))
-            except Exception:
-                # An error of the program must not end the loop: the instance would go on serving
-                # by tables that grow old.
-                _log.exception("reading of the configuration service failed")
-                self._reader.reset()
-                failures += 1
-                await asyncio.sleep(retry_delay_seconds(self._retry_delay, failures))
-
-
-def retry_delay_seconds(initial: datetime.timedelta, failures: int) -> float:
-    """Returns the delay before the next read, in seconds, after consecutive failures."""
-    delay = min(RETRY_MAX_SECONDS, initial.total_seconds() * 2 ** (failures - 1))
-    return delay * random.uniform(0.75, 1.25)
--- /dev/null
+++ b/monsoonhoist/node/service_watcher.py
@@ -0,0 +1,101 @@
+"""Reads the configuration service while this instance is one of its watchers."""
+
+import asyncio
+import datetime
+import logging
+from collections.abc import Callable
+
+from monsoonhoist.node import replication, table_reader
+
+# Interval at which an instance that is not a watcher checks whether it has become one.
+ROLE_CHECK_INTERVAL_SECONDS = 0.25
+
+# Not ``__name__``: operators select log lines by this name, which the module had before it was
+# renamed.
+_log = logging.getLogger("monsoonhoist.node.tables")
+
+
+class ConfigServiceWatcher:
+    """Reads the configuration service while this instance is a watcher.
+
+    Args:
+        retry_delay: Delay after a failed call; it doubles with each consecutive failure, up to
+            ``RETRY_MAX_SECONDS``, and varies at random by up to a quarter.
+        reader: Reads the service.
+        replicator: Receives the values.
+        is_watcher: Returns whether this instance should currently read the service.
+        on_read: Called after each successful read.
+        reads_at_start: Whether to read the service at the start even if not a watcher.
+
+    Attributes:
+        has_read_all: Whether all keys have been read since the start or last restart.
+    """
+
+    def __init__(
+        self,
+        retry_delay: datetime.timedelta,
+        reader: table_reader.TableReader,
+        replicator: replication.TableReplicator,
+        is_watcher: Callable[[], bool],
+        on_read: Callable[[], None],
+        reads_at_start: bool = True,
+    ):
+        self.has_read_all = False
+        self._must_read = reads_at_start
+        self._on_read = on_read
+        self._retry_delay = retry_delay
+        self._reader = reader
+        self._replicator = replicator
+        self._is_watcher = is_watcher
+        self._task: asyncio.Task[None] | None = None
+
+    def start(self) -> None:
+        """Starts watching."""
+        self._task = asyncio.create_task(self._run(), name="service watcher")
+
+    def stop(self) -> None:
+        """Stops watching."""
+        if self._task is not None:
+            self._task.cancel()
+        self._reader.reset()
+
+    def restart(self) -> None:
+        """Aborts a pending watch and reads all keys again."""
+        self.stop()
+        self.has_read_all = False
+        self._must_read = True
+        self.start()
+
+    async def _run(self) -> None:
+        failures = 0
+        while True:
+            if not self._must_read and not self._is_watcher():
+                self._reader.reset()
+                await asyncio.sleep(ROLE_CHECK_INTERVAL_SECONDS)
+                continue
+            try:
+                reading = await self._reader.read(self._replicator.store)
+                if reading.error:
+                    _log.warning("configuration service not read", extra={"error": reading.error})
+                    failures += 1
+                    continue
+                self._replicator.offer(reading.values, "service")
+                self._replicator.store.record_listing(reading.listed_number)
+                if reading.is_complete:
+                    self.has_read_all = True
+                    self._must_read = False
+                self._on_read()
+                if failures:
+                    _log.info("configuration service read again")
+                failures = 0
+            except table_reader.ConfigServiceError as error:
+                _log.warning("configuration service not read", extra={"error": str(error)})
+                failures += 1
+                await asyncio.sleep(table_reader.retry_delay_seconds(self._retry_delay, failures))
+            except Exception:
+                # An error of the program must not end the loop: the instance would go on serving
+                # by tables that grow old.
+                _log.exception("reading of the configuration service failed")
+                self._reader.reset()
+                failures += 1
+                await asyncio.sleep(table_reader.retry_delay_seconds(self._retry_delay, failures))
--- a/monsoonhoist/platform/dialect.py
+++ b/monsoonhoist/platform/dialect.py
@@ -14,7 +14,7 @@
     dialect,
     http_servers,
     node,
-    replication,
+    table_reader,
 )
 from monsoonhoist.platform import backend_protocol, callers, reader, store_format
 from monsoonhoist.tables import store
@@ -96,7 +96,7 @@
 
     def make_reader(
         self, driver: curl.CurlDriver, counters: metrics.Metrics
-    ) -> replication.TableReader:
+    ) -> table_reader.TableReader:
         """Returns the reader of the store."""
         timing = self.config.timing
         return reader.StoreReader(
--- a/monsoonhoist/platform/reader.py
+++ b/monsoonhoist/platform/reader.py
@@ -13,7 +13,7 @@
 
 from monsoonhoist import decoding, errors, metrics
 from monsoonhoist.core import data, defects
-from monsoonhoist.node import curl, http_call, http_fetch, range_reader, replication
+from monsoonhoist.node import curl, http_call, http_fetch, range_reader, table_reader
 from monsoonhoist.platform import wire_names
 from monsoonhoist.protocol import messages
 from monsoonhoist.tables import evacuations
@@ -117,7 +117,7 @@
             raise range_reader.HistoryGoneError(f"{path}: the changes are longer than a reply")
         if reply.status != STATUS_OK:
             error_type = (
-                replication.ConfigServiceError if reply.status else range_reader.NoReplyError
+                table_reader.ConfigServiceError if reply.status else range_reader.NoReplyError
             )
             raise error_type(f"{path}: status {reply.status} {reply.error}".rstrip())
         return reply.body
@@ -161,7 +161,7 @@
     try:
         return decoding.decode_json(body, reply_type)
     except errors.MalformedInputError as error:
-        raise replication.ConfigServiceError(f"malformed reply of the store: {error}") from error
+        raise table_reader.ConfigServiceError(f"malformed reply of the store: {error}") from error
 
 
 def _make_table_values(items: Iterable[Item]) -> tuple[messages.TableValue, ...]:
