Move the digests of buckets out of the table store

The store decides which value is in force; how two instances find the keys that differ is another matter.

--- a/monsoonhoist/tables/store.py
+++ b/monsoonhoist/tables/store.py
@@ -16,14 +16,12 @@
 
 import msgspec
 
-from monsoonhoist.core import data, diagnostics, hashing
+from monsoonhoist.core import data, diagnostics
 from monsoonhoist.protocol import messages
+from monsoonhoist.tables import bucket_digests
 
 # Longest value that defines anything. Its message must fit into a frame between instances.
 VALUE_BYTES_MAX = 4_194_304
-# Number of buckets into which the keys are hashed when two instances compare their revisions.
-BUCKET_COUNT = 64
-BUCKET_DIGEST_BYTES = 8
 
 _log = logging.getLogger(__name__)
 
@@ -132,7 +130,7 @@
         self._content_by_key: dict[data.TableKey, object] = {}
         self._changed_keys: set[data.TableKey] = set()
         self._rejected_by_key: dict[data.TableKey, messages.Revision] = {}
-        self._digest_by_bucket = [0] * BUCKET_COUNT
+        self._digests = bucket_digests.BucketDigests()
         self._listed_number = 0
 
     def record_listing(self, number: int) -> None:
@@ -174,9 +172,9 @@
             revision = messages.Revision(value.key, value.number, digest_of(""))
             if current is not None and _sort_key(revision) <= _sort_key(current):
                 return OfferResult(Acceptance.KNOWN)
-        self._digest_by_bucket[bucket_of(value.key)] ^= _fingerprint(revision)
+        self._digests.toggle(revision)
         if current is not None:
-            self._digest_by_bucket[bucket_of(value.key)] ^= _fingerprint(current)
+            self._digests.toggle(current)
         self.revision_by_key[value.key] = revision
         self._text_by_key[value.key] = value.text
         self._content_by_key[value.key] = parsed.content
@@ -231,43 +229,20 @@
         keys = sorted(self.revision_by_key)
         if buckets is not None:
             bucket_set = frozenset(buckets)
-            keys = [key for key in keys if bucket_of(key) in bucket_set]
+            keys = [key for key in keys if bucket_digests.bucket_of(key) in bucket_set]
         return tuple(self.revision_by_key[key] for key in keys)
 
     def bucket_digests(self) -> bytes:
-        """Returns the concatenated digests of all buckets.
-
-        The digest of a bucket is the exclusive or of the fingerprints of its current revisions, so
-        that a changed revision updates it without reading the others.
-        """
-        return b"".join(
-            digest.to_bytes(BUCKET_DIGEST_BYTES, "big") for digest in self._digest_by_bucket
-        )
+        """Returns the concatenated digests of all buckets."""
+        return self._digests.concatenated()
 
     def differing_buckets(self, peer_digests: bytes) -> tuple[int, ...]:
         """Returns the buckets whose digest differs from the one of a peer."""
-        own_digests = self.bucket_digests()
-        size = BUCKET_DIGEST_BYTES
-        return tuple(
-            bucket
-            for bucket in range(BUCKET_COUNT)
-            if own_digests[bucket * size : (bucket + 1) * size]
-            != peer_digests[bucket * size : (bucket + 1) * size]
-        )
+        return self._digests.differing(peer_digests)
 
     def digest(self) -> bytes:
         """Returns one digest over all current revisions."""
-        return hashlib.sha256(self.bucket_digests()).digest()[:16]
-
-
-def bucket_of(key: data.TableKey) -> int:
-    """Returns the number of the bucket that a key belongs to."""
-    return hashing.stable_hash(key) % BUCKET_COUNT
-
-
-def _fingerprint(revision: messages.Revision) -> int:
-    """Returns a hash of a revision, of ``BUCKET_DIGEST_BYTES`` bytes."""
-    return hashing.stable_hash(revision.key, str(revision.number), revision.digest.hex())
+        return self._digests.total()
 
 
 def _sort_key(revision: messages.Revision) -> tuple[int, bytes]:
