Divide the reader of ranges into its records and its tasks

The records of ranges and pages, the interface of the client, its errors and the state of a range are now node.key_ranges.

--- a/bench/mutants.py
+++ b/bench/mutants.py
@@ -417,8 +417,8 @@
     Mutant(
         "changes reported by a watch are discarded",
         "platform/reader.py",
-        "return range_reader.Page(_make_table_values(reply.events), reply.current_rev)",
-        "return range_reader.Page((), reply.current_rev)",
+        "return key_ranges.Page(_make_table_values(reply.events), reply.current_rev)",
+        "return key_ranges.Page((), reply.current_rev)",
         seed=6,
         rule="CONFIG",
     ),
--- a/features/steps/evacuation.py
+++ b/features/steps/evacuation.py
@@ -12,7 +12,7 @@
 from features.steps import odd_replies, operator_keys, removed_keys, server_choice
 from monsoonhoist.core import data, exchange
 from monsoonhoist.fleet import warming
-from monsoonhoist.node import config_service, range_reader
+from monsoonhoist.node import config_service, key_ranges, range_reader
 from monsoonhoist.overload import budget
 from monsoonhoist.platform import reader, store_format, wire_names
 from monsoonhoist.policy import ownership
@@ -387,7 +387,7 @@
 # Two instances.
 
 
-class ListClient(range_reader.RangeClient):
+class ListClient(key_ranges.RangeClient):
     """A service that has a list and no changes.
 
     Args:
@@ -408,8 +408,8 @@
 
 def read_list(context, name, number):
     """Has an instance read a list that has a configuration and no evacuation."""
-    page = range_reader.Page((removed_keys.make_config_value(),), number)
-    key_range = range_reader.KeyRange("", datetime.timedelta(1), datetime.timedelta(0))
+    page = key_ranges.Page((removed_keys.make_config_value(),), number)
+    key_range = key_ranges.KeyRange("", datetime.timedelta(1), datetime.timedelta(0))
     store_reader = range_reader.RangeReader(
         ListClient(page), (key_range,), datetime.timedelta(1), wire_names.is_removable
     )
--- a/features/steps/reading_order.py
+++ b/features/steps/reading_order.py
@@ -7,7 +7,7 @@
 
 from features import store_values
 from monsoonhoist.core import data
-from monsoonhoist.node import range_reader
+from monsoonhoist.node import key_ranges, range_reader
 from monsoonhoist.platform import store_format
 from monsoonhoist.protocol import messages
 from monsoonhoist.tables import store
@@ -16,7 +16,7 @@
 OLD_SERVER = messages.TableValue(data.TableKey("servers/old"), 101, "{}")
 
 
-class ListThenChange(range_reader.RangeClient):
+class ListThenChange(key_ranges.RangeClient):
     """Service whose operators' keys change as soon as all keys have been listed."""
 
     def __init__(self):
@@ -26,7 +26,7 @@
         """Returns the only server, older than the list; the operators' keys are never listed."""
         if prefix:
             await asyncio.sleep(60)
-        return range_reader.Page((OLD_SERVER,), LISTED_AT)
+        return key_ranges.Page((OLD_SERVER,), LISTED_AT)
 
     async def watch(self, prefix, revision, duration):
         """Returns one change of an operators' key at once, and then waits."""
@@ -34,7 +34,7 @@
             await asyncio.sleep(60)
         self._has_changed = True
         text = store_values.make_config(1)
-        return range_reader.Page(
+        return key_ranges.Page(
             (messages.TableValue(data.TableKey("op/config"), LISTED_AT + 1, text),), LISTED_AT + 1
         )
 
@@ -44,7 +44,7 @@
     """Makes a reader of both ranges."""
     no_delay = datetime.timedelta(0)
     watch = datetime.timedelta(seconds=1)
-    ranges = [range_reader.KeyRange(prefix, watch, no_delay) for prefix in ("op/", "")]
+    ranges = [key_ranges.KeyRange(prefix, watch, no_delay) for prefix in ("op/", "")]
     context.make_reader = lambda: range_reader.RangeReader(
         ListThenChange(), ranges, no_delay, lambda key: True
     )
--- a/monsoonhoist/node/range_reader.py
+++ b/monsoonhoist/node/range_reader.py
@@ -6,9 +6,7 @@
 first.
 """
 
-import abc
 import asyncio
-import collections
 import contextlib
 import datetime
 import logging
@@ -18,7 +16,7 @@
 import msgspec
 
 from monsoonhoist.core import data
-from monsoonhoist.node import table_reader
+from monsoonhoist.node import key_ranges, table_reader
 from monsoonhoist.protocol import messages
 from monsoonhoist.tables import store
 
@@ -34,87 +32,6 @@
 _log = logging.getLogger(__name__)
 
 
-class HistoryGoneError(table_reader.ConfigServiceError):
-    """The changes after a revision cannot be read: they are gone, or too long for a reply."""
-
-
-class NoReplyError(table_reader.ConfigServiceError):
-    """No reply was received, so that other requests in progress may be lost as well."""
-
-
-class KeyRange(msgspec.Struct, frozen=True):
-    """A range of keys.
-
-    Attributes:
-        prefix: Prefix of the keys; the empty one covers all.
-        watch_duration: Longest wait of a watch.
-        settle_delay: Delay before a watch is started again, in which changes accumulate.
-    """
-
-    prefix: str
-    watch_duration: datetime.timedelta
-    settle_delay: datetime.timedelta
-
-
-class Page(msgspec.Struct, frozen=True):
-    """Values of a range.
-
-    Attributes:
-        values: The values; empty ones are removals.
-        revision: Revision of the service at the time of the reply.
-        next_after: Key after which the next page starts; empty if this is the last.
-    """
-
-    values: tuple[messages.TableValue, ...]
-    revision: int
-    next_after: str = ""
-
-
-class RangeClient(abc.ABC):
-    """Requests to the configuration service."""
-
-    @abc.abstractmethod
-    async def read_page(self, prefix: str, after: str) -> Page:
-        """Returns the values with a prefix whose keys are after a key.
-
-        Raises:
-            ConfigServiceError: If the request failed.
-        """
-
-    @abc.abstractmethod
-    async def watch(self, prefix: str, revision: int, duration: datetime.timedelta) -> Page:
-        """Returns the changes of keys with a prefix after a revision, after waiting for one.
-
-        Raises:
-            HistoryGoneError: If the changes cannot be read.
-            ConfigServiceError: If the request failed.
-        """
-
-
-class RangeState:
-    """State of a range, and its readings that were not returned yet.
-
-    Attributes:
-        revision: Revision to watch from; None if the range must be listed.
-        listed_number: Revision of the latest complete list; None before the first.
-        readings: Readings in the order in which they were made.
-        watch_timeout: Ends the watch that is in progress; None if there is none.
-        has_list: Set once the range has been listed.
-    """
-
-    def __init__(self) -> None:
-        self.revision: int | None = None
-        self.listed_number: int | None = None
-        self.readings: collections.deque[table_reader.Reading] = collections.deque()
-        self.watch_timeout: asyncio.Timeout | None = None
-        self.has_list = asyncio.Event()
-
-    def set_listed(self, revision: int) -> None:
-        """Records a list of the range as of a revision."""
-        self.revision = self.listed_number = revision
-        self.has_list.set()
-
-
 class RangeReader(table_reader.TableReader):
     """Lists and watches ranges of keys side by side.
 
@@ -127,8 +44,8 @@
 
     def __init__(
         self,
-        client: RangeClient,
-        ranges: Sequence[KeyRange],
+        client: key_ranges.RangeClient,
+        ranges: Sequence[key_ranges.KeyRange],
         retry_delay: datetime.timedelta,
         is_removable: Callable[[data.TableKey], bool],
     ):
@@ -165,8 +82,8 @@
         self._tasks = []
         self._state_by_prefix = self._make_states()
 
-    def _make_states(self) -> dict[str, RangeState]:
-        return {prefix: RangeState() for prefix in self._range_by_prefix}
+    def _make_states(self) -> dict[str, key_ranges.RangeState]:
+        return {prefix: key_ranges.RangeState() for prefix in self._range_by_prefix}
 
     async def _follow(self, prefix: str, table_store: store.TableStore) -> None:
         """Lists and watches a range until it is cancelled."""
@@ -184,13 +101,13 @@
                     await self._watch(state, self._range_by_prefix[prefix])
                 failures = 0
                 continue
-            except HistoryGoneError as error:
+            except key_ranges.HistoryGoneError as error:
                 _log.info("range listed again", extra={"prefix": prefix, "error": str(error)})
                 state.revision = None
                 await asyncio.sleep(RELIST_DELAY_SECONDS)
                 continue
             except table_reader.ConfigServiceError as error:
-                if isinstance(error, NoReplyError):
+                if isinstance(error, key_ranges.NoReplyError):
                     self._restart_other_watches(state)
                 self._publish(state, table_reader.Reading((), error=str(error)))
             except Exception as error:
@@ -201,7 +118,9 @@
             failures += 1
             await asyncio.sleep(table_reader.retry_delay_seconds(self._retry_delay, failures))
 
-    async def _list(self, state: RangeState, prefix: str, table_store: store.TableStore) -> None:
+    async def _list(
+        self, state: key_ranges.RangeState, prefix: str, table_store: store.TableStore
+    ) -> None:
         """Reads a range page by page; keys that the service no longer has get empty values.
 
         The pages of a range do not come from one snapshot. The watch starts from the revision of
@@ -234,7 +153,7 @@
         self._publish_complete(state, (*values, *removed))
 
     def _list_included(
-        self, page: Page, prefix: str, table_store: store.TableStore
+        self, page: key_ranges.Page, prefix: str, table_store: store.TableStore
     ) -> list[messages.TableValue]:
         """Marks ranges whose keys are all in the first page of a list as listed.
 
@@ -266,7 +185,7 @@
             if key.startswith(prefix) and self._is_removable(key) and key not in present_keys
         ]
 
-    async def _watch(self, state: RangeState, key_range: KeyRange) -> None:
+    async def _watch(self, state: key_ranges.RangeState, key_range: key_ranges.KeyRange) -> None:
         """Waits for the settle delay and then for changes of a range."""
         await asyncio.sleep(key_range.settle_delay.total_seconds())
         try:
@@ -295,7 +214,7 @@
             elif other.revision is not None:
                 other.revision = max(other.revision, revision)
 
-    def _restart_other_watches(self, state: RangeState) -> None:
+    def _restart_other_watches(self, state: key_ranges.RangeState) -> None:
         """Ends the watches of the other ranges, which are then made again."""
         now = asyncio.get_running_loop().time()
         for other in self._state_by_prefix.values():
@@ -303,14 +222,16 @@
                 other.watch_timeout.reschedule(now)
                 other.watch_timeout = None
 
-    def _publish_complete(self, state: RangeState, values: tuple[messages.TableValue, ...]) -> None:
+    def _publish_complete(
+        self, state: key_ranges.RangeState, values: tuple[messages.TableValue, ...]
+    ) -> None:
         """Adds a reading after which the range is known completely."""
         listed_numbers = [other.listed_number for other in self._state_by_prefix.values()]
         is_complete = None not in listed_numbers
         listed_number = min(listed_numbers) if is_complete else 0
         self._publish(state, table_reader.Reading(values, listed_number, is_complete))
 
-    def _publish(self, state: RangeState, reading: table_reader.Reading) -> None:
+    def _publish(self, state: key_ranges.RangeState, reading: table_reader.Reading) -> None:
         state.readings.append(reading)
         self._has_readings.set()
 
--- a/monsoonhoist/platform/reader.py
+++ b/monsoonhoist/platform/reader.py
@@ -13,7 +13,7 @@
 
 from monsoonhoist import decoding, errors, metrics
 from monsoonhoist.core import data, defects
-from monsoonhoist.node import curl, http_call, http_fetch, range_reader, table_reader
+from monsoonhoist.node import curl, http_call, http_fetch, key_ranges, range_reader, table_reader
 from monsoonhoist.platform import wire_names
 from monsoonhoist.protocol import messages
 from monsoonhoist.tables import evacuations
@@ -59,7 +59,7 @@
     events: tuple[Item, ...] = msgspec.field(name="events", default=())
 
 
-class StoreClient(range_reader.RangeClient):
+class StoreClient(key_ranges.RangeClient):
     """Requests to the store.
 
     Args:
@@ -73,18 +73,18 @@
         self._driver = driver
         self._counters = counters
 
-    async def read_page(self, prefix: str, after: str) -> range_reader.Page:
+    async def read_page(self, prefix: str, after: str) -> key_ranges.Page:
         """Returns a page of the items with a prefix."""
         query = {"Prefix": prefix, **({"after": after} if after else {})}
         body = await self._get("range", wire_names.RANGE_PATH, query, READ_TIMEOUT)
         page = _decode(body, RangeReply)
         has_more = page.has_more and bool(page.items)
         next_after = page.items[-1].key if has_more else ""
-        return range_reader.Page(_make_table_values(page.items), page.current_rev, next_after)
+        return key_ranges.Page(_make_table_values(page.items), page.current_rev, next_after)
 
     async def watch(
         self, prefix: str, revision: int, duration: datetime.timedelta
-    ) -> range_reader.Page:
+    ) -> key_ranges.Page:
         """Returns the changes of the items with a prefix; a removed item has an empty value."""
         query = {
             "Prefix": prefix,
@@ -93,7 +93,7 @@
         }
         timeout = duration + WATCH_TIMEOUT_MARGIN
         reply = _decode(await self._get("watch", wire_names.WATCH_PATH, query, timeout), WatchReply)
-        return range_reader.Page(_make_table_values(reply.events), reply.current_rev)
+        return key_ranges.Page(_make_table_values(reply.events), reply.current_rev)
 
     async def _get(
         self, kind: str, path: str, query: dict[str, str], timeout: datetime.timedelta
@@ -111,13 +111,13 @@
         call = http_call.HttpCall("GET", url, b"", timeout, CONNECT_TIMEOUT, is_counted=False)
         reply = await http_fetch.fetch(self._driver, call)
         if reply.status == STATUS_HISTORY_GONE:
-            raise range_reader.HistoryGoneError(f"{path}: the changes are gone")
+            raise key_ranges.HistoryGoneError(f"{path}: the changes are gone")
         if reply.defect is defects.Defect.TOO_LONG and path == wire_names.WATCH_PATH:
             _log.warning("changes too long for a reply; the range is listed instead")
-            raise range_reader.HistoryGoneError(f"{path}: the changes are longer than a reply")
+            raise key_ranges.HistoryGoneError(f"{path}: the changes are longer than a reply")
         if reply.status != STATUS_OK:
             error_type = (
-                table_reader.ConfigServiceError if reply.status else range_reader.NoReplyError
+                table_reader.ConfigServiceError if reply.status else key_ranges.NoReplyError
             )
             raise error_type(f"{path}: status {reply.status} {reply.error}".rstrip())
         return reply.body
@@ -148,10 +148,10 @@
         retry_delay: datetime.timedelta = RETRY_DELAY,
     ):
         ranges = (
-            range_reader.KeyRange(
+            key_ranges.KeyRange(
                 wire_names.OPERATOR_KEY_PREFIX, OPERATOR_WATCH_DURATION, settle_delay
             ),
-            range_reader.KeyRange(wire_names.ALL_KEYS_PREFIX, watch_duration, settle_delay),
+            key_ranges.KeyRange(wire_names.ALL_KEYS_PREFIX, watch_duration, settle_delay),
         )
         client = StoreClient(address, driver, counters)
         super().__init__(client, ranges, retry_delay, wire_names.is_removable)
