Order values by the era of the configuration service

Cause: of two values of a key, the one with the larger revision number was in force. The store may come back from an older copy; it then gives out its numbers again, and each change with a number below that of a lost one was refused, everywhere and for as long as the number stayed below. A list from such a store even put new servers in force as removed. Class: a number that orders only within one life of its source is compared across two.

Change: values carry the era that the store states in its replies (Store-Era; in the native dialect a field of the replies), and tables.precedence orders them: within an era by number as before, between eras by the version of a configuration, until the era is settled by what servers say of the order of their own items, and then by the era. What the copy lacks is gone once the era is settled, when each watcher lists once more if anything of an earlier era is in force. A service that states no era, and instances of earlier builds, are served as before. Heartbeats and digests are unchanged.

Evidence: features/store_return.feature, six processes.

--- a/bench/mutants.py
+++ b/bench/mutants.py
@@ -550,7 +550,7 @@
     Mutant(
         "a key that was removed before a restart is taken over from a peer",
         "tables/store.py",
-        "if current is None and value.number < self._listed_number:",
+        "if current is None and self._is_removed_by_listing(value):",
         "if False:",
         "removed_keys",
     ),
--- a/features/layers.feature
+++ b/features/layers.feature
@@ -21,6 +21,7 @@
       | WarmupLeftMs      |
       | WarmupPerS        |
       | X-Cold-Ms         |
+      | Store-Era         |
       | op/config         |
       | servers/          |
       | /api/ready        |
--- a/features/store_return.feature
+++ b/features/store_return.feature
@@ -3,7 +3,7 @@
   before. Revisions go back and are given out again; the operator and the servers write again what
   was lost. Each scenario starts a deployment of its own.
 
-  @fleet_six @known_red
+  @fleet_six
   Scenario Outline: A configuration takes effect although its revision is below that of a lost one
     Given the store's state is copied
     And 10 items of other writers are written
@@ -20,7 +20,7 @@
       | 0       |
       | 6       |
 
-  @fleet_six @known_red
+  @fleet_six
   Scenario: A leaving server is left out although its revision is below that of its lost item
     Given the servers in use are "records-a, records-b" in time
     And the store's state is copied
--- a/monsoonhoist/node/config_service.py
+++ b/monsoonhoist/node/config_service.py
@@ -17,7 +17,7 @@
 from monsoonhoist.fleet import membership
 from monsoonhoist.node import curl, dialect, http_call, http_fetch, table_reader
 from monsoonhoist.protocol import messages
-from monsoonhoist.tables import native, store
+from monsoonhoist.tables import eras, native, store
 
 CONNECT_TIMEOUT = datetime.timedelta(seconds=1)
 READ_TIMEOUT = datetime.timedelta(seconds=5)
@@ -43,17 +43,20 @@
     Attributes:
         index: Position in the service's history, used to wait for the next change.
         number_by_key: Revision number of each key.
+        era: Era of the service; 0 if it states none.
     """
 
     index: int
     number_by_key: dict[data.TableKey, int]
+    era: int = eras.UNSTATED
 
 
 class Value(msgspec.Struct, frozen=True):
-    """Value of a key and its revision number."""
+    """Value of a key, its revision number, and the era of the service; 0 if it states none."""
 
     number: int
     text: str
+    era: int = eras.UNSTATED
 
 
 class UnreadableValueError(table_reader.ConfigServiceError):
@@ -82,11 +85,13 @@
         self._driver = driver
         self._counters = counters
 
-    async def watch(self, after: int, wait: datetime.timedelta) -> RevisionIndex:
+    async def watch(self, after: int, era: int, wait: datetime.timedelta) -> RevisionIndex:
         """Returns the revisions of all keys, after waiting for a change.
 
         Args:
             after: Index that the client has read; the call ends once the current one differs.
+            era: Era in which the client has read it, as in ``RevisionIndex``; the call ends also
+                once the current one differs.
             wait: Longest wait, after which the revisions are returned unchanged.
 
         Raises:
@@ -94,7 +99,7 @@
         """
         self._counters.count_service_read("watch")
         wait_ms = int(wait.total_seconds() * MS_PER_SECOND)
-        url = f"{self._config_url}/v1/index?after={after}&wait_ms={wait_ms}"
+        url = f"{self._config_url}/v1/index?after={after}&era={era}&wait_ms={wait_ms}"
         return _decode(await self._get(url, wait + WATCH_TIMEOUT_MARGIN), RevisionIndex)
 
     async def fetch_value(self, key: data.TableKey) -> messages.TableValue:
@@ -116,7 +121,7 @@
             value = decoding.decode_json(reply.body, Value)
         except errors.MalformedInputError as error:
             raise UnreadableValueError(f"{url}: {error}") from error
-        return messages.TableValue(key, value.number, value.text)
+        return messages.TableValue(key, value.number, value.text, value.era)
 
     async def fetch_instances(self) -> tuple[membership.ListedInstance, ...]:
         """Returns the instance list, without the entries that cannot be read.
@@ -156,6 +161,7 @@
         self._client = client
         self._wait_max = wait_max
         self._index = 0
+        self._era = eras.UNSTATED
 
     async def read(self, table_store: store.TableStore) -> table_reader.Reading:
         """Waits for a change and returns the values that are newer than the store's.
@@ -163,7 +169,9 @@
         A value that cannot be read is left out and requested again by the next call. Changed
         evacuations are returned by themselves, ahead of all other values.
         """
-        revision_index = await self._client.watch(self._index, self._wait_max)
+        wait = self._find_wait(table_store)
+        revision_index = await self._client.watch(self._index, self._era, wait)
+        era = table_reader.check_era(revision_index.era, table_store)
         changes = tuple(_find_evacuation_changes(revision_index, table_store))
         if changes:
             # They do not wait for other values, which the next call reads by the same index.
@@ -171,19 +179,33 @@
         values = []
         for key, number in sorted(revision_index.number_by_key.items()):
             is_evacuation = key.startswith(native.EVACUATION_KEY_PREFIX)
-            if is_evacuation or table_store.has_processed(key, number):
+            if is_evacuation or table_store.has_processed(key, number, era):
                 continue
             try:
-                values.append(await self._client.fetch_value(key))
+                value = await self._client.fetch_value(key)
+                table_reader.check_era(value.era, table_store)
+                values.append(value)
             except UnreadableValueError as error:
                 extra = {"key": key, "number": number, "error": str(error)}
                 _log.error("value not read", extra=extra)
         self._index = revision_index.index
+        self._era = revision_index.era
         return table_reader.Reading(tuple(values))
 
+    def _find_wait(self, table_store: store.TableStore) -> datetime.timedelta:
+        """Returns the longest wait for a change.
+
+        Values that were refused until the era of the service is settled are read again then.
+        """
+        if table_store.eras.is_settled() or not table_store.has_earlier_eras():
+            return self._wait_max
+        seconds = table_store.eras.seconds_to_settle()
+        return min(self._wait_max, datetime.timedelta(seconds=seconds))
+
     def reset(self) -> None:
         """Makes the next read cover all keys."""
         self._index = 0
+        self._era = eras.UNSTATED
 
 
 class InstancePoller(dialect.InstanceListing):
@@ -243,8 +265,10 @@
     }
     for key in sorted(present ^ in_force):
         text = EVACUATION_TEXT if key in present else ""
-        if not table_store.has_processed(key, revision_index.index):
-            yield messages.TableValue(key, revision_index.index, text)
+        value = messages.TableValue(key, revision_index.index, text, revision_index.era)
+        is_processed = table_store.has_processed(key, value.number, value.era)
+        if not is_processed and table_store.is_acceptable(value):
+            yield value
 
 
 def _check_status(url: str, reply: http_call.HttpReply) -> None:
--- a/monsoonhoist/node/key_ranges.py
+++ b/monsoonhoist/node/key_ranges.py
@@ -9,6 +9,7 @@
 
 from monsoonhoist.node import table_reader
 from monsoonhoist.protocol import messages
+from monsoonhoist.tables import eras
 
 
 class HistoryGoneError(table_reader.ConfigServiceError):
@@ -40,11 +41,13 @@
         values: The values; empty ones are removals.
         revision: Revision of the service at the time of the reply.
         next_after: Key after which the next page starts; empty if this is the last.
+        era: Era that the service states; 0 if it states none.
     """
 
     values: tuple[messages.TableValue, ...]
     revision: int
     next_after: str = ""
+    era: int = eras.UNSTATED
 
 
 class RangeClient(abc.ABC):
@@ -73,6 +76,8 @@
 
     Attributes:
         revision: Revision to watch from; None if the range must be listed.
+        era: Era of the service in which it was listed.
+        is_list_due: Whether the range must be listed although it can be watched.
         listed_number: Revision of the latest complete list; None before the first.
         readings: Readings in the order in which they were made.
         watch_timeout: Ends the watch that is in progress; None if there is none.
@@ -81,12 +86,21 @@
 
     def __init__(self) -> None:
         self.revision: int | None = None
+        self.era = eras.UNSTATED
+        self.is_list_due = False
         self.listed_number: int | None = None
         self.readings: collections.deque[table_reader.Reading] = collections.deque()
         self.watch_timeout: asyncio.Timeout | None = None
         self.has_list = asyncio.Event()
 
-    def set_listed(self, revision: int) -> None:
-        """Records a list of the range as of a revision."""
+    def set_listed(self, revision: int, era: int) -> None:
+        """Records a list of the range as of a revision of an era."""
         self.revision = self.listed_number = revision
+        self.era = era
         self.has_list.set()
+
+    def end_watch(self) -> None:
+        """Ends the watch in progress, which is then made again."""
+        if self.watch_timeout is not None:
+            self.watch_timeout.reschedule(asyncio.get_running_loop().time())
+            self.watch_timeout = None
--- a/monsoonhoist/node/range_reader.py
+++ b/monsoonhoist/node/range_reader.py
@@ -55,6 +55,7 @@
         self._is_removable = is_removable
         self._state_by_prefix = self._make_states()
         self._tasks: list[asyncio.Task[None]] = []
+        self._settling: asyncio.Task[None] | None = None
         self._has_readings = asyncio.Event()
 
     async def read(self, table_store: store.TableStore) -> table_reader.Reading:
@@ -80,6 +81,9 @@
         for task in self._tasks:
             task.cancel()
         self._tasks = []
+        if self._settling is not None:
+            self._settling.cancel()
+            self._settling = None
         self._state_by_prefix = self._make_states()
 
     def _make_states(self) -> dict[str, key_ranges.RangeState]:
@@ -95,10 +99,10 @@
         failures = 0
         while True:
             try:
-                if state.revision is None:
+                if state.revision is None or state.is_list_due:
                     await self._list(state, prefix, table_store)
                 else:
-                    await self._watch(state, self._range_by_prefix[prefix])
+                    await self._watch(state, self._range_by_prefix[prefix], table_store)
                 failures = 0
                 continue
             except key_ranges.HistoryGoneError as error:
@@ -109,6 +113,8 @@
             except table_reader.ConfigServiceError as error:
                 if isinstance(error, key_ranges.NoReplyError):
                     self._restart_other_watches(state)
+                elif isinstance(error, table_reader.EarlierEraError):
+                    state.revision = None
                 self._publish(state, table_reader.Reading((), error=str(error)))
             except Exception as error:
                 # An error of the program must not end the task, nor delay the other ranges.
@@ -126,15 +132,19 @@
         The pages of a range do not come from one snapshot. The watch starts from the revision of
         the first page, so that it includes changes made while the later pages are read.
         """
+        state.is_list_due = False
         present_keys: set[data.TableKey] = set()
         values: list[messages.TableValue] = []
-        revision: int | None = None
+        first_page: key_ranges.Page | None = None
         after = ""
         loop = asyncio.get_running_loop()
         offered_at = loop.time()
         while True:
             page = await self._client.read_page(prefix, after)
-            revision = page.revision if revision is None else revision
+            era = table_reader.check_era(page.era, table_store)
+            first_page = first_page or page
+            if era != table_store.eras.resolve(first_page.era):
+                raise key_ranges.HistoryGoneError("the pages of a list are of two eras")
             present_keys.update(value.key for value in page.values)
             values += page.values
             if not page.next_after:
@@ -147,10 +157,12 @@
                 values = []
                 offered_at = loop.time()
             after = page.next_after
-        removed = self._find_removed(prefix, present_keys, revision, table_store)
-        state.set_listed(revision)
-        self._raise_included(prefix, revision)
+        removed = self._find_removed(prefix, present_keys, first_page, table_store)
+        state.set_listed(first_page.revision, era)
+        self._raise_included(prefix, first_page.revision, era)
+        self._end_earlier_watches(era)
         self._publish_complete(state, (*values, *removed))
+        self._list_again_when_settled(table_store)
 
     def _list_included(
         self, page: key_ranges.Page, prefix: str, table_store: store.TableStore
@@ -167,27 +179,63 @@
             is_passed = page.next_after > other_prefix
             is_passed = is_passed and not page.next_after.startswith(other_prefix)
             if is_included and is_passed and other.listed_number is None:
-                other.set_listed(page.revision)
-                removed += self._find_removed(other_prefix, keys, page.revision, table_store)
+                other.set_listed(page.revision, table_store.eras.resolve(page.era))
+                removed += self._find_removed(other_prefix, keys, page, table_store)
         return removed
 
     def _find_removed(
         self,
         prefix: str,
         present_keys: Container[data.TableKey],
-        revision: int,
+        page: key_ranges.Page,
         table_store: store.TableStore,
     ) -> list[messages.TableValue]:
-        """Returns the removals of the keys in force that a list of a range lacks."""
+        """Returns the removals of the keys in force that a list of a range lacks.
+
+        Args:
+            prefix: Prefix of the range.
+            present_keys: Keys of the list.
+            page: First page of the list, whose revision and era the removals get.
+            table_store: The values in force.
+        """
         return [
-            messages.TableValue(key, revision, "")
-            for key in table_store.nonempty_keys()
+            messages.TableValue(key, page.revision, "", page.era)
+            for key in table_store.removable_keys(page.era)
             if key.startswith(prefix) and self._is_removable(key) and key not in present_keys
         ]
 
-    async def _watch(self, state: key_ranges.RangeState, key_range: key_ranges.KeyRange) -> None:
+    def _list_again_when_settled(self, table_store: store.TableStore) -> None:
+        """Lists all ranges again once the era is settled, if a value of an earlier one remains.
+
+        Such a value is in force where it is newer than the one of the copy from which the era
+        began, or missing there. What the list then has, or lacks, replaces it.
+        """
+        is_waiting = self._settling is not None and not self._settling.done()
+        if table_store.eras.is_settled() or is_waiting:
+            return
+        coroutine = self._list_settled(table_store)
+        self._settling = asyncio.create_task(coroutine, name="list of a settled era")
+
+    async def _list_settled(self, table_store: store.TableStore) -> None:
+        while not table_store.eras.is_settled():
+            await asyncio.sleep(table_store.eras.seconds_to_settle())
+        if not table_store.has_earlier_eras():
+            return
+        _log.info("ranges listed again", extra={"settled_era": table_store.eras.newest})
+        for state in self._state_by_prefix.values():
+            state.is_list_due = True
+            state.end_watch()
+
+    async def _watch(
+        self,
+        state: key_ranges.RangeState,
+        key_range: key_ranges.KeyRange,
+        table_store: store.TableStore,
+    ) -> None:
         """Waits for the settle delay and then for changes of a range."""
         await asyncio.sleep(key_range.settle_delay.total_seconds())
+        if state.is_list_due:
+            return
         try:
             async with asyncio.timeout(None) as state.watch_timeout:
                 page = await self._client.watch(
@@ -197,39 +245,55 @@
             return
         finally:
             state.watch_timeout = None
+        if table_reader.check_era(page.era, table_store) != state.era:
+            raise key_ranges.HistoryGoneError(
+                f"the service came back from an older copy, era {page.era}"
+            )
         state.revision = page.revision
-        self._raise_included(key_range.prefix, page.revision)
+        self._raise_included(key_range.prefix, page.revision, state.era)
         self._publish_complete(state, page.values)
 
-    def _raise_included(self, prefix: str, revision: int) -> None:
+    def _raise_included(self, prefix: str, revision: int, era: int) -> None:
         """Records that the ranges included in a range are known up to its revision.
 
-        Their long watches then do not start from a revision that the service has compacted.
+        Their long watches then do not start from a revision that the service has compacted, or one
+        of an earlier era.
         """
         for other_prefix, other in self._state_by_prefix.items():
             if not other_prefix.startswith(prefix) or other_prefix == prefix:
                 continue
             if other.listed_number is None:
-                other.set_listed(revision)
+                other.set_listed(revision, era)
+            elif other.era != era:
+                other.set_listed(revision, era)
+                other.end_watch()
             elif other.revision is not None:
                 other.revision = max(other.revision, revision)
 
+    def _end_earlier_watches(self, era: int) -> None:
+        """Has the ranges listed anew that are watched as of an earlier era."""
+        for other in self._state_by_prefix.values():
+            if other.era != era and other.watch_timeout is not None:
+                other.is_list_due = True
+                other.end_watch()
+
     def _restart_other_watches(self, state: key_ranges.RangeState) -> None:
         """Ends the watches of the other ranges, which are then made again."""
-        now = asyncio.get_running_loop().time()
         for other in self._state_by_prefix.values():
-            if other is not state and other.watch_timeout is not None:
-                other.watch_timeout.reschedule(now)
-                other.watch_timeout = None
+            if other is not state:
+                other.end_watch()
 
     def _publish_complete(
         self, state: key_ranges.RangeState, values: tuple[messages.TableValue, ...]
     ) -> None:
         """Adds a reading after which the range is known completely."""
-        listed_numbers = [other.listed_number for other in self._state_by_prefix.values()]
-        is_complete = None not in listed_numbers
-        listed_number = min(listed_numbers) if is_complete else 0
-        self._publish(state, table_reader.Reading(values, listed_number, is_complete))
+        states = self._state_by_prefix.values()
+        is_complete = all(
+            other.listed_number is not None and other.era == state.era for other in states
+        )
+        listed_number = min(other.listed_number for other in states) if is_complete else 0
+        reading = table_reader.Reading(values, listed_number, is_complete, era=state.era)
+        self._publish(state, reading)
 
     def _publish(self, state: key_ranges.RangeState, reading: table_reader.Reading) -> None:
         state.readings.append(reading)
--- a/monsoonhoist/node/replication.py
+++ b/monsoonhoist/node/replication.py
@@ -70,7 +70,7 @@
         spread_instances: Callable[[], tuple[data.InstanceId, ...]] | None = None,
         call_later: Callable[[float, Callable[[], None]], object] | None = None,
     ):
-        self.store = store.TableStore(table_format)
+        self.store = store.TableStore(table_format, time_source)
         self.changed_at: float | None = None
         self._clock = time_source
         self._counters = counters
@@ -160,12 +160,14 @@
             case messages.WantTables():
                 self.handle_value_request(sender, message)
             case messages.PackedTables():
+                self.store.eras.record_settled(message.settled_era)
                 self.offer(self._unpack(message), "peer")
                 keys = [packed.key for packed in message.tables]
                 self._request(sender, self._requests.record_values(sender, keys))
 
     def handle_revisions(self, sender: data.InstanceId, message: messages.Revisions) -> None:
         """Requests the values that are newer at the sender."""
+        self.store.eras.record_settled(message.settled_era)
         newer = [each for each in message.revisions if self.store.is_newer(each)]
         self._announcements.record_heard(sender, message.revisions, newer)
         self._request(sender, self._requests.add(sender, newer))
@@ -202,12 +204,15 @@
                 continue
             packed = messages.pack_table(value)
             if batch and batch_bytes + len(packed.deflated) > MESSAGE_VALUES_BYTES:
-                self._send(sender, messages.PackedTables(tuple(batch)))
+                self._send(sender, self._pack(batch))
                 batch, batch_bytes = [], 0
             batch.append(packed)
             batch_bytes += len(packed.deflated) + len(key)
         if batch:
-            self._send(sender, messages.PackedTables(tuple(batch)))
+            self._send(sender, self._pack(batch))
+
+    def _pack(self, tables: list[messages.PackedTable]) -> messages.PackedTables:
+        return messages.PackedTables(tuple(tables), self.store.eras.settled_era())
 
     def _unpack(self, message: messages.PackedTables) -> list[messages.TableValue]:
         """Returns the values of a message that can be read.
@@ -223,7 +228,7 @@
                 extra = {"key": packed.key, "number": packed.number, "error": str(error)}
                 _log.error("table value not read", extra=extra)
                 self._counters.count_table_value(store.Acceptance.REJECTED, "peer")
-                self._requests.record_unreadable(packed.key, packed.number)
+                self._requests.record_unreadable(packed)
         return values
 
     def _send_revisions(
@@ -231,7 +236,8 @@
     ) -> None:
         for part in self._operators_first(revisions, lambda revision: revision.key):
             for batch in _split(part):
-                self._send(instance, messages.Revisions(tuple(batch)))
+                message = messages.Revisions(tuple(batch), self.store.eras.settled_era())
+                self._send(instance, message)
 
     def handle_digest(self, sender: data.InstanceId, digest: bytes) -> None:
         """Sends the bucket digests to a peer whose digest differs, if a comparison is due."""
--- a/monsoonhoist/node/service_watcher.py
+++ b/monsoonhoist/node/service_watcher.py
@@ -80,7 +80,7 @@
                     failures += 1
                     continue
                 self._replicator.offer(reading.values, "service")
-                self._replicator.store.record_listing(reading.listed_number)
+                self._replicator.store.record_listing(reading.listed_number, reading.era)
                 if reading.is_complete:
                     self.has_read_all = True
                     self._must_read = False
--- a/monsoonhoist/node/table_reader.py
+++ b/monsoonhoist/node/table_reader.py
@@ -8,7 +8,7 @@
 
 from monsoonhoist import errors
 from monsoonhoist.protocol import messages
-from monsoonhoist.tables import store
+from monsoonhoist.tables import eras, store
 
 RETRY_MAX_SECONDS = 1.5
 
@@ -17,6 +17,23 @@
     """The configuration service did not return a usable reply."""
 
 
+class EarlierEraError(ConfigServiceError):
+    """A reply is of an earlier era of the configuration service than the newest known one."""
+
+
+def check_era(era: int, table_store: store.TableStore) -> int:
+    """Records the era that a reply states; returns it, or the newest known one if none is stated.
+
+    Raises:
+        EarlierEraError: If the reply is of an earlier era.
+    """
+    table_store.eras.record(era)
+    if table_store.eras.is_outdated(era):
+        newest = table_store.eras.newest
+        raise EarlierEraError(f"reply of era {era}, while era {newest} is known")
+    return table_store.eras.resolve(era)
+
+
 class Reading(msgspec.Struct, frozen=True):
     """Result of reading the configuration service.
 
@@ -26,12 +43,14 @@
             changes were read, or if the service numbers the revisions of each key by themselves.
         is_complete: Whether all keys have been read since the last reset of the reader.
         error: Why a request failed; empty if none did. The reader repeats it by itself.
+        era: Era of the service to which ``listed_number`` belongs; 0 if it is not stated.
     """
 
     values: tuple[messages.TableValue, ...]
     listed_number: int = 0
     is_complete: bool = True
     error: str = ""
+    era: int = eras.UNSTATED
 
 
 class TableReader(abc.ABC):
--- a/monsoonhoist/node/value_requests.py
+++ b/monsoonhoist/node/value_requests.py
@@ -34,10 +34,12 @@
     """The last request for a value.
 
     Attributes:
+        era: Era of the requested revision.
         number: Number of the requested revision.
         repeat_at: When the same value may be requested again, in monotonic seconds.
     """
 
+    era: int
     number: int
     repeat_at: float
 
@@ -117,10 +119,10 @@
         """Records that a value was put in force."""
         self._request_by_key.pop(key, None)
 
-    def record_unreadable(self, key: data.TableKey, number: int) -> None:
+    def record_unreadable(self, packed: messages.PackedTable) -> None:
         """Records that a value could not be read, so that it is requested again only later."""
         repeat_at = self._clock.monotonic() + UNREADABLE_VALUE_INTERVAL_SECONDS
-        self._request_by_key[key] = ValueRequest(number, repeat_at)
+        self._request_by_key[packed.key] = ValueRequest(packed.era, packed.number, repeat_at)
 
     def _next_batch(self, sender: data.InstanceId, now: float) -> list[tuple[data.TableKey, ...]]:
         """Returns the next batch to request from an instance, unless one is on its way."""
@@ -145,11 +147,13 @@
     def _may_request(self, revision: messages.Revision, now: float) -> bool:
         """Returns whether a value has not been requested a short time ago."""
         request = self._request_by_key.get(revision.key)
-        return request is None or revision.number > request.number or now >= request.repeat_at
+        if request is None or now >= request.repeat_at:
+            return True
+        return (revision.era, revision.number) > (request.era, request.number)
 
     def _record_request(self, revision: messages.Revision, now: float) -> None:
         repeat_at = now + VALUE_REQUEST_INTERVAL_SECONDS
-        self._request_by_key[revision.key] = ValueRequest(revision.number, repeat_at)
+        self._request_by_key[revision.key] = ValueRequest(revision.era, revision.number, repeat_at)
 
     def _discard_lost(self, now: float) -> None:
         """Discards the batches that did not arrive; the next digest shows what is missing."""
--- a/monsoonhoist/platform/reader.py
+++ b/monsoonhoist/platform/reader.py
@@ -6,6 +6,7 @@
 import base64
 import datetime
 import logging
+import re
 import urllib.parse
 from collections.abc import Iterable
 
@@ -16,7 +17,7 @@
 from monsoonhoist.node import curl, http_call, http_fetch, key_ranges, range_reader, table_reader
 from monsoonhoist.platform import wire_names
 from monsoonhoist.protocol import messages
-from monsoonhoist.tables import evacuations
+from monsoonhoist.tables import eras, evacuations
 
 CONNECT_TIMEOUT = datetime.timedelta(seconds=1)
 READ_TIMEOUT = datetime.timedelta(seconds=2)
@@ -31,6 +32,7 @@
 MS_PER_SECOND = 1000
 STATUS_OK = 200
 STATUS_HISTORY_GONE = 410
+_ERA_PATTERN = re.compile(r"[0-9]{1,18}", re.ASCII)
 
 _log = logging.getLogger(__name__)
 
@@ -76,11 +78,13 @@
     async def read_page(self, prefix: str, after: str) -> key_ranges.Page:
         """Returns a page of the items with a prefix."""
         query = {"Prefix": prefix, **({"after": after} if after else {})}
-        body = await self._get("range", wire_names.RANGE_PATH, query, READ_TIMEOUT)
-        page = _decode(body, RangeReply)
+        reply = await self._get("range", wire_names.RANGE_PATH, query, READ_TIMEOUT)
+        page = _decode(reply.body, RangeReply)
+        era = _find_era(reply)
         has_more = page.has_more and bool(page.items)
         next_after = page.items[-1].key if has_more else ""
-        return key_ranges.Page(_make_table_values(page.items), page.current_rev, next_after)
+        values = _make_table_values(page.items, era)
+        return key_ranges.Page(values, page.current_rev, next_after, era)
 
     async def watch(
         self, prefix: str, revision: int, duration: datetime.timedelta
@@ -92,13 +96,16 @@
             "WaitMs": str(int(duration.total_seconds() * MS_PER_SECOND)),
         }
         timeout = duration + WATCH_TIMEOUT_MARGIN
-        reply = _decode(await self._get("watch", wire_names.WATCH_PATH, query, timeout), WatchReply)
-        return key_ranges.Page(_make_table_values(reply.events), reply.current_rev)
+        reply = await self._get("watch", wire_names.WATCH_PATH, query, timeout)
+        changes = _decode(reply.body, WatchReply)
+        era = _find_era(reply)
+        values = _make_table_values(changes.events, era)
+        return key_ranges.Page(values, changes.current_rev, era=era)
 
     async def _get(
         self, kind: str, path: str, query: dict[str, str], timeout: datetime.timedelta
-    ) -> bytes:
-        """Sends a request to the store and returns the body of the reply.
+    ) -> http_call.HttpReply:
+        """Sends a request to the store and returns the reply, whose status is 200.
 
         Raises:
             HistoryGoneError: If the store no longer has the changes after the requested revision.
@@ -120,7 +127,7 @@
                 table_reader.ConfigServiceError if reply.status else key_ranges.NoReplyError
             )
             raise error_type(f"{path}: status {reply.status} {reply.error}".rstrip())
-        return reply.body
+        return reply
 
 
 class StoreReader(range_reader.RangeReader):
@@ -164,16 +171,34 @@
         raise table_reader.ConfigServiceError(f"malformed reply of the store: {error}") from error
 
 
-def _make_table_values(items: Iterable[Item]) -> tuple[messages.TableValue, ...]:
+def _find_era(reply: http_call.HttpReply) -> int:
+    """Returns the era that the store states, or ``eras.UNSTATED``.
+
+    Raises:
+        ConfigServiceError: If what it states is no whole number from 0.
+    """
+    name = wire_names.ERA_HEADER.lower()
+    stated = {header.value for header in reply.headers if header.name.lower() == name}
+    if not stated:
+        return eras.UNSTATED
+    text = ", ".join(sorted(stated))
+    if not _ERA_PATTERN.fullmatch(text):
+        raise table_reader.ConfigServiceError(f"malformed era of the store: {text!r}")
+    return int(text)
+
+
+def _make_table_values(
+    items: Iterable[Item], era: int = eras.UNSTATED
+) -> tuple[messages.TableValue, ...]:
     """Converts the items that belong to the tables; others may be of any length and number."""
     return tuple(
-        _make_table_value(item)
+        _make_table_value(item, era)
         for item in items
         if item.key == wire_names.CONFIG_KEY or wire_names.is_removable(item.key)
     )
 
 
-def _make_table_value(item: Item) -> messages.TableValue:
+def _make_table_value(item: Item, era: int) -> messages.TableValue:
     """Converts an item to a table value, empty if the item is not base64-encoded UTF-8 text.
 
     An evacuation is in force as long as its key is present, whatever its value is.
@@ -188,4 +213,4 @@
         is_evacuation = item.key.startswith(wire_names.EVACUATION_KEY_PREFIX)
         if is_evacuation and not 0 < len(text) <= EVACUATION_VALUE_LENGTH_MAX:
             text = evacuations.UNREADABLE_TEXT
-    return messages.TableValue(data.TableKey(item.key), item.rev, text)
+    return messages.TableValue(data.TableKey(item.key), item.rev, text, era)
--- a/monsoonhoist/platform/store_format.py
+++ b/monsoonhoist/platform/store_format.py
@@ -9,7 +9,7 @@
 from monsoonhoist import decoding, errors
 from monsoonhoist.core import caller_limits, data, diagnostics, hashing
 from monsoonhoist.platform import store_records, wire_names
-from monsoonhoist.tables import evacuations, store
+from monsoonhoist.tables import evacuations, precedence, store
 
 # Rank of a route by its priority, which starts at 0 for the most urgent.
 RANK_BY_PRIORITY = data.RANK_ORDER
@@ -60,7 +60,7 @@
         except errors.MalformedInputError as error:
             return store.ParsedValue((diagnostics.Finding(diagnostics.Place(file), str(error)),))
         findings = tuple(store_records.find_config_problems(file, config))
-        return store.ParsedValue(findings, None if findings else config)
+        return store.ParsedValue(findings, None if findings else config, version=config.version)
 
     def update_tables(
         self,
@@ -206,7 +206,15 @@
         incarnation=server_value.born,
         cold_ms=_bound_cold_ms(server_value.warmup_left_ms),
     )
-    return store.ParsedValue((), server)
+    return store.ParsedValue((), server, progress=_find_progress(server_value))
+
+
+def _find_progress(server_value: store_records.ServerValue) -> precedence.Progress | None:
+    """Returns the place of an item among those of its server, or None if it does not tell."""
+    # ``True`` is an integer to Python.
+    if type(server_value.seq) is not int:
+        return None
+    return precedence.Progress(server_value.born, server_value.seq)
 
 
 def _apply_service_config(
--- a/monsoonhoist/platform/store_records.py
+++ b/monsoonhoist/platform/store_records.py
@@ -112,6 +112,7 @@
         slots: Number of requests that it processes concurrently.
         state: ``ready`` or ``draining``.
         warmup_left_ms: Remaining time of its warm-up, in milliseconds; None if it is not stated.
+        seq: Number of the item among those of its process; only a whole number counts.
         born: Start of its process, in milliseconds since the Unix epoch; 0 if it is not stated.
     """
 
@@ -121,6 +122,7 @@
     slots: int
     state: str
     warmup_left_ms: float | None = None
+    seq: object = None
     born: int = msgspec.field(name="born", default=0)
 
 
--- a/monsoonhoist/platform/wire_names.py
+++ b/monsoonhoist/platform/wire_names.py
@@ -20,6 +20,9 @@
 LEAVING_VALUE = "1"
 WAIT_HEADER = "Retry-After"
 
+# Header of the store's answers that counts how often it has come back from an older copy.
+ERA_HEADER = "Store-Era"
+
 READY_PATH = "/api/ready"
 RANGE_PATH = "/api/kv-range"
 WATCH_PATH = "/api/kv-watch"
--- a/monsoonhoist/protocol/messages.py
+++ b/monsoonhoist/protocol/messages.py
@@ -217,18 +217,33 @@
 class Revision(msgspec.Struct, frozen=True, array_like=True):
     """Revision of one table key, with a digest of its value.
 
-    The digest decides which of two revisions with equal numbers is the newer.
+    ``tables.precedence`` decides which of two revisions of a key is the newer.
+
+    Attributes:
+        key: The key.
+        number: Number that the configuration service gave the value.
+        digest: Digest of the value.
+        era: Era of the service in which the value was read; 0 if it is not stated.
+        version: Version that operators gave the content; 0 if they number none.
     """
 
     key: data.TableKey
     number: int
     digest: bytes
+    era: int = 0
+    version: int = 0
 
 
 class Revisions(msgspec.Struct, frozen=True, array_like=True, tag="revisions"):
-    """Table revisions in force at the sender, either new or requested by the receiver."""
+    """Table revisions in force at the sender, either new or requested by the receiver.
+
+    Attributes:
+        revisions: The revisions.
+        settled_era: Era of the configuration service that is settled for the sender; 0 for none.
+    """
 
     revisions: tuple[Revision, ...]
+    settled_era: int = 0
 
 
 class TableBuckets(msgspec.Struct, frozen=True, array_like=True, tag="buckets"):
@@ -253,11 +268,19 @@
 
 
 class TableValue(msgspec.Struct, frozen=True):
-    """Value of one table key, as published, with the number of its revision."""
+    """Value of one table key, as published.
+
+    Attributes:
+        key: The key.
+        number: Number of its revision.
+        text: The value; empty if the key was removed.
+        era: Era of the configuration service in which it was read; 0 if it is not stated.
+    """
 
     key: data.TableKey
     number: int
     text: str
+    era: int = 0
 
 
 class PackedTable(msgspec.Struct, frozen=True, array_like=True):
@@ -266,12 +289,19 @@
     key: data.TableKey
     number: int
     deflated: bytes
+    era: int = 0
 
 
 class PackedTables(msgspec.Struct, frozen=True, array_like=True, tag="tables"):
-    """Values of one or more table keys."""
+    """Values of one or more table keys.
+
+    Attributes:
+        tables: The values.
+        settled_era: Era of the configuration service that is settled for the sender; 0 for none.
+    """
 
     tables: tuple[PackedTable, ...]
+    settled_era: int = 0
 
 
 class TicketUse(msgspec.Struct, frozen=True, array_like=True, tag="ticket-use"):
@@ -333,7 +363,7 @@
 
 def pack_table(value: TableValue) -> PackedTable:
     """Returns a table value with its text compressed, as it is sent."""
-    return PackedTable(value.key, value.number, zlib.compress(value.text.encode()))
+    return PackedTable(value.key, value.number, zlib.compress(value.text.encode()), value.era)
 
 
 def unpack_table(packed: PackedTable, bytes_max: int) -> TableValue:
@@ -349,7 +379,7 @@
             raise errors.ProtocolError(
                 f"the value of {packed.key!r} is truncated or longer than {bytes_max} bytes"
             )
-        return TableValue(packed.key, packed.number, text.decode())
+        return TableValue(packed.key, packed.number, text.decode(), packed.era)
     except (zlib.error, UnicodeDecodeError) as error:
         raise errors.ProtocolError(f"malformed value of {packed.key!r}: {error}") from error
 
--- a/monsoonhoist/tables/announcements.py
+++ b/monsoonhoist/tables/announcements.py
@@ -19,13 +19,17 @@
     """Peers that have announced a revision of a key.
 
     Attributes:
-        number: Number of the revision.
+        revision: The revision.
         peers: The peers.
     """
 
-    number: int
+    revision: messages.Revision
     peers: set[data.InstanceId]
 
+    def covers(self, revision: messages.Revision) -> bool:
+        """Returns whether the peers know a revision of the key, or a newer one of its era."""
+        return _order_key(self.revision) >= _order_key(revision)
+
 
 class Announcements:
     """Revisions to be announced, and the peers that have announced them themselves."""
@@ -51,14 +55,14 @@
             revision
             for revision in announced
             if (own := self._pending_by_key.get(revision.key)) is not None
-            and own.number <= revision.number
+            and _order_key(own) <= _order_key(revision)
         )
         for revision in (*newer, *pending):
             heard = self._heard_by_key.get(revision.key)
-            if heard is None or heard.number < revision.number:
-                heard = _Heard(revision.number, set())
+            if heard is None or not heard.covers(revision):
+                heard = _Heard(revision, set())
                 self._heard_by_key[revision.key] = heard
-            if heard.number == revision.number:
+            if _order_key(heard.revision) == _order_key(revision):
                 heard.peers.add(peer)
 
     def add(self, revisions: Iterable[messages.Revision]) -> None:
@@ -82,4 +86,8 @@
 
     def _has_announced(self, peer: data.InstanceId, revision: messages.Revision) -> bool:
         heard = self._heard_by_key.get(revision.key)
-        return heard is not None and heard.number >= revision.number and peer in heard.peers
+        return heard is not None and heard.covers(revision) and peer in heard.peers
+
+
+def _order_key(revision: messages.Revision) -> tuple[int, int]:
+    return (revision.era, revision.number)
--- a/monsoonhoist/tables/bucket_digests.py
+++ b/monsoonhoist/tables/bucket_digests.py
@@ -55,5 +55,8 @@
 
 
 def _fingerprint(revision: messages.Revision) -> int:
-    """Returns a hash of a revision, of ``BUCKET_DIGEST_BYTES`` bytes."""
+    """Returns a hash of a revision, of ``BUCKET_DIGEST_BYTES`` bytes.
+
+    It leaves out the era: a value that the service's copy has kept is the same in both eras.
+    """
     return hashing.stable_hash(revision.key, str(revision.number), revision.digest.hex())
--- a/monsoonhoist/tables/native.py
+++ b/monsoonhoist/tables/native.py
@@ -16,6 +16,10 @@
         """Returns whether a key is none of a pool, which can have many and long ones."""
         return not pools.is_pool_key(key)
 
+    def keeps_newest(self, key: data.TableKey) -> bool:
+        """Returns whether a key is that of a table, not of an evacuation."""
+        return not key.startswith(EVACUATION_KEY_PREFIX)
+
     def parse(self, key: data.TableKey, file: str, text: str) -> store.ParsedValue:
         """Parses and validates a value."""
         return parse(key, file, text)
