Leave the error of a connection to libcurl when its state is asked

Cause: the system reports a reset once. `socket_state.peek` read the socket (MSG_PEEK) before libcurl did, and so took the reset; libcurl then read an end in order, which ends a body without a length.

Change: `socket_state` asks nothing that takes data or an error: FIONREAD for bytes, poll for an end. The check has its reason as before (docs/design/single_sending.md): no request is sent twice. If the system does not answer a question, the state is unknown and libcurl decides. `peek` is `find_state` now, since it reads nothing.

Tests: responses without a length, with one and in chunks, of which nothing, half or all is sent, ended by a reset or in order (standins/broken_off.py), at the client for kept and own connections, for requests that may be sent again, and while a long request is sent; on the whole path for single and gathered requests, and for native servers.

--- a/bench/mutants.py
+++ b/bench/mutants.py
@@ -575,6 +575,15 @@
         "if False:",
         "single_sending",
     ),
+    Mutant(
+        "single sending: asking for the state of a connection takes its error",
+        "node/socket_state.py",
+        "    return bool(poll.poll(0))\n",
+        "    view = socket.fromfd(descriptor, _FAMILY, _KIND)\n"
+        "    view.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)\n"
+        "    return bool(poll.poll(0))\n",
+        "broken_off_responses",
+    ),
     Mutant(
         "single sending: requests are sent on connections that have ended",
         "node/single_sending.py",
--- a/features/broken_answers.feature
+++ b/features/broken_answers.feature
@@ -77,6 +77,18 @@
       | bytes after chunks | keep  |
       | body of status 204 | keep  |
 
+    # Guards against a reset that counts as the end of a body without a length.
+    Examples: an answer that is broken off
+      | fault                                | end   |
+      | no length, none of it, reset         | close |
+      | no length, half of it, reset         | close |
+      | no length, all of it, reset          | close |
+      | no length, half of it, reset at once | close |
+      | a length, half of it, reset          | close |
+      | a length, half of it, closed         | close |
+      | chunks, half of it, reset            | close |
+      | chunks, half of it, closed           | close |
+
     Examples: refused before the incident
       | fault                | end   |
       | status 000           | close |
--- a/features/broken_replies.feature
+++ b/features/broken_replies.feature
@@ -25,3 +25,18 @@
       | bytes after body          |
       | status 000                |
       | blank in name             |
+
+  # Guards against a reset that counts as the end of a body without a length.
+  Scenario Outline: A shard whose servers break off their replies is missing from the answer
+    Given the servers "allocator-05-a" and "allocator-05-b" send replies with the fault "<fault>"
+    When the caller queries route "boat-search" at instance 1 for "double scull"
+    Then the reason is "connection_lost" and the outcome "partial"
+    And the shard "allocator-05" is missing from the coverage
+
+    Examples:
+      | fault                               |
+      | no length, none of it, reset        |
+      | no length, all of it, reset         |
+      | no length, all of it, reset at once |
+      | a length, half of it, closed        |
+      | chunks, all of it, reset            |
--- a/features/steps/single_sending.py
+++ b/features/steps/single_sending.py
@@ -19,7 +19,9 @@
     return context.loop.run_until_complete(coroutine)
 
 
-async def send(context, request_id, method="GET", target="/x", is_sent_once=True):
+async def send(
+    context, request_id, method="GET", target="/x", is_sent_once=True, own_connection=False
+):
     """Sends a request and returns the reply."""
     future = asyncio.get_running_loop().create_future()
     call = http_call.HttpCall(
@@ -28,6 +30,7 @@
         body=b"body" if method == "POST" else b"",
         timeout=TIMEOUT,
         connect_timeout=TIMEOUT,
+        own_connection=own_connection,
         headers=(f"X-Request-Id: {request_id}",),
         is_sent_once=is_sent_once,
         target=target,
@@ -173,5 +176,5 @@
 def check_not_ended(context):
     """Checks the connection, which must raise no error."""
     descriptor = context.connections.find("127.0.0.1", 1)
-    state = socket_state.peek(descriptor, 1)
+    state = socket_state.find_state(descriptor, 1)
     assert state is socket_state.SocketState.UNKNOWN, state
--- a/monsoonhoist/node/single_sending.py
+++ b/monsoonhoist/node/single_sending.py
@@ -93,7 +93,7 @@
         """Returns whether the kept connection of the call is not known to be out of order."""
         if self._descriptor is None:
             return True
-        state = socket_state.peek(self._descriptor, local_port)
+        state = socket_state.find_state(self._descriptor, local_port)
         if state is socket_state.SocketState.UNKNOWN:
             self._descriptor = None
         return state not in (socket_state.SocketState.ENDED, socket_state.SocketState.READABLE)
--- a/monsoonhoist/node/socket_state.py
+++ b/monsoonhoist/node/socket_state.py
@@ -1,18 +1,21 @@
-"""State of sockets that another library owns, known by their descriptors."""
+"""State of sockets that another library owns, known by their descriptors.
+
+Nothing here takes anything from a socket, neither its data nor its error. The system reports an
+error, such as a reset, once; an owner that finds none takes the end of the connection for one in
+order.
+"""
 
 import enum
-import errno
 import fcntl
+import select
 import socket
 import termios
 
 # Plain integers, since members of an enumeration are slower to pass.
 _FAMILY = int(socket.AF_INET)
 _KIND = int(socket.SOCK_STREAM)
-_PEEK_FLAGS = int(socket.MSG_PEEK | socket.MSG_DONTWAIT)
 # The number of bytes that the system returns as a C integer, if it is 0.
 _NO_BYTES = bytes(4)
-_ENDED_ERRORS = (errno.ECONNRESET, errno.EPIPE, errno.ETIMEDOUT, errno.EHOSTUNREACH)
 
 
 class SocketState(enum.Enum):
@@ -33,41 +36,56 @@
 
 def has_ended(descriptor: int) -> bool:
     """Returns whether a socket has been closed or reset by its peer and holds no more data."""
-    return peek(descriptor) is SocketState.ENDED
+    # Most of the sockets that are asked hold data, which one question tells.
+    return not has_unread(descriptor) and find_state(descriptor) is SocketState.ENDED
 
 
 def has_unread(descriptor: int) -> bool:
     """Returns whether a socket holds data."""
     try:
-        return fcntl.ioctl(descriptor, termios.FIONREAD, _NO_BYTES) != _NO_BYTES
+        return _holds_bytes(descriptor)
     except OSError:
         return False
 
 
-def peek(descriptor: int, local_port: int = 0) -> SocketState:
-    """Returns the state of a connected socket without reading from it.
+def find_state(descriptor: int, local_port: int = 0) -> SocketState:
+    """Returns the state of a connected socket.
 
     Args:
         descriptor: Descriptor of the socket.
         local_port: Local port that the socket has, unless the descriptor belongs to another one
             now; 0 if that cannot be.
     """
-    # The base class of ``socket.socket`` is faster to create. The family does not matter here; with
-    # one, Python does not ask the system for it.
+    # If the descriptor has been closed, the connection is another one. An exception in a callback
+    # of curl would end all calls, also later ones.
     try:
-        view = socket.SocketType(_FAMILY, _KIND, 0, descriptor)
+        if local_port and _find_port(descriptor) != local_port:
+            return SocketState.UNKNOWN
+        if not _is_ready(descriptor):
+            return SocketState.QUIET
+        return SocketState.READABLE if _holds_bytes(descriptor) else SocketState.ENDED
     except OSError:
-        # The descriptor has been closed, so that the connection is another one. An exception in a
-        # callback of curl would end all calls, also later ones.
         return SocketState.UNKNOWN
+
+
+def _holds_bytes(descriptor: int) -> bool:
+    return fcntl.ioctl(descriptor, termios.FIONREAD, _NO_BYTES) != _NO_BYTES
+
+
+def _is_ready(descriptor: int) -> bool:
+    """Returns whether reading a socket would not block, as it has bytes, an end or an error."""
+    poll = select.poll()
+    poll.register(descriptor, select.POLLIN)
+    return bool(poll.poll(0))
+
+
+def _find_port(descriptor: int) -> int:
+    """Returns the local port of a socket."""
+    # The base class of ``socket.socket`` is faster to create. The family does not matter here; with
+    # one, Python does not ask the system for it.
+    view = socket.SocketType(_FAMILY, _KIND, 0, descriptor)
     try:
-        if local_port and view.getsockname()[1] != local_port:
-            return SocketState.UNKNOWN
-        return SocketState.READABLE if view.recv(1, _PEEK_FLAGS) else SocketState.ENDED
-    except BlockingIOError:
-        return SocketState.QUIET
-    except OSError as error:
-        return SocketState.ENDED if error.errno in _ENDED_ERRORS else SocketState.UNKNOWN
+        return view.getsockname()[1]
     finally:
         view.detach()
 
--- a/standins/backends.py
+++ b/standins/backends.py
@@ -18,7 +18,7 @@
 from monsoonhoist.core import data
 from monsoonhoist.node import search as protocol
 from monsoonhoist.tables import pools
-from standins import index, spoiled_responses
+from standins import broken_off, index, spoiled_responses
 
 MS_PER_SECOND = 1000
 # Standard deviation of the logarithm of the work time, which is log-normally distributed.
@@ -38,8 +38,9 @@
         draining: Whether the server is draining: it refuses new calls and reports so in its
             replies.
         lost: Whether the server accepts calls but never replies.
-        fault: Fault of the replies to searches, a name of ``spoiled_responses.FAULT_BY_NAME``, or
-            empty for none. The connection is closed after each faulty reply.
+        fault: Fault of the replies to searches, a name of ``spoiled_responses.FAULT_BY_NAME`` or of
+            ``broken_off.FAULT_BY_NAME``, or empty for none. The connection is closed after each
+            faulty reply.
     """
 
     median_ms: float = 8.0
@@ -288,12 +289,26 @@
     stream = request.connection.stream
     if stream is None or stream.closed():
         return
-    lines = (b"HTTP/1.1 200 OK", spoiled_responses.FIELD, b"Content-Length: %d" % len(body))
-    response = b"\r\n".join((*lines, b"", body))
+    fields = b"HTTP/1.1 200 OK\r\n" + spoiled_responses.FIELD + b"\r\n"
+    if fault in broken_off.FAULT_BY_NAME:
+        await _break_off(stream, fields, body, broken_off.FAULT_BY_NAME[fault])
+        return
+    response = fields + b"Content-Length: %d\r\n\r\n" % len(body) + body
     await stream.write(spoiled_responses.spoil(response, fault))
     stream.close()
 
 
+async def _break_off(
+    stream: iostream.IOStream, fields: bytes, body: bytes, fault: broken_off.Fault
+) -> None:
+    """Sends a part of a response, and ends the connection."""
+    await stream.write(broken_off.encode(fields, body, fault))
+    await asyncio.sleep(fault.delay_seconds)
+    if not stream.closed():
+        broken_off.prepare_end(stream.socket, fault)
+        stream.close()
+
+
 def make_servers(part: pools.PoolPart, behaviour: Behaviour, seed: int) -> list[BackendServer]:
     """Returns a server for each record of a pool's table; the servers do not listen yet."""
     services = sorted({record.service for record in part.servers})
--- a/standins/shards.py
+++ b/standins/shards.py
@@ -7,10 +7,8 @@
 import asyncio
 import dataclasses
 import hashlib
-import socket
-import struct
 
-from standins import spoiled_responses
+from standins import broken_off, spoiled_responses
 
 # Number and size of the records of a shard.
 RECORDS = 12
@@ -40,7 +38,7 @@
             ``endless_head``, ``endless_line``, ``endless_interim``, ``endless_fields``,
             ``endless_body`` and ``endless_trailer`` with bytes until the connection is closed, and
             ``not_http`` with bytes that are not HTTP. A name of ``spoiled_responses.FAULT_BY_NAME``
-            changes a sound reply.
+            changes a sound reply, and one of ``broken_off.FAULT_BY_NAME`` breaks it off.
         remaining_faults: Number of further requests that the fault affects; -1 for no limit.
         is_leaving: Whether the server says in each reply that it is leaving.
         body_bytes: Length of the replies' bodies; 0 for the records of the shard.
@@ -187,12 +185,12 @@
             await asyncio.gather(connection_closed, return_exceptions=True)
         if fault in ("lost", "reset"):
             if fault == "reset":
-                # With a linger time of 0 the system resets the connection.
-                linger = struct.pack("ii", 1, 0)
-                stream_socket = writer.get_extra_info("socket")
-                stream_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+                broken_off.set_reset(writer.get_extra_info("socket"))
             writer.transport.abort()
             return False
+        if fault in broken_off.FAULT_BY_NAME:
+            await self._break_off(request, writer, broken_off.FAULT_BY_NAME[fault])
+            return False
         writer.write(self._encode_reply(request, fault))
         await writer.drain()
         if fault == "second_copy":
@@ -204,6 +202,18 @@
         is_cut = fault in ("truncated", "cut_head", "not_http")
         return not is_cut and not self.behaviour.closes_connection
 
+    async def _break_off(
+        self, request: ReceivedRequest, writer: asyncio.StreamWriter, fault: broken_off.Fault
+    ) -> None:
+        """Sends a part of a response, and ends the connection."""
+        body = self.shard_records(request.request_id)
+        writer.write(broken_off.encode(self._encode_head(request, ""), body, fault))
+        await asyncio.sleep(fault.delay_seconds)
+        # The client may have closed the connection meanwhile.
+        if not writer.transport.is_closing():
+            broken_off.prepare_end(writer.get_extra_info("socket"), fault)
+            writer.transport.abort()
+
     def _next_fault(self) -> str:
         """Returns the fault of the next reply and decrements the number of further faults."""
         behaviour = self.behaviour
