Check gathered answers whose parts are broken off

The scenarios for single requests stop at their first step, so that they did not show what a gathered answer makes of a part that was broken off.

--- a/features/broken_answers.feature
+++ b/features/broken_answers.feature
@@ -96,6 +96,22 @@
       | blank in name        | keep  |
       | control byte in name | keep  |
 
+  # Guards against parts that count as whole although they were broken off.
+  Scenario Outline: A gathered answer covers no part that was broken off
+    Given the servers of "records" and "alpha" send answers with the fault "<fault>"
+    When the caller sends 6 requests "GET" "/find/a"
+    Then no answer lists a proof of the server "alpha"
+
+    Examples:
+      | fault                                |
+      | no length, none of it, reset         |
+      | no length, half of it, reset         |
+      | no length, all of it, reset          |
+      | no length, half of it, reset at once |
+      | a length, half of it, closed         |
+      | chunks, all of it, closed            |
+      | status 000                           |
+
   # Guards against broken refusals that are taken for a proof.
   Scenario Outline: A broken answer does not prove that a request has not run
     Given the servers of "records" and "alpha" send answers with the fault "<fault>"
