--- a/features/steps/operator_keys.py
+++ b/features/steps/operator_keys.py
@@ -4,14 +4,13 @@
 import base64
 import datetime
 import json
-import selectors
 import urllib.parse
 
 from behave import given, then, when
 
-from features import store_values
+from features import simulated_loop, store_values
 from monsoonhoist import metrics
-from monsoonhoist.core import clock, data
+from monsoonhoist.core import data
 from monsoonhoist.node import http_call, replication, service_watcher
 from monsoonhoist.platform import reader, store_format
 from monsoonhoist.protocol import messages
@@ -28,31 +27,6 @@
 RETRY_DELAY = datetime.timedelta(milliseconds=200)
 
 
-class SimulatedLoop(asyncio.SelectorEventLoop):
-    """An event loop without sockets, whose time advances to the next timer at once."""
-
-    def __init__(self):
-        super().__init__(selectors.SelectSelector())
-        self.now = 0.0
-        self._selector.select = self._skip
-
-    def time(self):
-        """Returns the simulated time in seconds."""
-        return self.now
-
-    def _skip(self, timeout):
-        self.now += timeout or 0.0
-        return []
-
-
-class LoopClock(clock.Clock):
-    """The time of the simulated loop."""
-
-    def monotonic(self):
-        """Returns the time in seconds."""
-        return asyncio.get_running_loop().time()
-
-
 class FakeTransfer:
     """A request in progress.
 
@@ -314,7 +288,7 @@
     """Runs the watcher and all actions, and 8 s more."""
     if context.store.requests:
         return
-    loop = SimulatedLoop()
+    loop = simulated_loop.SimulatedLoop()
     try:
         loop.run_until_complete(run_watcher(context))
     finally:
@@ -329,7 +303,7 @@
     )
     replicator = replication.TableReplicator(
         store_format.PlatformFormat(0.2),
-        LoopClock(),
+        simulated_loop.LoopClock(),
         counters,
         lambda receiver, message: True,
         lambda: (),
