Test the order of values by generated sequences of changes, returns and faults

Hypothesis draws changes of the operator and of servers, returns of the store, cuts, late replies and restarts, over four to six instances with the real readers on simulated time. Checked: no boot goes back to an earlier configuration or to a server that is ready again, no living server is lost, changes that nothing disturbs are in force within 3 s, all tables are equal to the store 6 s after the faults, and a calm time costs no more requests than before.

It fails by the fault of removals of the earlier era that KNOWN-RED.txt lists.

--- a/features/simulated_loop.py
+++ b/features/simulated_loop.py
@@ -5,6 +5,10 @@
 
 from monsoonhoist.core import clock
 
+# Time that each turn of the loop takes at least. A timer may run a little early, so that what it
+# waits for is not due yet; without this, the next one would run at the same time.
+TURN_SECONDS = 1e-8
+
 
 class SimulatedLoop(asyncio.SelectorEventLoop):
     """An event loop without sockets, whose time advances to the next timer at once."""
@@ -19,7 +23,7 @@
         return self.now
 
     def _skip(self, timeout):
-        self.now += timeout or 0.0
+        self.now += max(timeout or 0.0, TURN_SECONDS)
         return []
 
 
--- a/features/value_order.feature
+++ b/features/value_order.feature
@@ -203,6 +203,11 @@
     And the instances run for 6000 ms
     Then the instances have made at most 40 requests meanwhile
 
+  # The long run, which is started by hand, draws new examples: scripts/test -D examples=2000.
+  @known_red
+  Scenario: Generated sequences of changes, returns and faults
+    Then generated changes, returns, cuts and restarts break no rule
+
   Scenario: Native dialect: a table written after the return is in force
     Given 1 watcher of a native service of era 1 with routes "one"
     When 5 edits of routes, the last of which is "two", are lost by a return
