Let a settled era replace removals of the earlier one, and allow eras from 0

Cause: TableStore.has_earlier_eras, on which the list of a settled era depends, looked only at keys with a value; and 0 stood for an era that is not stated, which counts as of the newest one.

Change: removals count as well; an era that is not stated is -1. The rows of the two examples for era 0 state now that it is an era like others, and rows for -1 state what those for 0 did.

--- a/features/steps/value_rules.py
+++ b/features/steps/value_rules.py
@@ -81,7 +81,8 @@
     assert context.eras.settled_era() == newest
     assert context.eras.seconds_to_settle() == 0.0
     for era in range(newest + 2):
-        assert context.eras.is_outdated(era) == (0 < era < newest), era
+        assert context.eras.is_outdated(era) == (era < newest), era
+    assert not context.eras.is_outdated(eras.UNSTATED)
 
 
 @given("a peer that has announced era {era:d}, number {number:d} of a key")
--- a/features/value_order.feature
+++ b/features/value_order.feature
@@ -48,7 +48,9 @@
       | 1     | 1      | 1      | 2200       |
       | 1     | 2      | 2      | 3200       |
       | 2     | 1      | 2      | 2200       |
-      | 0     | 0      | 0      | 0          |
+      | 0     | 0      | 0      | 2200       |
+      | 0     | 1      | 1      | 3200       |
+      | -1    | -1     | -1     | 0          |
 
   Scenario Outline: What another instance knows to be settled is settled
     Given eras of which 2 is stated first, and 2 0 ms later
@@ -57,6 +59,7 @@
 
     Examples:
       | era | newest | settled_ms |
+      | -1  | 2      | 2200       |
       | 0   | 2      | 2200       |
       | 1   | 2      | 2200       |
       | 2   | 2      | 0          |
@@ -120,13 +123,11 @@
     And server "s1" was in force at no instance since the return
 
   # Guards against keys whose removal is of an earlier era, and that no list puts in force again.
-  @known_red
   Scenario: A living server whose removal was lost is in force again
     Given 4 instances and a store of era 1 with configuration 1
     When the removal of server "s1" is lost by a return
     Then all instances have the store's values after 6000 ms
 
-  @known_red
   Scenario: An evacuation that is set again after its removal was lost is in force
     Given 4 instances and a store of era 1 with configuration 1
     When zone "z" is evacuated and restored, which is lost by a return
@@ -151,7 +152,6 @@
       | era |
       | 1   |
 
-    @known_red
     Examples: eras that count from 0
       | era |
       | 0   |
@@ -204,7 +204,6 @@
     Then the instances have made at most 40 requests meanwhile
 
   # The long run, which is started by hand, draws new examples: scripts/test -D examples=2000.
-  @known_red
   Scenario: Generated sequences of changes, returns and faults
     Then generated changes, returns, cuts and restarts break no rule
 
@@ -231,7 +230,6 @@
     And the watcher runs for 5000 ms
     Then routes "three" are in force within 0 ms
 
-  @known_red
   Scenario: Native dialect: an evacuation written after the return is in force
     Given 1 watcher of a native service of era 1 with routes "one"
     When the evacuation of "z" is set and lifted, which is lost by a return
@@ -245,7 +243,6 @@
     Then no zone is evacuated within 5000 ms
     And the watcher has made at most 30 calls
 
-  @known_red
   Scenario: Native dialect: an evacuation whose end was lost is in force again
     Given 1 watcher of a native service of era 1 with routes "one"
     When the evacuation of "z" is lifted after a time, which is lost by a return
--- a/monsoonhoist/node/config_service.py
+++ b/monsoonhoist/node/config_service.py
@@ -43,7 +43,7 @@
     Attributes:
         index: Position in the service's history, used to wait for the next change.
         number_by_key: Revision number of each key.
-        era: Era of the service; 0 if it states none.
+        era: Era of the service; ``eras.UNSTATED`` if it states none.
     """
 
     index: int
@@ -52,7 +52,7 @@
 
 
 class Value(msgspec.Struct, frozen=True):
-    """Value of a key, its revision number, and the era of the service; 0 if it states none."""
+    """Value of a key, its revision number, and the era of the service."""
 
     number: int
     text: str
--- a/monsoonhoist/node/key_ranges.py
+++ b/monsoonhoist/node/key_ranges.py
@@ -41,7 +41,7 @@
         values: The values; empty ones are removals.
         revision: Revision of the service at the time of the reply.
         next_after: Key after which the next page starts; empty if this is the last.
-        era: Era that the service states; 0 if it states none.
+        era: Era that the service states; ``eras.UNSTATED`` if it states none.
     """
 
     values: tuple[messages.TableValue, ...]
--- a/monsoonhoist/node/table_reader.py
+++ b/monsoonhoist/node/table_reader.py
@@ -43,7 +43,7 @@
             changes were read, or if the service numbers the revisions of each key by themselves.
         is_complete: Whether all keys have been read since the last reset of the reader.
         error: Why a request failed; empty if none did. The reader repeats it by itself.
-        era: Era of the service to which ``listed_number`` belongs; 0 if it is not stated.
+        era: Era of the service to which ``listed_number`` belongs; ``eras.UNSTATED`` if not stated.
     """
 
     values: tuple[messages.TableValue, ...]
--- a/monsoonhoist/protocol/messages.py
+++ b/monsoonhoist/protocol/messages.py
@@ -15,6 +15,9 @@
 from monsoonhoist.core import data
 from monsoonhoist.protocol import fanout
 
+# Era of the configuration service where none is stated, or sent by an earlier build.
+UNSTATED_ERA = -1
+
 
 class Hello(msgspec.Struct, frozen=True, array_like=True, tag="hello"):
     """First message on a stream, in each direction.
@@ -223,14 +226,14 @@
         key: The key.
         number: Number that the configuration service gave the value.
         digest: Digest of the value.
-        era: Era of the service in which the value was read; 0 if it is not stated.
+        era: Era of the service in which the value was read.
         version: Version that operators gave the content; 0 if they number none.
     """
 
     key: data.TableKey
     number: int
     digest: bytes
-    era: int = 0
+    era: int = UNSTATED_ERA
     version: int = 0
 
 
@@ -239,11 +242,11 @@
 
     Attributes:
         revisions: The revisions.
-        settled_era: Era of the configuration service that is settled for the sender; 0 for none.
+        settled_era: Era of the configuration service that is settled for the sender.
     """
 
     revisions: tuple[Revision, ...]
-    settled_era: int = 0
+    settled_era: int = UNSTATED_ERA
 
 
 class TableBuckets(msgspec.Struct, frozen=True, array_like=True, tag="buckets"):
@@ -274,13 +277,13 @@
         key: The key.
         number: Number of its revision.
         text: The value; empty if the key was removed.
-        era: Era of the configuration service in which it was read; 0 if it is not stated.
+        era: Era of the configuration service in which it was read.
     """
 
     key: data.TableKey
     number: int
     text: str
-    era: int = 0
+    era: int = UNSTATED_ERA
 
 
 class PackedTable(msgspec.Struct, frozen=True, array_like=True):
@@ -289,7 +292,7 @@
     key: data.TableKey
     number: int
     deflated: bytes
-    era: int = 0
+    era: int = UNSTATED_ERA
 
 
 class PackedTables(msgspec.Struct, frozen=True, array_like=True, tag="tables"):
@@ -297,11 +300,11 @@
 
     Attributes:
         tables: The values.
-        settled_era: Era of the configuration service that is settled for the sender; 0 for none.
+        settled_era: Era of the configuration service that is settled for the sender.
     """
 
     tables: tuple[PackedTable, ...]
-    settled_era: int = 0
+    settled_era: int = UNSTATED_ERA
 
 
 class TicketUse(msgspec.Struct, frozen=True, array_like=True, tag="ticket-use"):
--- a/monsoonhoist/tables/eras.py
+++ b/monsoonhoist/tables/eras.py
@@ -9,9 +9,10 @@
 import math
 
 from monsoonhoist.core import clock
+from monsoonhoist.protocol import messages
 
 # Era of a value or a reply for which none is stated; it counts as of the newest known era.
-UNSTATED = 0
+UNSTATED = messages.UNSTATED_ERA
 # Time after the first sign of an era within which those who write values have written again what
 # the service has lost.
 SETTLE_SECONDS = 2.2
--- a/monsoonhoist/tables/store.py
+++ b/monsoonhoist/tables/store.py
@@ -319,9 +319,9 @@
         )
 
     def has_earlier_eras(self) -> bool:
-        """Returns whether a value in force was not read in the newest known era."""
+        """Returns whether a value or a removal in force was not read in the newest known era."""
         newest = self.eras.newest
-        return any(self.revision_by_key[key].era < newest for key in self.nonempty_keys())
+        return any(revision.era < newest for revision in self.revision_by_key.values())
 
     def nonempty_keys(self) -> tuple[data.TableKey, ...]:
         """Returns the keys whose current value is not empty."""
