Log and count table values that do not come into force

A value that is refused because a newer one is in force was counted as `older`, and one that is removed because a later list lacks its key was counted as `accepted`; neither had a line. A change of an operator that no instance takes over could therefore not be told from one that never arrived.

A new module logs `table value not in force` with the key, the numbers and eras offered and in force, the source and the reason: `older`, `of_earlier_copy` or `removed`. From the service it is a warning; from peers, whose older values are usual, only the last two are logged, as info. At most one line per key in 5 s and 5 lines in any second; the next line states how many were left out, and monsoonhoist_table_values_total counts all. `removed` is a result of its own; values so replaced still count as a change of the tables.

--- a/monsoonhoist/node/replication.py
+++ b/monsoonhoist/node/replication.py
@@ -16,7 +16,7 @@
 
 from monsoonhoist import errors, metrics
 from monsoonhoist.core import clock, data
-from monsoonhoist.node import evacuation_log, value_requests
+from monsoonhoist.node import evacuation_log, value_log, value_requests
 from monsoonhoist.protocol import messages
 from monsoonhoist.tables import announcements, reconciliation, store
 
@@ -78,6 +78,7 @@
         self._connected_instances = connected_instances
         self._on_change = on_change
         self._evacuation_log = evacuation_log.EvacuationLog(table_format, latest_read)
+        self._value_log = value_log.ValueLog(time_source, self.store.revision_by_key)
         self._spread_instances = spread_instances or connected_instances
         self._call_later = call_later
         self._announcements = announcements.Announcements()
@@ -137,13 +138,14 @@
         """Offers a value to the store; returns whether it was accepted."""
         result = self.store.offer(value)
         self._counters.count_table_value(result.acceptance, source)
+        self._value_log.record(value, result.acceptance, source)
         extra = {"key": value.key, "number": value.number, "source": source}
         if result.findings:
             findings = [finding.describe() for finding in result.findings]
             is_rejected = result.acceptance is store.Acceptance.REJECTED
             message = "table value rejected" if is_rejected else "table value has findings"
             _log.error(message, extra={**extra, "findings": findings})
-        if result.acceptance is not store.Acceptance.ACCEPTED:
+        if not result.acceptance.is_change:
             return False
         self._requests.record_accepted(value.key)
         return True
--- a/monsoonhoist/tables/store.py
+++ b/monsoonhoist/tables/store.py
@@ -39,6 +39,7 @@
         OLDER: A newer value of the same era is current.
         OF_EARLIER_COPY: The value is from an earlier era, or from the copy from which the era of
             the configuration service began, and a newer value is current.
+        REMOVED: A later list lacks the key, whose removal is in force in place of the value.
         REJECTED: The value has errors.
     """
 
@@ -46,8 +47,14 @@
     KNOWN = "known"
     OLDER = "older"
     OF_EARLIER_COPY = "of_earlier_copy"
+    REMOVED = "removed"
     REJECTED = "rejected"
 
+    @property
+    def is_change(self) -> bool:
+        """Whether another value of the key, or its removal, has come into force."""
+        return self in (Acceptance.ACCEPTED, Acceptance.REMOVED)
+
 
 _ACCEPTANCE_BY_ORDER = {
     precedence.Order.SAME: Acceptance.KNOWN,
@@ -198,8 +205,10 @@
         self.eras.record(value.era)
         value = msgspec.structs.replace(value, era=self.eras.resolve(value.era))
         current = self.revision_by_key.get(value.key)
+        accepted = Acceptance.ACCEPTED
         if current is None and self._is_removed_by_listing(value):
             listing = self._listing
+            accepted = Acceptance.REMOVED if value.text else Acceptance.ACCEPTED
             value = messages.TableValue(value.key, listing.number, "", listing.era)
         revision = _make_revision(value)
         if current is not None and precedence.is_same(revision, current):
@@ -224,7 +233,7 @@
         if order is not precedence.Order.NEWER:
             return OfferResult(_ACCEPTANCE_BY_ORDER[order])
         self._accept(value, revision, parsed)
-        return OfferResult(Acceptance.ACCEPTED, parsed.warnings)
+        return OfferResult(accepted, parsed.warnings)
 
     def _accept(
         self, value: messages.TableValue, revision: messages.Revision, parsed: ParsedValue
