Leave out the line about a value that was replaced a moment ago

The ranges of the service are read side by side, and a list repeats what a watch has brought, so that the first of two changes in a row is often read again. Each of these had the line `table value not in force`.

A value that is merely older now has a line only if the one in force has been so for 1 s.

--- a/features/steps/table_log.py
+++ b/features/steps/table_log.py
@@ -17,6 +17,7 @@
 IN_FORCE_NUMBER = 50
 IN_FORCE_VERSION = 3
 START_SECONDS = 100.0
+IN_FORCE_SECONDS = 5.0
 MS_PER_SECOND = 1000
 
 
@@ -43,6 +44,7 @@
             lambda: None,
         )
         self.offer_config("service", IN_FORCE_NUMBER, IN_FORCE_VERSION)
+        self.clock.advance(IN_FORCE_SECONDS)
 
     def offer(self, source, key, number, text, era=0):
         """Offers a value."""
@@ -87,6 +89,17 @@
     logged = logged_instance(context)
     for server in range(first, last + 1):
         logged.offer_server("service", server, number)
+    logged.clock.advance(IN_FORCE_SECONDS)
+
+
+@given(
+    'the service offered "op/config" with number {number:d} and version {version:d} {ms:d} ms ago'
+)
+def offer_config_before(context, number, version, ms):
+    """Offers a configuration of the service, and advances the clock."""
+    logged = logged_instance(context)
+    logged.offer_config("service", number, version)
+    logged.clock.advance(ms / MS_PER_SECOND)
 
 
 @when('the service offers "op/config" with number {number:d} and version {version:d}')
--- a/features/table_log.feature
+++ b/features/table_log.feature
@@ -1,6 +1,6 @@
 Feature: Log lines about table values that do not come into force
   Guards against changes of operators that no instance takes over and no line names. An instance has
-  the configuration with number 50 and version 3 in force.
+  the configuration with number 50 and version 3 in force for 5 s.
 
   Scenario: An older value of the configuration service
     When the service offers "op/config" with number 40 and version 2
@@ -43,6 +43,17 @@
     And the service offers "op/config" with number 51 and version 4
     Then there are no lines "table value not in force"
 
+  Scenario Outline: An older value of the service after a change
+    Two ranges are read side by side, so that the first of two changes may be read again.
+    Given the service offered "op/config" with number 52 and version 4 <ms> ms ago
+    When the service offers "op/config" with number 51 and version 4
+    Then there are <count> lines "table value not in force", which left out 0 others
+
+    Examples:
+      | ms   | count |
+      | 900  | 0     |
+      | 1100 | 1     |
+
   Scenario: A key that is offered again and again
     When the service offers "op/config" with number 40 and version 2 every 300 ms for 12 s
     Then there are 3 lines "table value not in force", which left out 32 others
--- a/monsoonhoist/node/value_log.py
+++ b/monsoonhoist/node/value_log.py
@@ -1,8 +1,9 @@
 """Log lines about table values that did not come into force because of a newer one.
 
 The number of lines is bounded, by key and in total; ``monsoonhoist_table_values_total`` counts all
-of these values. A peer's value that is merely older has no line, since the same values arrive from
-several peers.
+of these values. Values that are merely older have no line if they are from a peer, since the same
+values arrive from several peers, or if the one in force is recent: the ranges of the service are
+read side by side, and each of two changes in a row may be read twice.
 """
 
 import collections
@@ -18,15 +19,52 @@
 # Most lines in any second.
 LINES_PER_SECOND_MAX = 5
 RATE_PERIOD_SECONDS = 1.0
-
-LOGGED_FROM_SERVICE = frozenset(
-    (store.Acceptance.OLDER, store.Acceptance.OF_EARLIER_COPY, store.Acceptance.REMOVED)
-)
-LOGGED_FROM_PEERS = frozenset((store.Acceptance.OF_EARLIER_COPY, store.Acceptance.REMOVED))
+# Time after which a value in force no longer counts as recent.
+RECENT_SECONDS = 1.0
 
 _log = logging.getLogger(__name__)
 
 
+class _RecentKeys:
+    """Keys of the events of a short time.
+
+    Args:
+        time_source: The clock.
+        period_seconds: How long an event is recent.
+    """
+
+    def __init__(self, time_source: clock.Clock, period_seconds: float):
+        self._clock = time_source
+        self._period_seconds = period_seconds
+        # In the order of the times, so that those to be forgotten are first.
+        self._time_by_key: collections.OrderedDict[data.TableKey, float] = collections.OrderedDict()
+
+    def add(self, key: data.TableKey) -> None:
+        """Records an event of a key."""
+        self._forget()
+        self._time_by_key[key] = self._clock.monotonic()
+        self._time_by_key.move_to_end(key)
+
+    def contains(self, key: data.TableKey) -> bool:
+        """Returns whether a key had a recent event."""
+        self._forget()
+        return key in self._time_by_key
+
+    def count(self) -> int:
+        """Returns the number of keys that had a recent event."""
+        self._forget()
+        return len(self._time_by_key)
+
+    def _forget(self) -> None:
+        """Forgets the events that are no longer recent."""
+        now = self._clock.monotonic()
+        while self._time_by_key:
+            key, time_seconds = next(iter(self._time_by_key.items()))
+            if now - time_seconds < self._period_seconds:
+                return
+            del self._time_by_key[key]
+
+
 class ValueLog:
     """Logs values that did not come into force.
 
@@ -38,12 +76,10 @@
     def __init__(
         self, time_source: clock.Clock, revision_by_key: Mapping[data.TableKey, messages.Revision]
     ):
-        self._clock = time_source
         self._revision_by_key = revision_by_key
-        # The keys and times of the latest lines, oldest first.
-        self._logged_at_by_key: collections.OrderedDict[data.TableKey, float] = (
-            collections.OrderedDict()
-        )
+        self._changed_keys = _RecentKeys(time_source, RECENT_SECONDS)
+        self._logged_keys = _RecentKeys(time_source, KEY_INTERVAL_SECONDS)
+        self._latest_lines = _RecentKeys(time_source, RATE_PERIOD_SECONDS)
         self._left_out = 0
 
     def record(self, value: messages.TableValue, acceptance: store.Acceptance, source: str) -> None:
@@ -54,8 +90,9 @@
             acceptance: What the store did with it.
             source: Where the value is from, ``service`` or ``peer``.
         """
-        is_from_service = source == "service"
-        if acceptance not in (LOGGED_FROM_SERVICE if is_from_service else LOGGED_FROM_PEERS):
+        if acceptance is store.Acceptance.ACCEPTED:
+            self._changed_keys.add(value.key)
+        if not self._is_unusual(value.key, acceptance, source):
             return
         if not self._may_log(value.key):
             self._left_out += 1
@@ -71,26 +108,20 @@
             "in_force_era": in_force.era,
             "left_out": self._left_out,
         }
-        level = logging.WARNING if is_from_service else logging.INFO
+        level = logging.WARNING if source == "service" else logging.INFO
         _log.log(level, "table value not in force", extra=extra)
         self._left_out = 0
 
+    def _is_unusual(self, key: data.TableKey, acceptance: store.Acceptance, source: str) -> bool:
+        """Returns whether a value did not come into force although it was to be expected."""
+        if acceptance is store.Acceptance.OLDER:
+            return source == "service" and not self._changed_keys.contains(key)
+        return acceptance in (store.Acceptance.OF_EARLIER_COPY, store.Acceptance.REMOVED)
+
     def _may_log(self, key: data.TableKey) -> bool:
         """Returns whether a line about a key is within the bounds, and counts it if so."""
-        now = self._clock.monotonic()
-        self._forget_before(now - KEY_INTERVAL_SECONDS)
-        if key in self._logged_at_by_key:
-            return False
-        latest = list(self._logged_at_by_key.values())[-LINES_PER_SECOND_MAX:]
-        if len(latest) == LINES_PER_SECOND_MAX and now - latest[0] < RATE_PERIOD_SECONDS:
+        if self._logged_keys.contains(key) or self._latest_lines.count() >= LINES_PER_SECOND_MAX:
             return False
-        self._logged_at_by_key[key] = now
+        self._logged_keys.add(key)
+        self._latest_lines.add(key)
         return True
-
-    def _forget_before(self, time_seconds: float) -> None:
-        """Forgets the lines that were written up to a time, in monotonic seconds."""
-        while self._logged_at_by_key:
-            key, logged_at = next(iter(self._logged_at_by_key.items()))
-            if logged_at > time_seconds:
-                return
-            del self._logged_at_by_key[key]
