Log a newly known era, and the reading of values of earlier ones

An instance that learned that the configuration service had come back from an older copy wrote nothing about it, and neither did the reading of what remained of earlier eras in the native dialect.

`the configuration service came back from an older copy` (warning) has the era, the one before, who stated it and the time until it is settled. The first era is `era of the configuration service known`: as info at the start, and as a warning if values were in force, since a service that counts from 0 states no era before its first return. `values of earlier eras are read again` replaces `ranges listed again`, with the number of these values, and is written for both dialects.

--- a/features/steps/table_log.py
+++ b/features/steps/table_log.py
@@ -1,5 +1,7 @@
 """Steps that offer table values to an instance and check its log lines and counters."""
 
+import asyncio
+import datetime
 import json
 import logging
 
@@ -9,9 +11,10 @@
 from features.steps import request_log
 from monsoonhoist import metrics
 from monsoonhoist.core import clock, data
-from monsoonhoist.node import replication
+from monsoonhoist.node import range_reader, replication, table_reader
 from monsoonhoist.platform import store_format
 from monsoonhoist.protocol import messages
+from monsoonhoist.tables import eras
 
 CONFIG_KEY = data.TableKey("op/config")
 IN_FORCE_NUMBER = 50
@@ -35,7 +38,13 @@
         self.clock = clock.ManualClock(START_SECONDS)
         self.counters = metrics.Metrics(data.InstanceId("i"))
         self.handler = request_log.RecordingHandler()
-        self.replicator = replication.TableReplicator(
+        self.replicator = self.make_replicator()
+        self.offer_config("service", IN_FORCE_NUMBER, IN_FORCE_VERSION)
+        self.clock.advance(IN_FORCE_SECONDS)
+
+    def make_replicator(self):
+        """Returns a replicator without values."""
+        return replication.TableReplicator(
             store_format.PlatformFormat(0.2),
             self.clock,
             self.counters,
@@ -43,8 +52,6 @@
             lambda: (),
             lambda: None,
         )
-        self.offer_config("service", IN_FORCE_NUMBER, IN_FORCE_VERSION)
-        self.clock.advance(IN_FORCE_SECONDS)
 
     def offer(self, source, key, number, text, era=0):
         """Offers a value."""
@@ -83,6 +90,83 @@
     logged.replicator.store.record_listing(number)
 
 
+@given("an instance without values")
+def make_empty(context):
+    """Makes an instance that has read nothing."""
+    logged = logged_instance(context)
+    logged.replicator = logged.make_replicator()
+
+
+@given("a reply of the service has stated era {era:d}")
+@when("a reply of the service states era {era:d}")
+def state_era(context, era):
+    """Passes the era of a reply to the instance, as the readers of the service do."""
+    logged = logged_instance(context)
+    table_reader.check_era(era, logged.replicator.store)
+
+
+@when(
+    'a peer offers "op/config" with number {number:d} and version {version:d} '
+    "of era {era:d} in a message"
+)
+def send_config(context, number, version, era):
+    """Passes a peer's message with a configuration to the instance."""
+    text = store_values.make_config(version)
+    packed = messages.pack_table(messages.TableValue(CONFIG_KEY, number, text, era))
+    message = messages.PackedTables((packed,))
+    logged_instance(context).replicator.handle_message(data.InstanceId("p"), message)
+
+
+class ListedService(range_reader.RangeClient):
+    """Service with one value, which never changes.
+
+    Args:
+        value: The value.
+        clock: The clock of the instance, which advances with each list.
+    """
+
+    def __init__(self, value, time_source):
+        self.value = value
+        self.clock = time_source
+        self.list_count = 0
+
+    async def read_page(self, prefix, after):
+        """Returns the value; the time advances, so that its era is then settled."""
+        self.list_count += 1
+        return range_reader.Page((self.value,), self.value.number, era=self.value.era)
+
+    async def watch(self, prefix, revision, duration):
+        """Advances the time to when the era is settled, and waits for the end of the watch."""
+        self.clock.advance(eras.SETTLE_SECONDS)
+        await asyncio.sleep(duration.total_seconds())
+        raise AssertionError("the watch was not ended")
+
+
+@when(
+    'the service is listed with "op/config" of number {number:d} and version {version:d}, '
+    "now and after the era is settled"
+)
+def list_service(context, number, version):
+    """Reads the service by lists until the second one has been offered."""
+    logged = logged_instance(context)
+    table_store = logged.replicator.store
+    text = store_values.make_config(version)
+    value = messages.TableValue(CONFIG_KEY, number, text, table_store.eras.newest)
+    service = ListedService(value, logged.clock)
+    watch, no_delay = datetime.timedelta(seconds=30), datetime.timedelta(0)
+    key_range = range_reader.KeyRange("", watch, no_delay)
+    reader = range_reader.RangeReader(service, [key_range], no_delay, lambda key: True)
+
+    async def run():
+        async with asyncio.timeout(10.0):
+            while service.list_count < 2:
+                reading = await reader.read(table_store)
+                logged.replicator.offer(reading.values, "service")
+        reader.reset()
+
+    asyncio.run(run())
+
+
 @given("the servers {first:d} to {last:d} were put in force with number {number:d}")
 def put_servers_in_force(context, first, last, number):
     """Offers the items of servers."""
--- a/features/table_log.feature
+++ b/features/table_log.feature
@@ -62,3 +62,40 @@
     Given the servers 0 to 999 were put in force with number 55
     When the service offers the servers 0 to 999 with number 45 within 10 s
     Then there are 50 lines "table value not in force", at most 5 in any second
+
+  Scenario: The first era that the service states
+    Given an instance without values
+    When a reply of the service states era 4
+    Then there is one line "era of the configuration service known" with these fields
+      | level | era | era_before | source  | values |
+      | INFO  | 4   | 0          | service | 0      |
+
+  Scenario: The service states an era only after values are in force
+    When a reply of the service states era 1
+    Then there is one line "era of the configuration service known" with these fields
+      | level   | era | era_before | source  | values |
+      | WARNING | 1   | 0          | service | 1      |
+
+  Scenario: The service comes back from an older copy
+    Given a reply of the service has stated era 4
+    When a reply of the service states era 5
+    And a reply of the service states era 5
+    Then there is one line "the configuration service came back from an older copy" with these fields
+      | level   | era | era_before | source  | settle_seconds | values |
+      | WARNING | 5   | 4          | service | 2.2            | 1      |
+
+  Scenario: A peer knows of the return first
+    Given a reply of the service has stated era 4
+    When a peer offers "op/config" with number 40 and version 5 of era 5 in a message
+    And a reply of the service states era 5
+    Then there is one line "the configuration service came back from an older copy" with these fields
+      | level   | era | era_before | source | values |
+      | WARNING | 5   | 4          | peer   | 1      |
+
+  Scenario: Values of earlier eras are read again when the era is settled
+    Given a reply of the service has stated era 4
+    When a reply of the service states era 5
+    And the service is listed with "op/config" of number 40 and version 2, now and after the era is settled
+    Then there is one line "values of earlier eras are read again" with these fields
+      | level | settled_era | earlier_values |
+      | INFO  | 5           | 1              |
--- a/monsoonhoist/node/config_service.py
+++ b/monsoonhoist/node/config_service.py
@@ -15,7 +15,7 @@
 from monsoonhoist import decoding, errors, metrics
 from monsoonhoist.core import data
 from monsoonhoist.fleet import membership
-from monsoonhoist.node import curl, dialect, http_call, http_fetch, table_reader
+from monsoonhoist.node import curl, dialect, era_log, http_call, http_fetch, table_reader
 from monsoonhoist.protocol import messages
 from monsoonhoist.tables import eras, native, store
 
@@ -170,12 +170,15 @@
         evacuations are returned by themselves, ahead of all other values.
         """
         wait = self._find_wait(table_store)
+        was_settled = table_store.eras.is_settled()
         revision_index = await self._client.watch(self._index, self._era, wait)
         era = table_reader.check_era(revision_index.era, table_store)
         changes = tuple(_find_evacuation_changes(revision_index, table_store))
         if changes:
             # They do not wait for other values, which the next call reads by the same index.
             return table_reader.Reading(changes, is_complete=False)
+        if not was_settled and table_store.eras.is_settled() and table_store.has_earlier_eras():
+            era_log.log_settled(table_store)
         values = []
         for key, number in sorted(revision_index.number_by_key.items()):
             is_evacuation = key.startswith(native.EVACUATION_KEY_PREFIX)
--- a/monsoonhoist/node/range_reader.py
+++ b/monsoonhoist/node/range_reader.py
@@ -16,7 +16,7 @@
 import msgspec
 
 from monsoonhoist.core import data
-from monsoonhoist.node import key_ranges, table_reader
+from monsoonhoist.node import era_log, key_ranges, table_reader
 from monsoonhoist.protocol import messages
 from monsoonhoist.tables import store
 
@@ -221,7 +221,7 @@
             await asyncio.sleep(table_store.eras.seconds_to_settle())
         if not table_store.has_earlier_eras():
             return
-        _log.info("ranges listed again", extra={"settled_era": table_store.eras.newest})
+        era_log.log_settled(table_store)
         for state in self._state_by_prefix.values():
             state.is_list_due = True
             state.end_watch()
--- a/monsoonhoist/node/replication.py
+++ b/monsoonhoist/node/replication.py
@@ -16,7 +16,7 @@
 
 from monsoonhoist import errors, metrics
 from monsoonhoist.core import clock, data
-from monsoonhoist.node import evacuation_log, value_log, value_requests
+from monsoonhoist.node import era_log, evacuation_log, value_log, value_requests
 from monsoonhoist.protocol import messages
 from monsoonhoist.tables import announcements, reconciliation, store
 
@@ -152,6 +152,7 @@
 
     def handle_message(self, sender: data.InstanceId, message: messages.Message) -> None:
         """Handles a peer's message about table values."""
+        era_before = self.store.eras.newest
         match message:
             case messages.Revisions():
                 self.handle_revisions(sender, message)
@@ -166,6 +167,7 @@
                 self.offer(self._unpack(message), "peer")
                 keys = [packed.key for packed in message.tables]
                 self._request(sender, self._requests.record_values(sender, keys))
+        era_log.log_newer(era_before, self.store, "peer")
 
     def handle_revisions(self, sender: data.InstanceId, message: messages.Revisions) -> None:
         """Requests the values that are newer at the sender."""
--- a/monsoonhoist/node/table_reader.py
+++ b/monsoonhoist/node/table_reader.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from monsoonhoist import errors
+from monsoonhoist.node import era_log
 from monsoonhoist.protocol import messages
 from monsoonhoist.tables import eras, store
 
@@ -27,7 +28,9 @@
     Raises:
         EarlierEraError: If the reply is of an earlier era.
     """
+    era_before = table_store.eras.newest
     table_store.eras.record(era)
+    era_log.log_newer(era_before, table_store, "service")
     if table_store.eras.is_outdated(era):
         newest = table_store.eras.newest
         raise EarlierEraError(f"reply of era {era}, while era {newest} is known")
