State what an instance believes of the configuration service

Nothing told which answer of the service an instance goes by: only the age of the latest known one was a gauge, without the instance that received it, its revision or its era. A failed read had a line and no counter.

The status has a record `service`: whether the latest known answer is recent, who received it, its age, whether this instance watches, the revision of its own latest answer and list, the era and whether it is settled. The gauges service_era, service_revision and service_watched show the same, and `monsoonhoist status` has a line of it. Lines are written when an instance begins or stops to watch, and when the latest answer has become old (older than stale_ms and watch_ms together: others take over at stale_ms, and say so) or has been recent again for 5 s. monsoonhoist_service_failures_total counts failed reads by reason: no_usable_reply, earlier_era, program_error. Heartbeats are unchanged.

--- a/features/metrics.feature
+++ b/features/metrics.feature
@@ -17,6 +17,14 @@
     And "monsoonhoist_tables_age_seconds" with "" is at most 5
     And "monsoonhoist_service_word_age_seconds" with "" is at most 5
 
+  Scenario: What an instance knows of the configuration service
+    When the metrics of instance 1 are read
+    Then "monsoonhoist_service_revision" of instance 1 is the store's revision within 3 s
+    And "monsoonhoist_service_failures_total" with "reason=earlier_era" is at most 0
+    And "monsoonhoist_table_values_total" with "result=removed, source=service" is at most 0
+    And the status of instance 1 names an instance that the service has answered within 5 s
+    And "monsoonhoist_service_watched" is 1 at two of the instances
+
   Scenario: Every refusal and retry reason has a series
     When the metrics of instance 1 are read
     Then there is a series for each reason of a refusal and of a retry
--- a/features/steps/metrics.py
+++ b/features/steps/metrics.py
@@ -3,13 +3,18 @@
 import re
 import subprocess
 import sys
+import time
 
+import msgspec
 from behave import then, when
 
 from monsoonhoist import settings
 from monsoonhoist.core import data
+from monsoonhoist.node import service_belief, status
 from standins import fleet, site
 
+MS_PER_SECOND = 1000
+READ_INTERVAL_SECONDS = 0.1
 _SERIES = re.compile(r"^(\w+)(?:\{(.*)\})? ([0-9.e+-]+)$")
 _LABEL = re.compile(r'(\w+)="([^"]*)"')
 
@@ -83,6 +88,41 @@
     assert select_values(context, name, labels) == [revision], (revision, context.series)
 
 
+@then('"{name}" of instance {number:d} is the store\'s revision within {seconds:d} s')
+def check_store_revision(context, name, number, seconds):
+    """Reads a gauge until it is the revision of the store as a whole, which nothing changes."""
+    revision = context.fleet.call_in_thread(lambda: context.fleet.store.revision)
+    deadline = time.monotonic() + seconds
+    while select_values(context, name, "") != [revision]:
+        assert time.monotonic() < deadline, (revision, select_values(context, name, ""))
+        time.sleep(READ_INTERVAL_SECONDS)
+        read_metrics(context, number)
+
+
+@then(
+    "the status of instance {number:d} names an instance that the service has answered "
+    "within {seconds:d} s"
+)
+def check_service_status(context, number, seconds):
+    """Checks what the status says of the configuration service."""
+    text = site.fetch(f"http://127.0.1.{number}:{fleet.CONTROL_PORT}/v1/status")
+    service = msgspec.json.decode(text, type=status.Status).service
+    names = {f"127.0.1.{each}" for each in range(1, context.fleet.instances + 1)}
+    assert service.reader in names, service
+    assert service.age_ms <= seconds * MS_PER_SECOND, service
+    assert service.contact is service_belief.Contact.RECENT, service
+
+
+@then('"{name}" is 1 at two of the instances')
+def check_two(context, name):
+    """Sums a gauge over the instances."""
+    total = 0
+    for number in range(1, context.fleet.instances + 1):
+        read_metrics(context, number)
+        total += sum(select_values(context, name, ""))
+    assert total == 2, total
+
+
 @then("there is a series for each reason of a refusal and of a retry")
 def check_reasons(context):
     """Compares the values of the label ``reason`` with all reasons."""
--- a/monsoonhoist/client.py
+++ b/monsoonhoist/client.py
@@ -9,7 +9,7 @@
 
 from monsoonhoist import errors
 from monsoonhoist.core import data
-from monsoonhoist.node import status, web
+from monsoonhoist.node import service_belief, status, web
 
 # Longer than the longest deadline that a route may have, which is 60 s.
 TIMEOUT_MS = 65_000
@@ -146,6 +146,7 @@
     lines = [
         f"{instance_status.instance}  {instance_status.phase}  active {instance_status.active}"
     ]
+    lines.append(_render_service(instance_status.service))
     lines.extend(f"  key   {key.key} revision {key.number}" for key in instance_status.keys)
     lines.extend(
         f"  pool  {pool.pool}: {pool.services} services, {pool.servers} servers,"
@@ -162,6 +163,14 @@
     return lines
 
 
+def _render_service(service: service_belief.ServiceStatus) -> str:
+    era = f"era {service.era}{'' if service.settled else ' not settled'}"
+    if service.age_ms is None:
+        return f"  service  no answer known, {era}"
+    watched = "watched here" if service.watching else "not watched here"
+    return f"  service  answered {service.reader} {service.age_ms} ms ago, {era}, {watched}"
+
+
 def _decode(body: bytes, reply_type: type) -> object:
     try:
         return msgspec.json.decode(body, type=reply_type)
--- a/monsoonhoist/metrics.py
+++ b/monsoonhoist/metrics.py
@@ -155,6 +155,9 @@
         self._service_reads = self._make_counter(
             "service_reads", "Calls to the configuration service"
         )
+        self._service_failures = self._make_counter(
+            "service_failures", "Failed reads of the configuration service, by reason"
+        )
         self._stream_bytes = self._make_counter("stream_bytes", "Bytes on instance streams", "By")
         self._late_replies = self._make_counter(
             "late_replies", "Replies dropped as late or duplicate"
@@ -306,6 +309,10 @@
         """
         self._service_reads.add(1, kind=kind)
 
+    def count_service_failure(self, reason: str, count: int = 1) -> None:
+        """Counts a failed read of the configuration service; none to start a series at zero."""
+        self._service_failures.add(count, reason=reason)
+
     def count_stream_bytes(self, count: int, kind: str) -> None:
         """Counts bytes sent on instance streams for messages of a kind."""
         self._stream_bytes.add(count, kind=kind)
--- a/monsoonhoist/node/config_service.py
+++ b/monsoonhoist/node/config_service.py
@@ -176,7 +176,7 @@
         changes = tuple(_find_evacuation_changes(revision_index, table_store))
         if changes:
             # They do not wait for other values, which the next call reads by the same index.
-            return table_reader.Reading(changes, is_complete=False)
+            return table_reader.Reading(changes, is_complete=False, revision=revision_index.index)
         if not was_settled and table_store.eras.is_settled() and table_store.has_earlier_eras():
             era_log.log_settled(table_store)
         values = []
@@ -193,7 +193,7 @@
                 _log.error("value not read", extra=extra)
         self._index = revision_index.index
         self._era = revision_index.era
-        return table_reader.Reading(tuple(values))
+        return table_reader.Reading(tuple(values), revision=revision_index.index)
 
     def _find_wait(self, table_store: store.TableStore) -> datetime.timedelta:
         """Returns the longest wait for a change.
--- a/monsoonhoist/node/gauges.py
+++ b/monsoonhoist/node/gauges.py
@@ -31,6 +31,24 @@
         "s",
         lambda: _read_report_age(local_node.latest_read_report()),
     )
+    add_gauge(
+        "service_era",
+        "Newest known era of the configuration service; 0 if it states none",
+        "",
+        lambda: {metrics.NO_LABELS: local_node.replicator.store.eras.newest},
+    )
+    add_gauge(
+        "service_revision",
+        "Revision that the latest answer of the configuration service to this instance stated",
+        "",
+        lambda: {metrics.NO_LABELS: local_node.belief.status().revision},
+    )
+    add_gauge(
+        "service_watched",
+        "Whether this instance watches the configuration service",
+        "",
+        lambda: {metrics.NO_LABELS: int(local_node.belief.status().watching)},
+    )
     add_gauge(
         "evacuated_zones",
         "Availability zones whose backend servers receive nothing new",
--- a/monsoonhoist/node/node.py
+++ b/monsoonhoist/node/node.py
@@ -24,6 +24,7 @@
     readiness,
     replication,
     request_log,
+    service_belief,
     service_watcher,
     stream_protocol,
     ticket_runner,
@@ -58,6 +59,7 @@
         counters: Metrics of this instance.
         members: Known instances and their states.
         replicator: Holds the current tables and exchanges them with peers.
+        belief: What this instance believes of the configuration service.
         pending_queries: Passes callers' requests to the entry kernel, and answers back.
         ticket_runner: Runs non-repeatable requests, each under a ticket.
     """
@@ -115,6 +117,9 @@
             self._streams.spread_instances,
             asyncio.get_running_loop().call_later,
         )
+        self.belief = service_belief.make_belief(
+            config, time_source, self.counters, self.replicator.store
+        )
         self._listing = self.dialect.make_listing(self._driver, self.counters, self._handle_listed)
         self._member_gossip = member_gossip.MemberGossip(
             self.members, self.send, self._streams.gossiping_instances
@@ -124,18 +129,18 @@
             self.dialect.make_reader(self._driver, self.counters),
             self.replicator,
             lambda: self._watcher_role.is_active(),
-            lambda: self._watcher_selection.record_read(time_source.monotonic()),
+            self.belief.record_read,
             reads_at_start=not config.spread.first_start,
+            observer=self.belief,
         )
         self._readiness = readiness.Readiness(
             time_source, self.replicator, self._watcher, self._streams.connected_instances
         )
-        self._watcher_selection = config.spread.make_watcher_selection(self.name)
         self._watcher_role = watcher_role.WatcherRole(
             config.spread,
             time_source,
             self.members,
-            self._watcher_selection,
+            self.belief.selection,
             self._readiness,
             self._streams.connected_instances,
         )
@@ -182,6 +187,7 @@
         instance = self.config.instance
         self._streams.listen(str(instance.host), instance.peer_listen_port or instance.peer_port)
         self._watcher.start()
+        self.belief.start()
         self._listing.start()
         self._spawn(self._become_ready())
         self._view_publisher.refresh()
@@ -212,11 +218,9 @@
 
     async def close(self) -> None:
         """Closes all sockets and stops all tasks."""
-        self._watcher.stop()
-        self._listing.stop()
-        self._pauses.stop()
-        self._member_gossip.stop()
-        self._view_publisher.stop()
+        readers = (self._watcher, self.belief, self._listing, self._pauses)
+        for component in (*readers, self._member_gossip, self._view_publisher):
+            component.stop()
         for task in list(self._background_tasks):
             task.cancel()
         await self._streams.close()
@@ -275,8 +279,7 @@
             case messages.TicketAnswer():
                 self.ticket_runner.handle_answer(message)
             case messages.Heartbeat():
-                if message.report is not None:
-                    self._watcher_selection.record_report(message.report, self._clock.monotonic())
+                self.belief.record_report(message.report)
                 if message.tables_digest:
                     self.replicator.handle_digest(sender, message.tables_digest)
             case _:
@@ -323,22 +326,19 @@
 
     def latest_read_report(self) -> messages.ConfigReadReport | None:
         """Returns the latest known reply of the configuration service, or None."""
-        return self._watcher_selection.latest_report(self._clock.monotonic())
+        return self.belief.latest_report()
 
     def _execute(self, command: events.Command) -> None:
         """Executes a command of a kernel."""
         match command:
             case events.SendMessage():
-                self._execute_send(command)
+                if not self.send(command.instance, command.message):
+                    self.handle_unsent(command.instance, command.message)
             case events.Respond():
                 self.pending_queries.complete(command)
             case events.StartCall() | events.CancelCall():
                 self._backends.submit(command)
 
-    def _execute_send(self, command: events.SendMessage) -> None:
-        if not self.send(command.instance, command.message):
-            self.handle_unsent(command.instance, command.message)
-
     def _handle_batch(self, batch: messages.SubBatch) -> None:
         """Submits sub-requests to the owner; refuses those that may predate a pause."""
         is_own = batch.origin == self.name
--- a/monsoonhoist/node/range_reader.py
+++ b/monsoonhoist/node/range_reader.py
@@ -115,12 +115,12 @@
                     self._restart_other_watches(state)
                 elif isinstance(error, table_reader.EarlierEraError):
                     state.revision = None
-                self._publish(state, table_reader.Reading((), error=str(error)))
+                self._publish(state, table_reader.make_failed_reading(error))
             except Exception as error:
                 # An error of the program must not end the task, nor delay the other ranges.
                 _log.exception("range not read", extra={"prefix": prefix})
                 state.revision = None
-                self._publish(state, table_reader.Reading((), error=repr(error)))
+                self._publish(state, table_reader.make_failed_reading(error))
             failures += 1
             await asyncio.sleep(table_reader.retry_delay_seconds(self._retry_delay, failures))
 
@@ -292,7 +292,9 @@
             other.listed_number is not None and other.era == state.era for other in states
         )
         listed_number = min(other.listed_number for other in states) if is_complete else 0
-        reading = table_reader.Reading(values, listed_number, is_complete, era=state.era)
+        reading = table_reader.Reading(
+            values, listed_number, is_complete, era=state.era, revision=state.revision
+        )
         self._publish(state, reading)
 
     def _publish(self, state: key_ranges.RangeState, reading: table_reader.Reading) -> None:
--- a/monsoonhoist/node/service_watcher.py
+++ b/monsoonhoist/node/service_watcher.py
@@ -26,6 +26,7 @@
         is_watcher: Returns whether this instance should currently read the service.
         on_read: Called after each successful read.
         reads_at_start: Whether to read the service at the start even if not a watcher.
+        observer: Learns what comes of the reading.
 
     Attributes:
         has_read_all: Whether all keys have been read since the start or last restart.
@@ -39,6 +40,7 @@
         is_watcher: Callable[[], bool],
         on_read: Callable[[], None],
         reads_at_start: bool = True,
+        observer: table_reader.ReadObserver | None = None,
     ):
         self.has_read_all = False
         self._must_read = reads_at_start
@@ -47,6 +49,7 @@
         self._reader = reader
         self._replicator = replicator
         self._is_watcher = is_watcher
+        self._observer = observer or table_reader.ReadObserver()
         self._task: asyncio.Task[None] | None = None
 
     def start(self) -> None:
@@ -69,13 +72,16 @@
     async def _run(self) -> None:
         failures = 0
         while True:
-            if not self._must_read and not self._is_watcher():
+            is_watching = not self._must_read and self._is_watcher()
+            self._observer.record_watching(is_watching)
+            if not self._must_read and not is_watching:
                 self._reader.reset()
                 await asyncio.sleep(ROLE_CHECK_INTERVAL_SECONDS)
                 continue
             try:
                 reading = await self._reader.read(self._replicator.store)
                 if reading.error:
+                    self._observer.record_failure(reading.failure)
                     _log.warning("configuration service not read", extra={"error": reading.error})
                     failures += 1
                     continue
@@ -85,16 +91,19 @@
                     self.has_read_all = True
                     self._must_read = False
                 self._on_read()
+                self._observer.record_reading(reading)
                 if failures:
                     _log.info("configuration service read again")
                 failures = 0
             except table_reader.ConfigServiceError as error:
+                self._observer.record_failure(error.failure)
                 _log.warning("configuration service not read", extra={"error": str(error)})
                 failures += 1
                 await asyncio.sleep(table_reader.retry_delay_seconds(self._retry_delay, failures))
             except Exception:
                 # An error of the program must not end the loop: the instance would go on serving
                 # by tables that grow old.
+                self._observer.record_failure(table_reader.ReadFailure.PROGRAM_ERROR)
                 _log.exception("reading of the configuration service failed")
                 self._reader.reset()
                 failures += 1
--- a/monsoonhoist/node/status.py
+++ b/monsoonhoist/node/status.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from monsoonhoist.core import data
-from monsoonhoist.node import node
+from monsoonhoist.node import node, service_belief
 from monsoonhoist.tables import evacuations
 
 
@@ -55,6 +55,7 @@
         findings: A message for each route whose pool is not defined, and for each evacuated zone
             without servers.
         evacuated_zones: Availability zones whose backend servers receive nothing new.
+        service: What the instance believes of the configuration service.
     """
 
     instance: data.InstanceId
@@ -67,6 +68,7 @@
     pools: tuple[PoolStatus, ...]
     findings: tuple[str, ...]
     evacuated_zones: tuple[data.ZoneId, ...] = ()
+    service: service_belief.ServiceStatus = service_belief.ServiceStatus()
 
 
 def make_status(local_node: "node.Node") -> Status:
@@ -103,6 +105,7 @@
             for zone in evacuations.zones_without_servers(store.tables)
         ),
         evacuated_zones=tuple(sorted(store.tables.evacuated_zones)),
+        service=local_node.belief.status(),
     )
 
 
--- a/monsoonhoist/node/table_reader.py
+++ b/monsoonhoist/node/table_reader.py
@@ -2,6 +2,7 @@
 
 import abc
 import datetime
+import enum
 import random
 
 import msgspec
@@ -14,13 +15,35 @@
 RETRY_MAX_SECONDS = 1.5
 
 
+class ReadFailure(enum.Enum):
+    """Why a read of the configuration service failed.
+
+    Attributes:
+        NO_USABLE_REPLY: There was no reply, or one that says so or cannot be read.
+        EARLIER_ERA: The reply is of an earlier era of the service than the newest known one.
+        PROGRAM_ERROR: An error of the program.
+    """
+
+    NO_USABLE_REPLY = "no_usable_reply"
+    EARLIER_ERA = "earlier_era"
+    PROGRAM_ERROR = "program_error"
+
+
 class ConfigServiceError(errors.MonsoonError):
-    """The configuration service did not return a usable reply."""
+    """The configuration service did not return a usable reply.
+
+    Attributes:
+        failure: Why the read failed.
+    """
+
+    failure = ReadFailure.NO_USABLE_REPLY
 
 
 class EarlierEraError(ConfigServiceError):
     """A reply is of an earlier era of the configuration service than the newest known one."""
 
+    failure = ReadFailure.EARLIER_ERA
+
 
 def check_era(era: int, table_store: store.TableStore) -> int:
     """Records the era that a reply states; returns it, or the newest known one if none is stated.
@@ -47,6 +70,8 @@
         is_complete: Whether all keys have been read since the last reset of the reader.
         error: Why a request failed; empty if none did. The reader repeats it by itself.
         era: Era of the service to which ``listed_number`` belongs; ``eras.UNSTATED`` if not stated.
+        revision: Revision that the service stated; 0 if nothing was read.
+        failure: Kind of the error; None if there is none.
     """
 
     values: tuple[messages.TableValue, ...]
@@ -54,6 +79,28 @@
     is_complete: bool = True
     error: str = ""
     era: int = eras.UNSTATED
+    revision: int = 0
+    failure: ReadFailure | None = None
+
+
+def make_failed_reading(error: Exception) -> Reading:
+    """Returns the reading that reports a failed request."""
+    if isinstance(error, ConfigServiceError):
+        return Reading((), error=str(error), failure=error.failure)
+    return Reading((), error=repr(error), failure=ReadFailure.PROGRAM_ERROR)
+
+
+class ReadObserver:
+    """Learns what comes of the reading of the configuration service; this one ignores it."""
+
+    def record_reading(self, reading: Reading) -> None:
+        """Records a successful read, whose values have been offered."""
+
+    def record_failure(self, failure: ReadFailure) -> None:
+        """Records a failed read."""
+
+    def record_watching(self, is_watching: bool) -> None:
+        """Records whether the service is watched from now on, after what is read at the start."""
 
 
 class TableReader(abc.ABC):
