--- a/bench/mutants.py
+++ b/bench/mutants.py
@@ -703,6 +703,48 @@
         "new_version == current_version",
         "check_config",
     ),
+    Mutant(
+        "older values of the configuration service have no line",
+        "node/value_log.py",
+        'return source == "service" and not self._changed_keys.contains(key)',
+        "return False",
+        "table_log",
+    ),
+    Mutant(
+        "lines about values that are not in force are not limited",
+        "node/value_log.py",
+        "self._latest_lines.count() >= LINES_PER_SECOND_MAX",
+        "False",
+        "table_log",
+    ),
+    Mutant(
+        "a value that a list lacks counts as accepted",
+        "tables/store.py",
+        "accepted = Acceptance.REMOVED if value.text else Acceptance.ACCEPTED",
+        "accepted = Acceptance.ACCEPTED",
+        "table_log",
+    ),
+    Mutant(
+        "a newer era that a peer states has no line",
+        "node/replication.py",
+        'era_log.log_newer(era_before, self.store, "peer")',
+        "pass",
+        "table_log",
+    ),
+    Mutant(
+        "an old answer of the configuration service has no line",
+        "node/service_belief.py",
+        "return Contact.OLD if is_old else Contact.RECENT",
+        "return Contact.RECENT",
+        "service_belief",
+    ),
+    Mutant(
+        "a reply of an earlier era counts as no usable one",
+        "node/table_reader.py",
+        "failure = ReadFailure.EARLIER_ERA",
+        "failure = ReadFailure.NO_USABLE_REPLY",
+        "service_belief",
+    ),
 )
 
 
