--- a/features/service_belief.feature
+++ b/features/service_belief.feature
@@ -24,7 +24,7 @@
     Given an instance that does not watch the configuration service
     Then its status says of the service
       | contact | reader | age_ms | watching | revision | era | settled |
-      | unknown | None   | None   | False    | 0        | 0   | True    |
+      | unknown | None   | None   | False    | 0        | -1  | True    |
     And its log has no lines of the service
 
   Scenario: The latest answer becomes old, and recent again
--- a/features/steps/service_belief.py
+++ b/features/steps/service_belief.py
@@ -9,7 +9,13 @@
 from monsoonhoist import metrics, settings
 from monsoonhoist.core import data
 from monsoonhoist.fleet import watcher_selection
-from monsoonhoist.node import range_reader, service_belief, service_watcher, table_reader
+from monsoonhoist.node import (
+    key_ranges,
+    range_reader,
+    service_belief,
+    service_watcher,
+    table_reader,
+)
 from monsoonhoist.protocol import messages
 
 OWN_NAME = data.InstanceId("own")
@@ -150,7 +156,7 @@
         """Does nothing."""
 
 
-class FailingClient(range_reader.RangeClient):
+class FailingClient(key_ranges.RangeClient):
     """A service whose first list fails.
 
     Args:
@@ -165,9 +171,9 @@
         """Fails once, and then returns an empty list."""
         self._lists += 1
         if self._lists > 1:
-            return range_reader.Page((), 1, era=NEWEST_ERA)
+            return key_ranges.Page((), 1, era=NEWEST_ERA)
         if self._make_error is None:
-            return range_reader.Page((), 1, era=NEWEST_ERA - 1)
+            return key_ranges.Page((), 1, era=NEWEST_ERA - 1)
         raise self._make_error()
 
     async def watch(self, prefix, revision, duration):
@@ -178,7 +184,7 @@
 def make_ranges(make_error):
     """Returns a reader of one range."""
     no_delay = datetime.timedelta(0)
-    key_range = range_reader.KeyRange("", datetime.timedelta(seconds=1), no_delay)
+    key_range = key_ranges.KeyRange("", datetime.timedelta(seconds=1), no_delay)
     client = FailingClient(make_error)
     return range_reader.RangeReader(client, [key_range], no_delay, lambda key: True)
 
--- a/features/steps/table_log.py
+++ b/features/steps/table_log.py
@@ -11,7 +11,7 @@
 from features.steps import request_log
 from monsoonhoist import metrics
 from monsoonhoist.core import clock, data
-from monsoonhoist.node import range_reader, replication, table_reader
+from monsoonhoist.node import key_ranges, range_reader, replication, table_reader
 from monsoonhoist.platform import store_format
 from monsoonhoist.protocol import messages
 from monsoonhoist.tables import eras
@@ -53,12 +53,12 @@
             lambda: None,
         )
 
-    def offer(self, source, key, number, text, era=0):
+    def offer(self, source, key, number, text, era=eras.UNSTATED):
         """Offers a value."""
         value = messages.TableValue(data.TableKey(key), number, text, era)
         self.replicator.offer((value,), source)
 
-    def offer_config(self, source, number, version, era=0):
+    def offer_config(self, source, number, version, era=eras.UNSTATED):
         """Offers a configuration."""
         self.offer(source, CONFIG_KEY, number, store_values.make_config(version), era)
 
@@ -117,7 +117,7 @@
     logged_instance(context).replicator.handle_message(data.InstanceId("p"), message)
 
 
-class ListedService(range_reader.RangeClient):
+class ListedService(key_ranges.RangeClient):
     """Service with one value, which never changes.
 
     Args:
@@ -133,7 +133,7 @@
     async def read_page(self, prefix, after):
         """Returns the value; the time advances, so that its era is then settled."""
         self.list_count += 1
-        return range_reader.Page((self.value,), self.value.number, era=self.value.era)
+        return key_ranges.Page((self.value,), self.value.number, era=self.value.era)
 
     async def watch(self, prefix, revision, duration):
         """Advances the time to when the era is settled, and waits for the end of the watch."""
@@ -154,7 +154,7 @@
     value = messages.TableValue(CONFIG_KEY, number, text, table_store.eras.newest)
     service = ListedService(value, logged.clock)
     watch, no_delay = datetime.timedelta(seconds=30), datetime.timedelta(0)
-    key_range = range_reader.KeyRange("", watch, no_delay)
+    key_range = key_ranges.KeyRange("", watch, no_delay)
     reader = range_reader.RangeReader(service, [key_range], no_delay, lambda key: True)
 
     async def run():
@@ -190,7 +190,7 @@
 @when(
     'the service offers "op/config" with number {number:d} and version {version:d} of era {era:d}'
 )
-def offer_config(context, number, version, era=0):
+def offer_config(context, number, version, era=eras.UNSTATED):
     """Offers a configuration of the service."""
     logged_instance(context).offer_config("service", number, version, era)
 
--- a/features/table_log.feature
+++ b/features/table_log.feature
@@ -13,7 +13,7 @@
     When the service offers "op/config" with number 40 and version 2 of era 1
     Then there is one line "table value not in force" with these fields
       | level   | key       | reason          | source  | number | era | in_force_number | in_force_era |
-      | WARNING | op/config | of_earlier_copy | service | 40     | 1   | 50              | 0            |
+      | WARNING | op/config | of_earlier_copy | service | 40     | 1   | 50              | -1           |
     And 1 value from the "service" was counted as "of_earlier_copy"
 
   Scenario: A value that is older than a list that lacks its key
@@ -68,13 +68,13 @@
     When a reply of the service states era 4
     Then there is one line "era of the configuration service known" with these fields
       | level | era | era_before | source  | values |
-      | INFO  | 4   | 0          | service | 0      |
+      | INFO  | 4   | -1         | service | 0      |
 
   Scenario: The service states an era only after values are in force
     When a reply of the service states era 1
     Then there is one line "era of the configuration service known" with these fields
       | level   | era | era_before | source  | values |
-      | WARNING | 1   | 0          | service | 1      |
+      | WARNING | 1   | -1         | service | 1      |
 
   Scenario: The service comes back from an older copy
     Given a reply of the service has stated era 4
--- a/monsoonhoist/node/gauges.py
+++ b/monsoonhoist/node/gauges.py
@@ -33,7 +33,7 @@
     )
     add_gauge(
         "service_era",
-        "Newest known era of the configuration service; 0 if it states none",
+        "Newest known era of the configuration service; -1 if it states none",
         "",
         lambda: {metrics.NO_LABELS: local_node.replicator.store.eras.newest},
     )
