--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -24,7 +24,7 @@
 from monsoonhoist.core import data
 from monsoonhoist.node import curl
 from monsoonhoist.policy import ownership
-from monsoonhoist.protocol import messages
+from monsoonhoist.protocol import messages, packed_tables
 from monsoonhoist.tables import native, store
 from standins import site
 
@@ -164,7 +164,7 @@
     for server_count in (200, 425, 850, 1275):
         value = workloads.make_pool_value("p", server_count)
         cpu_by_x[server_count] = measure_cpu_us(lambda v=value: _build_store([v]), 3)
-        packed = messages.encode(messages.pack_table(value))
+        packed = messages.encode(packed_tables.pack(value))
         bytes_by_x[server_count] = float(len(packed))
     # Allocations that only a first store causes are not part of the measured memory.
     _build_store([workloads.make_pool_value("warm", 10)])
--- a/features/steps/generated_input.py
+++ b/features/steps/generated_input.py
@@ -15,7 +15,7 @@
 from monsoonhoist.kernels import traces
 from monsoonhoist.node import http_call
 from monsoonhoist.platform import backend_protocol, callers, store_format
-from monsoonhoist.protocol import messages
+from monsoonhoist.protocol import messages, packed_tables
 from monsoonhoist.queries import tickets
 from monsoonhoist.tables import native, pools, routes
 
@@ -65,7 +65,7 @@
         messages.Heartbeat(1, b"x", messages.ConfigReadReport(data.InstanceId("i"), 1, 2)),
         messages.Members((data.Member("i", 1, 0, data.MemberState.LIVE, "h", 1, "z"),)),
         messages.PackedTables(
-            (messages.pack_table(messages.TableValue(data.TableKey("k"), 1, "t")),)
+            (packed_tables.pack(messages.TableValue(data.TableKey("k"), 1, "t")),)
         ),
     )
 )
@@ -85,7 +85,7 @@
     message = messages.decode(body)
     if isinstance(message, messages.PackedTables):
         for packed in message.tables:
-            messages.unpack_table(packed, 1000)
+            packed_tables.unpack(packed, 1000)
 
 
 def read_report(name, status):
--- a/features/steps/long_values.py
+++ b/features/steps/long_values.py
@@ -13,7 +13,7 @@
 from monsoonhoist import errors
 from monsoonhoist.core import clock, data, exchange
 from monsoonhoist.node import streams
-from monsoonhoist.protocol import fanout, messages
+from monsoonhoist.protocol import fanout, messages, packed_tables
 from monsoonhoist.shards import replies
 from monsoonhoist.tables import store
 
@@ -151,7 +151,7 @@
         "of 5000000 bytes": zlib.compress(b"x" * 5_000_000),
         "that is no text": zlib.compress(b"\xff\xfe"),
     }[defect]
-    good = messages.pack_table(removed_keys.make_value("good", 21))
+    good = packed_tables.pack(removed_keys.make_value("good", 21))
     message = messages.PackedTables((messages.PackedTable(ODD_KEY, 30, deflated), good))
     context.pair.replicator_by_name[NEW].handle_message(OLD, message)
     context.pair.deliver()
--- a/features/steps/table_log.py
+++ b/features/steps/table_log.py
@@ -13,7 +13,7 @@
 from monsoonhoist.core import clock, data
 from monsoonhoist.node import key_ranges, range_reader, replication, table_reader
 from monsoonhoist.platform import store_format
-from monsoonhoist.protocol import messages
+from monsoonhoist.protocol import messages, packed_tables
 from monsoonhoist.tables import eras
 
 CONFIG_KEY = data.TableKey("op/config")
@@ -112,7 +112,7 @@
 def send_config(context, number, version, era):
     """Passes a peer's message with a configuration to the instance."""
     text = store_values.make_config(version)
-    packed = messages.pack_table(messages.TableValue(CONFIG_KEY, number, text, era))
+    packed = packed_tables.pack(messages.TableValue(CONFIG_KEY, number, text, era))
     message = messages.PackedTables((packed,))
     logged_instance(context).replicator.handle_message(data.InstanceId("p"), message)
 
--- a/features/steps/tables.py
+++ b/features/steps/tables.py
@@ -8,7 +8,7 @@
 from behave import given, then, when
 
 from monsoonhoist.core import data
-from monsoonhoist.protocol import messages
+from monsoonhoist.protocol import messages, packed_tables
 from monsoonhoist.tables import store
 from soak import native
 from standins import ports, site
@@ -90,7 +90,7 @@
     value = messages.TableValue(key, revision_number, example_routes(ms))
     outgoing = (
         messages.Hello("zurichsee", member),
-        messages.PackedTables((messages.pack_table(value),)),
+        messages.PackedTables((packed_tables.pack(value),)),
         messages.Heartbeat(1, b""),
     )
     port = ports.PEER_PORT_BASE + instance
--- a/monsoonhoist/node/replication.py
+++ b/monsoonhoist/node/replication.py
@@ -17,7 +17,7 @@
 from monsoonhoist import errors, metrics
 from monsoonhoist.core import clock, data
 from monsoonhoist.node import era_log, evacuation_log, value_log, value_requests
-from monsoonhoist.protocol import messages
+from monsoonhoist.protocol import messages, packed_tables
 from monsoonhoist.tables import announcements, reconciliation, store
 
 # Most revisions or keys in a message, and the length of compressed values at which a message is
@@ -206,7 +206,7 @@
             value = self.store.value(key)
             if value is None:
                 continue
-            packed = messages.pack_table(value)
+            packed = packed_tables.pack(value)
             if batch and batch_bytes + len(packed.deflated) > MESSAGE_VALUES_BYTES:
                 self._send(sender, self._pack(batch))
                 batch, batch_bytes = [], 0
@@ -227,7 +227,7 @@
         values = []
         for packed in message.tables:
             try:
-                values.append(messages.unpack_table(packed, store.VALUE_BYTES_MAX))
+                values.append(packed_tables.unpack(packed, store.VALUE_BYTES_MAX))
             except errors.ProtocolError as error:
                 extra = {"key": packed.key, "number": packed.number, "error": str(error)}
                 _log.error("table value not read", extra=extra)
--- a/monsoonhoist/protocol/messages.py
+++ b/monsoonhoist/protocol/messages.py
@@ -7,8 +7,6 @@
 ``stream_bytes``, so that renaming a class changes the metric.
 """
 
-import zlib
-
 import msgspec
 
 from monsoonhoist import errors
@@ -41,7 +39,7 @@
         reader: Instance that read the configuration service.
         age_ms: Time since the configuration service answered, in milliseconds. It lacks the time
             that the report has travelled.
-        number: Number of the read, larger for each later one of the same reader; 0 from an instance
+        number: Number of the read among those of the reader's process, from 1; 0 from an instance
             that does not number them.
     """
 
@@ -383,30 +381,6 @@
     return _encoder.encode(message)
 
 
-def pack_table(value: TableValue) -> PackedTable:
-    """Returns a table value with its text compressed, as it is sent."""
-    deflated = zlib.compress(value.text.encode())
-    return PackedTable(value.key, value.number, deflated, value.era, value.progress)
-
-
-def unpack_table(packed: PackedTable, bytes_max: int) -> TableValue:
-    """Returns a received table value with its text decompressed.
-
-    Raises:
-        ProtocolError: If the text is malformed or longer than ``bytes_max`` bytes.
-    """
-    inflater = zlib.decompressobj()
-    try:
-        text = inflater.decompress(packed.deflated, bytes_max + 1)
-        if not inflater.eof or len(text) > bytes_max:
-            raise errors.ProtocolError(
-                f"the value of {packed.key!r} is truncated or longer than {bytes_max} bytes"
-            )
-        return TableValue(packed.key, packed.number, text.decode(), packed.era, packed.progress)
-    except (zlib.error, UnicodeDecodeError) as error:
-        raise errors.ProtocolError(f"malformed value of {packed.key!r}: {error}") from error
-
-
 def decode(body: bytes) -> Message:
     """Returns the message encoded in the body of a frame.
 
