Number the reads of the configuration service from the start of the process

They count from 1 now; a smaller number that is more recent by over a second is one of a restarted reader, and an earlier read that arrives late changes nothing.

--- a/features/steps/watcher_selection.py
+++ b/features/steps/watcher_selection.py
@@ -161,3 +161,20 @@
     for member, view in zip(context.members, context.views, strict=True):
         if member.capacity == cores:
             assert view.is_watcher(count), member
+
+
+@when('"{reader}" reports its read {number:d}, made at {read_ms:d} ms, at {now_ms:d} ms')
+def report_numbered_read(context, reader, number, read_ms, now_ms):
+    """Reports a numbered read to one instance."""
+    if "selection" not in context:
+        context.selection = watcher_selection.WatcherSelection(data.InstanceId("i5"), 2, 2.0, 0.3)
+    report = messages.ConfigReadReport(data.InstanceId(reader), now_ms - read_ms, number)
+    context.selection.record_report(report, now_ms / 1000)
+    context.now_ms = now_ms
+
+
+@then("the latest known read is that of {read_ms:d} ms")
+def check_latest_read(context, read_ms):
+    """Checks the age that the instance reports."""
+    report = context.selection.latest_report(context.now_ms / 1000)
+    assert abs(context.now_ms - report.age_ms - read_ms) <= 1, report
--- a/features/watcher_selection.feature
+++ b/features/watcher_selection.feature
@@ -51,3 +51,13 @@
       | 7     | 12   |
       | 7     | 50   |
       | 50    | 12   |
+
+  Scenario: Reads of an instance that was started again are believed
+    When "i0" reports its read 50, made at 0 ms, at 100 ms
+    And "i0" reports its read 1, made at 1500 ms, at 1600 ms
+    Then the latest known read is that of 1500 ms
+
+  Scenario: A late report of an earlier read changes nothing
+    When "i0" reports its read 50, made at 1000 ms, at 1010 ms
+    And "i0" reports its read 49, made at 900 ms, at 1020 ms
+    Then the latest known read is that of 1000 ms
--- a/monsoonhoist/fleet/watcher_selection.py
+++ b/monsoonhoist/fleet/watcher_selection.py
@@ -21,6 +21,8 @@
 MS_PER_SECOND = 1000
 # Age at which the latest read of an instance no longer matters to any other.
 FORGOTTEN_READ_SECONDS = 60.0
+# A read with a smaller number that is more recent by this time is one of a restarted instance.
+RESTART_SECONDS = 1.0
 
 
 class _Read(msgspec.Struct):
@@ -44,7 +46,6 @@
         stale_seconds: Age of the latest read by a peer above which the first instance that does
             not always watch starts to watch.
         step_seconds: Increase of that age with each further position in the order.
-        incarnation: Start of this process; its reads have larger numbers than those before it.
     """
 
     def __init__(
@@ -53,13 +54,12 @@
         watchers: int,
         stale_seconds: float,
         step_seconds: float,
-        incarnation: int = 0,
     ):
         self._instance = instance
         self._watchers = watchers
         self._stale_seconds = stale_seconds
         self._step_seconds = step_seconds
-        self._own_read = _Read(incarnation, -math.inf)
+        self._own_read = _Read(0, -math.inf)
         self._read_by_peer: dict[data.InstanceId, _Read] = {}
         self._first_checked_at: float | None = None
 
@@ -82,7 +82,7 @@
             return
         read_at = now - report.age_ms / MS_PER_SECOND
         known = self._read_by_peer.get(report.reader)
-        if known is None or report.number > known.number:
+        if known is None or _is_later(report.number, read_at, known):
             self._forget_old_reads(now)
             self._read_by_peer[report.reader] = _Read(report.number, read_at)
         elif not report.number:
@@ -128,3 +128,9 @@
         read_at = max((self._first_checked_at, *peer_reads))
         max_age_seconds = self._stale_seconds + (position - self._watchers) * self._step_seconds
         return now - read_at > max_age_seconds
+
+
+def _is_later(number: int, read_at: float, known: _Read) -> bool:
+    """Returns whether a numbered read of an instance is later than the latest known one."""
+    is_restarted = bool(number) and read_at - known.read_at > RESTART_SECONDS
+    return number > known.number or (number < known.number and is_restarted)
