--- a/features/steps/table_log.py
+++ b/features/steps/table_log.py
@@ -11,7 +11,13 @@
 from features.steps import request_log
 from monsoonhoist import metrics
 from monsoonhoist.core import clock, data
-from monsoonhoist.node import key_ranges, range_reader, replication, table_reader
+from monsoonhoist.node import (
+    config_service,
+    key_ranges,
+    range_reader,
+    replication,
+    table_reader,
+)
 from monsoonhoist.platform import store_format
 from monsoonhoist.protocol import messages, packed_tables
 from monsoonhoist.tables import eras
@@ -167,6 +173,46 @@
     asyncio.run(run())
 
 
+class NativeService:
+    """Client of a native service with one value, which never changes.
+
+    Args:
+        value: The value.
+        time_source: The clock of the instance, which advances while it waits for a change.
+    """
+
+    def __init__(self, value, time_source):
+        self.value = value
+        self.clock = time_source
+
+    async def watch(self, after, era, wait):
+        """Returns the revisions, after the wait if the client knows them."""
+        if after:
+            self.clock.advance(wait.total_seconds())
+        number_by_key = {self.value.key: self.value.number}
+        return config_service.RevisionIndex(self.value.number, number_by_key, self.value.era)
+
+    async def fetch_value(self, key):
+        """Returns the value."""
+        return self.value
+
+
+@when(
+    'the native service states era {era:d} and "op/config" of number {number:d} '
+    "and version {version:d}, twice"
+)
+def read_native_service(context, era, number, version):
+    """Reads the native service twice, the second time after the era is settled."""
+    logged = logged_instance(context)
+    text = store_values.make_config(version)
+    value = messages.TableValue(CONFIG_KEY, number, text, era)
+    service = NativeService(value, logged.clock)
+    reader = config_service.ConfigServiceReader(service, datetime.timedelta(seconds=10))
+    for _ in range(2):
+        reading = asyncio.run(reader.read(logged.replicator.store))
+        logged.replicator.offer(reading.values, "service")
+
+
 @given("the servers {first:d} to {last:d} were put in force with number {number:d}")
 def put_servers_in_force(context, first, last, number):
     """Offers the items of servers."""
--- a/features/table_log.feature
+++ b/features/table_log.feature
@@ -99,3 +99,13 @@
     Then there is one line "values of earlier eras are read again" with these fields
       | level | settled_era | earlier_values |
       | INFO  | 5           | 1              |
+
+  Scenario: The native service comes back, and its values are read again when the era is settled
+    Given a reply of the service has stated era 4
+    When the native service states era 5 and "op/config" of number 40 and version 2, twice
+    Then there is one line "the configuration service came back from an older copy" with these fields
+      | level   | era | era_before | source  | values |
+      | WARNING | 5   | 4          | service | 1      |
+    And there is one line "values of earlier eras are read again" with these fields
+      | level | settled_era | earlier_values |
+      | INFO  | 5           | 1              |
