--- a/features/broken_answers.feature
+++ b/features/broken_answers.feature
@@ -121,11 +121,13 @@
     And none of them has run twice
 
     Examples:
-      | fault            |
-      | CR twice         |
-      | version 2.1      |
-      | bytes after body |
-      | two lengths      |
+      | fault                        |
+      | CR twice                     |
+      | version 2.1                  |
+      | bytes after body             |
+      | two lengths                  |
+      | no length, half of it, reset |
+      | a length, half of it, closed |
 
   # Guards against a server that counts as leaving because a broken answer says so.
   Scenario Outline: What a broken answer says of its server is not believed
--- a/features/broken_off_responses.feature
+++ b/features/broken_off_responses.feature
@@ -58,11 +58,6 @@
       | at once after   |
       | some time after |
 
-  Scenario: The commands that ask an instance refuse an answer that is broken off
-    Given a server with 1 connection that the client keeps
-    When it breaks off its responses with "no length, half of it, reset"
-    Then the status cannot be read from it
-
   Scenario Outline: Asking for the state of a connection leaves its error to the one that reads it
     Given a connection whose peer has <ended> it
     Then it counts as <state>, and reading it <result>
--- a/features/steps/broken_off.py
+++ b/features/steps/broken_off.py
@@ -9,7 +9,6 @@
 from behave import given, then, when
 
 from features.steps import single_sending
-from monsoonhoist import client
 from monsoonhoist.node import curl, http_call, socket_state
 from standins import broken_off
 
@@ -128,24 +127,6 @@
     asyncio.run(run())
 
 
-@when('it breaks off its responses with "{fault}"')
-def set_fault(context, fault):
-    """Sets the fault of the responses to come."""
-    context.server.behaviour.fault = fault
-
-
-@then("the status cannot be read from it")
-def check_status_unread(context):
-    """Asks the server for the status, as the commands ask an instance."""
-    asking = asyncio.to_thread(client.Client(f"http://{context.server.address}").status)
-    try:
-        single_sending.run(context, asking)
-    except client.ClientError as error:
-        assert "reset" in str(error), error
-    else:
-        raise AssertionError("a status was read")
-
-
 @given("a connection whose peer has {ended} it")
 def end_connection(context, ended):
     """Opens a connection and lets its peer write to it and end it, or not."""
