--- a/features/steps/broken_off_messages.py
+++ b/features/steps/broken_off_messages.py
@@ -11,9 +11,10 @@
 from features.steps import platform_actions, untrusted_callers
 from monsoonhoist import client, errors, metrics
 from monsoonhoist.core import data
-from monsoonhoist.node import config_service, curl, replication, streams
+from monsoonhoist.node import config_service, curl, streams, table_reader
 from monsoonhoist.platform import reader as store_reader
 from monsoonhoist.protocol import messages
+from monsoonhoist.tables import eras
 from standins import broken_off
 
 TIMEOUT = datetime.timedelta(seconds=5)
@@ -96,7 +97,7 @@
         store_client = store_reader.StoreClient(address, driver, make_counters())
         return await store_client.read_page("", "")
 
-    check_refused(context, read, replication.ConfigServiceError)
+    check_refused(context, read, table_reader.ConfigServiceError)
 
 
 @then("the client of the store, for changes, takes none of them")
@@ -107,7 +108,7 @@
         store_client = store_reader.StoreClient(address, driver, make_counters())
         return await store_client.watch("", 1, WAIT)
 
-    check_refused(context, read, replication.ConfigServiceError)
+    check_refused(context, read, table_reader.ConfigServiceError)
 
 
 @then("the client of the native configuration takes none of them")
@@ -115,9 +116,9 @@
     """Reads the revisions of the native configuration."""
 
     async def read(address, driver):
-        return await make_config_client(address, driver).watch(1, WAIT)
+        return await make_config_client(address, driver).watch(1, eras.UNSTATED, WAIT)
 
-    check_refused(context, read, replication.ConfigServiceError)
+    check_refused(context, read, table_reader.ConfigServiceError)
 
 
 @then("the client of the instance list takes none of them")
@@ -127,7 +128,7 @@
     async def read(address, driver):
         return await make_config_client(address, driver).fetch_instances()
 
-    check_refused(context, read, replication.ConfigServiceError)
+    check_refused(context, read, table_reader.ConfigServiceError)
 
 
 @then("the client of the commands takes none of them")
