Let the native service come back too, and test servers, evacuations and restarts after a return

The stand-in of the native configuration service returns from its saved state: waits end, reads and writes are refused, and index and numbers go back. It states the era in its JSON replies (0 if it knows none). Operators and servers in the tests write again after the return.

Servers in use are found by bursts beyond the slots of one server, since single requests all go to one of two idle servers.

--- a/features/steps/store_return.py
+++ b/features/steps/store_return.py
@@ -3,20 +3,26 @@
 import json
 import threading
 import time
+from concurrent import futures
 
 import msgspec
 from behave import given, then, when
 
 from features.steps import platform_actions
-from standins import fleet, site
+from standins import fleet, shards, site
 
 # Longest time from the store's acknowledgement until a change is in force at all instances.
 IN_FORCE_SECONDS = 3.0
 # Time after a return within which what is missing from the copy may be written again.
 REWRITE_SECONDS = 2.0
 PROBE_PAUSE_SECONDS = 0.05
-# Requests to each instance that show whether a server is used; two servers share the load.
-REQUESTS_PER_INSTANCE = 12
+# Requests that are sent to an instance at once to show which servers are in use, and the time that
+# a server takes for each: more than the slots of a server.
+BURST_REQUESTS = 12
+BURST_WORK_SECONDS = 0.1
+# Time within which a range is listed again whose history is gone.
+LISTED_SECONDS = 2.0
+NEW_SERVER_PORT = fleet.SERVER_PORT_BASE + 50
 
 
 class ProbeResult(msgspec.Struct, frozen=True):
@@ -89,11 +95,18 @@
 
 
 def servers_used(context):
-    """Sends plain requests to all instances and returns the servers that received them."""
+    """Returns the servers that receive plain requests, in bursts that one server cannot hold."""
     context.request_ids.clear()
+    for server in context.fleet.server_by_name.values():
+        server.behaviour.work_seconds = BURST_WORK_SECONDS
     for number in all_instances(context):
-        for _ in range(REQUESTS_PER_INSTANCE):
-            platform_actions.send_request(context, number, "/record/x")
+        request_ids = [platform_actions.next_request_id() for _ in range(BURST_REQUESTS)]
+        context.request_ids.extend(request_ids)
+        with futures.ThreadPoolExecutor(BURST_REQUESTS) as executor:
+            for request_id in request_ids:
+                executor.submit(
+                    context.fleet.send_request, number, "/record/x", request_id=request_id
+                )
     return {
         name
         for name in context.fleet.server_by_name
@@ -113,7 +126,6 @@
 
 
 @given("the store's state is copied")
-@when("the store's state is copied")
 def copy_state(context):
     """Notes the revision to which the store will return."""
     context.copied_revision = context.fleet.store.revision
@@ -155,6 +167,15 @@
     context.acknowledged_at = time.monotonic()
 
 
+@when('a new server "{name}" is started and registered')
+def start_server(context, name):
+    """Starts a further server of plain requests and writes its item."""
+    server = shards.ShardServer(name, fleet.SERVER_HOST, NEW_SERVER_PORT, fleet.SLOTS)
+    context.fleet.run_in_thread(server.start())
+    context.fleet.add_server(server, fleet.PLAIN_SERVICE)
+    context.acknowledged_at = time.monotonic()
+
+
 @when('the server "{name}" writes its item {count:d} times more')
 def write_item_again(context, name, count):
     """Writes a server's item several times, each time with a higher number."""
@@ -199,12 +220,30 @@
     assert returning.revision == context.copied_revision, returning.revision
 
 
+@when("the store is away for {seconds:g} s without losing anything")
+def leave_store(context, seconds):
+    """Lets the store refuse requests for a while, and come back as it was."""
+    platform_actions.set_store_fault(context, "refuse", int(seconds * 1000))
+
+
 @when("{seconds:g} s have passed since the return")
 def wait_since_return(context, seconds):
     """Waits until a time after the return of the store."""
     sleep_until(context.returned_at + seconds)
 
 
+@when("a change is written whose history is discarded at once, so that the ranges are listed again")
+def discard_change(context):
+    """Discards a change before any watch receives it, and waits until the ranges were listed."""
+
+    def put_and_discard():
+        context.fleet.store.put("other/unseen", b"x")
+        context.fleet.store.discard_history()
+
+    context.fleet.call_in_thread(put_and_discard)
+    time.sleep(LISTED_SECONDS)
+
+
 @when("instance {number:d} is killed and started again")
 def restart_instance(context, number):
     """Kills an instance, starts it again and waits until it is ready."""
@@ -248,8 +287,19 @@
     ]
 
 
-@given('"{target}" is answered with {status:d} everywhere in time')
-@when('"{target}" is answered with {status:d} everywhere in time')
+@given('"{target}" is answered with {status:d} everywhere')
+def wait_in_force(context, target, status):
+    """Waits until all instances give the status."""
+    for number in all_instances(context):
+        site.wait_until(
+            lambda number=number: (
+                platform_actions.send_request(context, number, target).status == status
+            ),
+            f"{target} is not answered with {status} at instance {number}",
+            IN_FORCE_SECONDS,
+        )
+
+
 @then('"{target}" is answered with {status:d} everywhere in time')
 def check_in_force(context, target, status):
     """Checks that all instances give the status from the bound after the acknowledgement on."""
@@ -262,7 +312,6 @@
 
 
 @given('the servers in use are "{names}" in time')
-@when('the servers in use are "{names}" in time')
 @then('the servers in use are "{names}" in time')
 def check_servers(context, names):
     """Checks which servers of plain requests are in use from the bound on."""
@@ -279,20 +328,32 @@
     assert name not in used, used
 
 
-@given('the zone "{zone}" is evacuated everywhere in time')
+@given("no zone is evacuated anywhere")
+@given('the zone "{zone}" is evacuated everywhere')
+def wait_evacuated(context, zone=""):
+    """Waits until all instances state that only this zone, or none, is evacuated."""
+    expected = dict.fromkeys(all_instances(context), [zone] if zone else [])
+    site.wait_until(
+        lambda: zones_by_instance(context) == expected,
+        "the evacuated zones differ",
+        IN_FORCE_SECONDS,
+    )
+
+
 @then('the zone "{zone}" is evacuated everywhere in time')
 def check_evacuated(context, zone):
     """Checks that all instances state the evacuation from the bound on."""
     sleep_until(context.acknowledged_at + IN_FORCE_SECONDS)
-    assert zones_by_instance(context) == dict.fromkeys(all_instances(context), [zone])
+    zones = zones_by_instance(context)
+    assert zones == dict.fromkeys(all_instances(context), [zone]), zones
 
 
-@given("no zone is evacuated anywhere in time")
 @then("no zone is evacuated anywhere in time")
 def check_not_evacuated(context):
     """Checks that no instance states an evacuation from the bound on."""
     sleep_until(context.acknowledged_at + IN_FORCE_SECONDS)
-    assert zones_by_instance(context) == dict.fromkeys(all_instances(context), [])
+    zones = zones_by_instance(context)
+    assert zones == dict.fromkeys(all_instances(context), []), zones
 
 
 def zones_by_instance(context):
--- a/features/steps/tables.py
+++ b/features/steps/tables.py
@@ -127,6 +127,7 @@
     context.site.send_control("mode", mode)
 
 
+@given("the current state of the service is saved as its old state")
 @when("the current state of the service is saved as its old state")
 def save_old_state(context):
     """Saves the current state as the one that the mode "old" serves."""
--- a/standins/config_service.py
+++ b/standins/config_service.py
@@ -14,6 +14,9 @@
 from tornado import web
 
 MS_PER_SECOND = 1000
+FIRST_ERA = 1
+# Era that a service states which knows no eras.
+NO_ERA = 0
 
 
 class Mode(enum.Enum):
@@ -42,16 +45,27 @@
     text: str
 
 
+class ValueReply(msgspec.Struct, frozen=True):
+    """Reply to a read of a value, with the era of the service's state."""
+
+    number: int
+    text: str
+    era: int
+
+
 class ServiceState(msgspec.Struct):
     """State of the configuration service.
 
     Attributes:
         index: Counter that each published value increments.
         value_by_key: Latest value of each key.
+        era: Number of the service's life, which rises by one when it comes back from an older
+            copy; ``NO_ERA`` if it states none.
     """
 
     index: int
     value_by_key: dict[str, StoredValue]
+    era: int = FIRST_ERA
 
 
 class ConfigService:
@@ -65,6 +79,7 @@
         instances: Rows of the instance list.
         frozen_instances: Rows that reads return instead of ``instances``; None if not frozen.
         read_count: Number of reads of the configuration service.
+        is_away: Whether writes are refused, because the service comes back from a copy soon.
         state_changed: Notified after each change of the state or of the mode.
     """
 
@@ -76,8 +91,14 @@
         self.instances: list[dict] = []
         self.frozen_instances: list[dict] | None = None
         self.read_count = 0
+        self.is_away = False
         self.state_changed = asyncio.Condition()
 
+    @property
+    def is_down(self) -> bool:
+        """Whether reads of the index and of values are refused."""
+        return self.is_away or self.mode is Mode.DOWN
+
     async def publish(self, key: str, text: str, number: int) -> int:
         """Publishes a value and returns its revision number.
 
@@ -107,9 +128,28 @@
             self.state_changed.notify_all()
 
     def save_state(self) -> None:
-        """Saves the current state for the mode ``old``."""
+        """Saves the current state for the mode ``old`` and for a return."""
         self.saved_state = copy.deepcopy(self.state)
 
+    def state_no_era(self) -> None:
+        """Leaves the era out of all further replies."""
+        self.state.era = NO_ERA
+        self.saved_state.era = NO_ERA
+
+    async def return_from_copy(self, away_seconds: float) -> None:
+        """Refuses reads and writes for a time, and continues from the saved state in a new era.
+
+        The index goes back to that of the saved state, and numbers are given out again.
+        """
+        self.is_away = True
+        await self.set_mode(Mode.DOWN)
+        await asyncio.sleep(away_seconds)
+        era = self.state.era
+        self.state = copy.deepcopy(self.saved_state)
+        self.state.era = era + 1 if era != NO_ERA else NO_ERA
+        self.is_away = False
+        await self.set_mode(Mode.OK)
+
 
 class Handler(web.RequestHandler):
     """Base class of the request handlers."""
@@ -119,9 +159,9 @@
         self.config_service = config_service
 
     def refuse_if_down(self) -> bool:
-        """Counts a read; in the mode ``down``, refuses it and returns True."""
+        """Counts a read; while the service is down or away, refuses it and returns True."""
         self.config_service.read_count += 1
-        if self.config_service.mode is Mode.DOWN:
+        if self.config_service.is_down:
             self.set_status(503)
             self.finish("down\n")
             return True
@@ -148,12 +188,12 @@
                     await asyncio.wait_for(
                         config_service.state_changed.wait(), wait_ms / MS_PER_SECOND
                     )
-        if config_service.mode is Mode.DOWN:
+        if config_service.is_down:
             self.set_status(503)
             return
         served = config_service.served_state
         numbers = {key: value.number for key, value in served.value_by_key.items()}
-        self.finish({"index": served.index, "number_by_key": numbers})
+        self.finish({"index": served.index, "number_by_key": numbers, "era": served.era})
 
 
 class ValueHandler(Handler):
@@ -163,11 +203,12 @@
         """Replies with the value, or 404."""
         if self.refuse_if_down():
             return
-        value = self.config_service.served_state.value_by_key.get(key)
+        served = self.config_service.served_state
+        value = served.value_by_key.get(key)
         if value is None:
             self.set_status(404)
             return
-        self.finish(msgspec.json.encode(value))
+        self.finish(msgspec.json.encode(ValueReply(value.number, value.text, served.era)))
 
 
 class InstancesHandler(Handler):
@@ -187,12 +228,18 @@
         """Carries out the command that the path names.
 
         ``values/KEY`` publishes a value, ``instances`` replaces the instance list, ``mode`` sets
-        the mode, ``old`` saves the state for the mode ``old``, and ``freeze-instances`` freezes the
-        instance list if the body is ``yes`` and unfreezes it otherwise.
+        the mode, ``old`` saves the state for the mode ``old`` and for ``return``, which lets the
+        service come back from the saved state after the seconds in the body and replies when it is
+        back, ``no-era`` leaves the era out of the replies, and ``freeze-instances`` freezes the
+        instance list if the body is ``yes`` and unfreezes it otherwise. While the service is away,
+        values are refused with status 503.
         """
         command, _, key = path.partition("/")
         body = self.request.body.decode()
-        if command == "values":
+        if command == "values" and self.config_service.is_away:
+            self.set_status(503)
+            self.finish({"number": 0})
+        elif command == "values":
             number = int(self.get_argument("number", "0"))
             self.finish({"number": await self.config_service.publish(key, body, number)})
         elif command == "instances":
@@ -201,6 +248,10 @@
             await self.config_service.set_mode(Mode(body))
         elif command == "old":
             self.config_service.save_state()
+        elif command == "return":
+            await self.config_service.return_from_copy(float(body))
+        elif command == "no-era":
+            self.config_service.state_no_era()
         elif command == "freeze-instances":
             rows = self.config_service.instances
             self.config_service.frozen_instances = copy.deepcopy(rows) if body == "yes" else None
--- a/standins/site.py
+++ b/standins/site.py
@@ -222,7 +222,7 @@
         return next((row["number"] for row in keys if row["key"] == key), 0)
 
     def publish(self, key: str, text: str, number: int = 0) -> int:
-        """Publishes a table value and returns its revision number.
+        """Publishes a table value and returns its revision number, or 0 if the service is away.
 
         Args:
             key: Key of the table.
