Draw returns of the native configuration service in its soak

Numbers in the logs are compared between two returns only, as they are given out again; without returns all of them are, as before.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -3,6 +3,9 @@
   Scenario: The same seed gives the same plan
     Then two plans of seed 7 are equal and the plan of seed 8 differs
 
+  Scenario: Returns of the store leave the other faults of a plan as they are
+    Then the returns of seed 7 are added to its other faults, which stay as they are
+
   Scenario: A short run breaks no promise
     When the soak test runs seed 3 for 14 s with 4 instances
     Then it ends with 0 broken promises
--- a/features/steps/soaking.py
+++ b/features/steps/soaking.py
@@ -11,7 +11,7 @@
 
 from behave import then, when
 
-from soak import plan, proxy
+from soak import plan, proxy, return_plan
 from standins import shards, site
 
 SEEDS_PATH = pathlib.Path(__file__).resolve().parent.parent / "soak" / "seeds"
@@ -19,10 +19,10 @@
 ERROR_CHARS_MAX = 2000
 
 
-def run_seed(seed, seconds, instances):
-    """Runs the soak test with a seed and returns the completed process."""
+def run_seed(seed, seconds, instances, *further):
+    """Runs the soak test with a seed and further options, and returns the completed process."""
     command = [sys.executable, "-m", "soak", "--seed", str(seed)]
-    command += ["--seconds", str(seconds), "--instances", str(instances)]
+    command += ["--seconds", str(seconds), "--instances", str(instances), *further]
     return subprocess.run(
         command,
         cwd=site.ROOT,
@@ -53,6 +53,30 @@
     context.runs = [run_seed(seed, seconds, instances)]
 
 
+@then("the returns of seed {seed:d} are added to its other faults, which stay as they are")
+def check_plan_with_returns(context, seed):
+    """Compares the plans of a seed with and without returns, drained servers apart."""
+    base = plan.make_plan(seed, 30.0, 5)
+    with_returns = return_plan.add_returns(base)
+    assert with_returns == return_plan.add_returns(plan.make_plan(seed, 30.0, 5))
+    kinds = [fault.kind for fault in with_returns.faults]
+    assert plan.FaultKind.STORE_RETURN in kinds, kinds
+    times = [fault.at for fault in with_returns.faults]
+    assert times == sorted(times), times
+    others = [fault for fault in base.faults if fault.kind is not plan.FaultKind.DRAIN]
+    missing = [fault for fault in others if fault not in with_returns.faults]
+    assert not missing, missing
+
+
+@when(
+    "the soak test runs seed {seed:d} for {seconds:d} s with {instances:d} instances and a store"
+    " that comes back from older copies"
+)
+def run_seed_with_returns(context, seed, seconds, instances):
+    """Runs the soak test with one seed and with returns of the store."""
+    context.runs = [run_seed(seed, seconds, instances, "--returns")]
+
+
 @when("the soak test runs the seeds of past failures")
 def run_failed_seeds(context):
     """Runs the soak test with each seed of the file of past failures."""
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -38,7 +38,7 @@
 def run(options: argparse.Namespace) -> None:
     """Runs one seed with the options of the command line, and exits."""
     if options.dialect == NATIVE:
-        sys.exit(1 if native.run(options.seed, options.seconds) else 0)
+        sys.exit(1 if native.run(options.seed, options.seconds, options.returns) else 0)
     fault_plan = plan.make_plan(options.seed, options.seconds, options.instances)
     if options.returns:
         fault_plan = return_plan.add_returns(fault_plan)
--- a/soak/native.py
+++ b/soak/native.py
@@ -4,7 +4,9 @@
 checks rely on the statistics and indexes of the stand-ins, not on what the system reports.
 """
 
+import bisect
 import collections
+import datetime
 import json
 import pathlib
 import random
@@ -17,6 +19,7 @@
 
 from monsoonhoist.core import data
 from monsoonhoist.policy import merge
+from soak import native_returns
 from standins import index, site
 
 POOL = "allocator"
@@ -38,11 +41,13 @@
     """A revision that an instance has put in force.
 
     Attributes:
+        at: Time of the log line, in seconds since 1970.
         incarnation: Incarnation of the instance.
         key: Key of the table.
         number: Number of the revision.
     """
 
+    at: float
     incarnation: int
     key: str
     number: int
@@ -179,6 +184,10 @@
             self.shut_down,
         )
 
+    def wait_ready(self) -> None:
+        """Waits until all instances are ready."""
+        self._deployment.wait_ready()
+
     def kill(self, number: int) -> None:
         """Kills an instance and restarts it after a pause."""
         name = f"node-{number}"
@@ -237,8 +246,15 @@
         self._deployment.relay_by_name["node-3"].silence()
 
 
-def run(seed: int, seconds: float) -> int:
-    """Runs rounds for a time, prints the first violations and returns the number of all."""
+def run(seed: int, seconds: float, has_returns: bool = False) -> int:
+    """Runs rounds for a time, prints the first violations and returns the number of all.
+
+    Args:
+        seed: Seed of the run.
+        seconds: Length of the run in seconds; the checks after returns come on top of it.
+        has_returns: Whether the configuration service also returns from older copies. Returns are
+            drawn from a random stream of their own.
+    """
     rounds = max(1, round(seconds / ROUND_LENGTH_SECONDS))
     rng = random.Random(seed)
     options = site.SiteOptions(pools=(POOL, "boathouse"), relayed_instances=(3,), seed=seed)
@@ -248,15 +264,20 @@
         # The mode ``old`` of the configuration service will serve the state saved here.
         deployment.send_control("old", "")
         workload = Workload(deployment, seed)
+        operator = native_returns.Operator(
+            deployment, random.Random(f"{seed}/returns"), INSTANCES, has_returns
+        )
+        violations: list[str] = []
         try:
             injector = FaultInjector(deployment, rng)
             for number in range(rounds):
-                run_round(injector, rng, number)
-                deployment.wait_ready()
+                violations += run_round(injector, operator, rng, number)
         finally:
             workload.stop()
-        violations = workload.violations + check_bookings(deployment, workload.bookings)
-        violations += check_tables(deployment)
+            operator.stop()
+        violations += workload.violations + operator.violations
+        violations += check_bookings(deployment, workload.bookings)
+        violations += check_tables(deployment, operator.returned_at)
         print(f"seed {seed}: {rounds} rounds, answers {dict(workload.outcomes)}")
         outcomes = collections.Counter(
             outcome for booking in workload.bookings for outcome in booking.outcomes
@@ -272,8 +293,14 @@
     return len(violations)
 
 
-def run_round(injector: FaultInjector, rng: random.Random, number: int) -> None:
-    """Injects one fault, or two at the same time at different instances."""
+def run_round(
+    injector: FaultInjector, operator: native_returns.Operator, rng: random.Random, number: int
+) -> list[str]:
+    """Injects one fault, or two at the same time at different instances, and perhaps a return.
+
+    Returns:
+        What is not in force after the return, when all instances are ready again.
+    """
     chosen = rng.sample(injector.faults, rng.choice((1, 2)))
     instances = rng.sample(INSTANCES, len(chosen))
     names = ", ".join(fault.__name__ for fault in chosen)
@@ -284,9 +311,13 @@
     ]
     for thread in threads:
         thread.start()
+    has_returned = operator.draw_return()
     for thread in threads:
         thread.join()
+    faults_ended_at = time.monotonic()
     time.sleep(FAULT_SECONDS)
+    injector.wait_ready()
+    return operator.check_in_force(faults_ended_at) if has_returned else []
 
 
 def check_bookings(deployment: site.Site, bookings: list[Booking]) -> list[str]:
@@ -306,16 +337,25 @@
     return violations
 
 
-def check_tables(deployment: site.Site) -> list[str]:
-    """Returns the tables rolled back within one incarnation, according to the logs."""
+def check_tables(deployment: site.Site, returned_at: list[float]) -> list[str]:
+    """Returns the tables rolled back within one incarnation, according to the logs.
+
+    Numbers are given out again after a return of the configuration service, so that they are
+    compared between two returns only; ``native_returns.Operator`` watches what is in force.
+
+    Args:
+        deployment: The deployment.
+        returned_at: Times at which the service came back, in seconds since 1970.
+    """
     violations = []
     for log in sorted(deployment.folder.glob("node-*.log")):
-        number_by_key: dict[tuple[int, str], int] = {}
+        number_by_key: dict[tuple[int, int, str], int] = {}
         revisions = list(read_revisions_in_force(log))
         if not revisions:
             violations.append(f"{log.name} has no line about table values in force")
         for revision in revisions:
-            key = (revision.incarnation, revision.key)
+            returns = bisect.bisect(returned_at, revision.at)
+            key = (returns, revision.incarnation, revision.key)
             if revision.number < number_by_key.get(key, 0):
                 violations.append(
                     f"{log.name}: {revision.key} was rolled back to {revision.number}"
@@ -330,5 +370,6 @@
         if IN_FORCE_MESSAGE not in line:
             continue
         row = json.loads(line)
+        at = datetime.datetime.fromisoformat(row["time"]).timestamp()
         for key, number in zip(row["keys"], row["numbers"], strict=True):
-            yield RevisionInForce(row["incarnation"], key, number)
+            yield RevisionInForce(at, row["incarnation"], key, number)
--- a/standins/site.py
+++ b/standins/site.py
@@ -136,14 +136,18 @@
 
     def publish_tables(self) -> None:
         """Publishes the tables of the example."""
-        folder = ROOT / "examples" / self.options.example
-        lines = (folder / "routes.ini").read_text(encoding="utf-8").splitlines(keepends=True)
-        # No line of a table begins with a NUL character.
-        dropped = self.options.dropped_option or "\0"
-        self.publish("routes", "".join(line for line in lines if not line.startswith(dropped)))
+        self.publish("routes", self.routes_text())
         for path in self.pool_paths():
             self.publish(f"pool/{path.stem}", self.pool_text(path.stem))
 
+    def routes_text(self) -> str:
+        """Returns the example's table of routes, without the dropped option."""
+        path = ROOT / "examples" / self.options.example / "routes.ini"
+        lines = path.read_text(encoding="utf-8").splitlines(keepends=True)
+        # No line of a table begins with a NUL character.
+        dropped = self.options.dropped_option or "\0"
+        return "".join(line for line in lines if not line.startswith(dropped))
+
     def pool_text(self, pool: str) -> str:
         """Returns a pool's table; a relayed server has the address of its relay, made on demand."""
         path = self._pool_path(pool)
