Take a value whose number was given out again for the later one

A copy cannot have another value with that number than the earlier era had, so that the value of the later era was written later; it replaces the other one now.

--- a/features/value_order.feature
+++ b/features/value_order.feature
@@ -33,6 +33,8 @@
       | the service has given out a larger number       | 1   | 50     | 0       | none  | 2    | 51      | 0        | none   | newer           | newer           |
       | a late one of the earlier era has a larger one  | 2   | 45     | 0       | none  | 1    | 50      | 0        | none   | newer           | of_earlier_copy |
       | only the one in force tells its place           | 1   | 50     | 0       | 5.7   | 2    | 45      | 0        | none   | of_earlier_copy | newer           |
+      | the number is given out again                   | 1   | 50     | 0       | none  | 2    | 50      | 0        | none   | newer           | newer           |
+      | the number was given out before                 | 2   | 50     | 0       | none  | 1    | 50      | 0        | none   | of_earlier_copy | of_earlier_copy |
 
   Scenario: A value that the copy has kept is the same in both eras
     Given a value in force of era 1, number 50, version 0, place none
--- a/monsoonhoist/tables/precedence.py
+++ b/monsoonhoist/tables/precedence.py
@@ -6,7 +6,8 @@
 - A later version replaces an earlier one, if operators number the versions of the content. The
   copy from which an era begins may hold an earlier version than the one in force.
 - Until an era is settled, it counts which value its writer made later. If the contents do not tell,
-  the numbers decide: a value of the copy has a lower one than a value that the copy lacks.
+  the numbers decide: a value of the copy has a lower one than a value that the copy lacks. Of two
+  values with the same number, the one of the later era was written later.
 - The value of the later era replaces the other one once the era is settled.
 """
 
@@ -65,8 +66,11 @@
         is_newer = new.era > old.era
     elif _is_told(offered, in_force):
         is_newer = offered.progress > in_force.progress
+    elif new.number == old.number:
+        # The copy has no other value with the number than the earlier era.
+        is_newer = new.era > old.era
     else:
-        is_newer = _number_key(new) > _number_key(old)
+        is_newer = new.number > old.number
     return Order.NEWER if is_newer else Order.OF_EARLIER_COPY
 
 
