Let the stand-in of the native service compare the era of a waiting read

Seen: features/store_return.feature, native tables published once and then once more after the return, failed in four of four runs: no instance had the new table in force within 3 s.

Cause: after the return and one publication the index was again the one that the reader had read, so that the stand-in let it wait until the end of the watch. docs/PROTOCOL.md says that a read also ends once its argument era is not the service's; the stand-in did not know the argument.

--- a/standins/config_service.py
+++ b/standins/config_service.py
@@ -179,8 +179,8 @@
 class IndexHandler(Handler):
     """``GET /v1/index``: revision numbers of all keys.
 
-    If the index still equals the argument ``after``, the reply is delayed until a change or until
-    ``wait_ms`` has passed.
+    If the index still equals the argument ``after``, and the era the argument ``era``, the reply is
+    delayed until a change or until ``wait_ms`` has passed.
     """
 
     async def get(self) -> None:
@@ -190,7 +190,11 @@
         after = int(self.get_argument("after", "0"))
         wait_ms = int(self.get_argument("wait_ms", "0"))
         config_service = self.config_service
-        if config_service.served_state.index == after and wait_ms:
+        era = int(self.get_argument("era", str(NO_ERA)))
+        is_unchanged = config_service.served_state.index == after
+        if config_service.served_state.era != NO_ERA and era != config_service.served_state.era:
+            is_unchanged = False
+        if is_unchanged and wait_ms:
             async with config_service.state_changed:
                 with contextlib.suppress(TimeoutError):
                     await asyncio.wait_for(
