Repair the list of mutants, and check that each finds its text

Seen in review: bench/mutants.py could not be imported, since a merge had joined two entries; and three mutants no longer found the text that they replace, which had moved with the order of values.

--- a/bench/mutants.py
+++ b/bench/mutants.py
@@ -91,9 +91,9 @@
     ),
     Mutant(
         "older table values are accepted",
-        "tables/store.py",
-        "if current is not None and _sort_key(revision) <= _sort_key(current):",
-        "if current is not None and revision == current:",
+        "tables/precedence.py",
+        "return Order.NEWER if _number_key(new) > _number_key(old) else Order.OLDER",
+        "return Order.NEWER",
         "tables",
     ),
     Mutant(
@@ -424,14 +424,14 @@
     Mutant(
         "changes reported by a watch are discarded",
         "platform/reader.py",
-        "return key_ranges.Page(_make_table_values(reply.events), reply.current_rev)",
-        "return key_ranges.Page((), reply.current_rev)",
+        "return key_ranges.Page(values, changes.current_rev, era=era)",
+        "return key_ranges.Page((), changes.current_rev, era=era)",
         seed=6,
         rule="CONFIG",
     ),
     Mutant(
         "revisions are not ordered by number",
-        "tables/store.py",
+        "tables/precedence.py",
         "    return (revision.number, revision.digest)",
         "    return (-revision.number, revision.digest)",
         seed=533,
@@ -751,6 +751,8 @@
         "failure = ReadFailure.EARLIER_ERA",
         "failure = ReadFailure.NO_USABLE_REPLY",
         "service_belief",
+    ),
+    Mutant(
         "values of two eras are compared by number alone",
         "tables/precedence.py",
         "    if new.era == old.era:",
