Bound the number of a server's item that peers are sent

Seen in review, with six processes: a server whose item had the number 2**64 was removed; instances logged "message not handled" 8 to 13 times in 12 s and lost their streams, and the other keys of the same messages stayed as they were.

Cause: the number, which since the order by era travels with a removal, was accepted at any size, and MessagePack has integers of 64 bits. Class: a field of another writer that peers are sent has its bound only where it is sent.

Change: only a number from 0 to NUMBER_MAX counts, as for the start of the process and the version of a configuration. Measured: features/value_order.feature, the example with 2**64 fails before and passes now; the ones with 7 and -1 pass with both.

--- a/features/returning_store.py
+++ b/features/returning_store.py
@@ -56,6 +56,7 @@
         self.revision = FIRST_REVISION
         self.era = first_era
         self.is_away = False
+        self.refuses_lists = False
         self._left_at = 0.0
         self._changes = []
         self._has_changed = asyncio.Event()
@@ -207,6 +208,8 @@
             return 503, {}
         query = dict(urllib.parse.parse_qsl(url.query, True))
         if url.path == wire_names.RANGE_PATH:
+            if self.store.refuses_lists:
+                return 503, {}
             return 200, self.store.make_page(query["Prefix"], query.get("after", ""))
         seconds = int(query["WaitMs"]) / 1000
         return await self.store.watch(query["Prefix"], int(query["after"]), seconds)
--- a/features/simulated_fleet.py
+++ b/features/simulated_fleet.py
@@ -78,6 +78,10 @@
         self._watcher.stop()
         self._beating.cancel()
 
+    def restart_reading(self):
+        """Reads all keys again, as a node does after a pause of its process."""
+        self._watcher.restart()
+
     def _is_watcher(self):
         connected = self._fleet.connected(self.name)
         if not connected:
--- a/features/steps/value_order.py
+++ b/features/steps/value_order.py
@@ -110,6 +110,7 @@
     for _ in range(count):
         write_server(context, name)
     write_config(context, version)
+    context.lost_number = context.simulation.store.revision
     wait(context, LOST_SECONDS / 2)
     return_store(context)
 
--- a/features/value_order.feature
+++ b/features/value_order.feature
@@ -305,3 +305,15 @@
     And the watcher runs for 10000 ms
     And the watcher runs for 60000 ms
     Then the watcher has made at most 7 calls
+
+  # Guards against a number of any size that peers cannot be sent.
+  Scenario Outline: A removed server whose items had the number <number> affects no other key
+    Given 4 instances and a store of era 1 with configuration 1
+    When a server with items of the number <number> is removed together with server "s1"
+    Then all instances have the store's values after 6000 ms
+
+    Examples:
+      | number               |
+      | 7                    |
+      | 18446744073709551616 |
+      | -1                   |
--- a/monsoonhoist/platform/store_format.py
+++ b/monsoonhoist/platform/store_format.py
@@ -215,6 +215,8 @@
     # ``True`` is an integer to Python.
     if type(server_value.seq) is not int:
         return None
+    if not 0 <= server_value.seq <= store_records.NUMBER_MAX:
+        return None
     return messages.Progress(server_value.born, server_value.seq)
 
 
--- a/monsoonhoist/platform/store_records.py
+++ b/monsoonhoist/platform/store_records.py
@@ -112,7 +112,8 @@
         slots: Number of requests that it processes concurrently.
         state: ``ready`` or ``draining``.
         warmup_left_ms: Remaining time of its warm-up, in milliseconds; None if it is not stated.
-        seq: Number of the item among those of its process; only a whole number counts.
+        seq: Number of the item among those of its process; only a whole number from 0 to
+            ``NUMBER_MAX`` counts.
         born: Start of its process, in milliseconds since the Unix epoch; 0 if it is not stated.
     """
 
