Repeat the list of a settled era if it fails

Seen in review: if the store refused lists just as its era was settled, at both watchers, a server whose lost registration was not written again stayed in force at all instances for good.

Cause: the mark that a list is due was cleared before the list was made, and the range still had a revision to watch from. Change: a range that is being listed has no revision.

--- a/features/value_order.feature
+++ b/features/value_order.feature
@@ -317,3 +317,10 @@
       | 7                    |
       | 18446744073709551616 |
       | -1                   |
+
+  # Guards against a list of a settled era that fails and is not repeated.
+  Scenario: The lists of a settled era fail at first
+    Given 4 instances and a store of era 1 with configuration 1
+    When the registration of server "new" is lost by a return
+    And the store refuses lists from 1800 ms to 6000 ms from now
+    Then all instances have the store's values after 12000 ms
--- a/monsoonhoist/node/range_reader.py
+++ b/monsoonhoist/node/range_reader.py
@@ -133,6 +133,8 @@
         the first page, so that it includes changes made while the later pages are read.
         """
         state.is_list_due = False
+        # If a request fails, the range is listed again.
+        state.revision = None
         present_keys: set[data.TableKey] = set()
         values: list[messages.TableValue] = []
         first_page: key_ranges.Page | None = None
