Keep the cancellation of a reader that waits for the list of another range

Seen in review: an instance that is no watcher went on watching the operators' keys after its reader was reset, one request in 25 s for each reset; 40 requests in 250 s after a start and three resets.

Cause: asyncio.wait_for of Python 3.11 swallows a cancellation that comes as the awaited event is set. Change: asyncio.timeout.

--- a/features/value_order.feature
+++ b/features/value_order.feature
@@ -324,3 +324,13 @@
     When the registration of server "new" is lost by a return
     And the store refuses lists from 1800 ms to 6000 ms from now
     Then all instances have the store's values after 12000 ms
+
+  # Guards against a cancellation that is lost, so that a watch goes on without its reader.
+  Scenario: A reader that was reset at its first list watches no more
+    Given 4 instances and a store of era 1 with configuration 1
+    When server "s1" is removed
+    And server "s2" is removed
+    And server "s3" is removed
+    And server "s4" is removed
+    And instance "i3" reads the store again 3 times
+    Then "i3" makes no request in 60 s
--- a/monsoonhoist/node/range_reader.py
+++ b/monsoonhoist/node/range_reader.py
@@ -95,7 +95,9 @@
         if any(prefix.startswith(other) and prefix != other for other in self._range_by_prefix):
             # The first page of the other range saves a call if it has all keys of this one.
             with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(state.has_list.wait(), INCLUDED_WAIT_SECONDS)
+                # ``asyncio.wait_for`` would lose a cancellation that comes with the list.
+                async with asyncio.timeout(INCLUDED_WAIT_SECONDS):
+                    await state.has_list.wait()
         failures = 0
         while True:
             try:
