Compare values without an era by what they tell, not as of the newest era

Cause: a value without an era counted as of the newest one, so that its number decided. Change: it keeps no era, and is compared by version, place and number, as two values of different eras are before these are settled. Replies without an era still count as of the newest known one.

--- a/features/value_order.feature
+++ b/features/value_order.feature
@@ -325,6 +325,18 @@
     And the store refuses lists from 1800 ms to 6000 ms from now
     Then all instances have the store's values after 12000 ms
 
+  # Guards against values of an earlier build that count as of the newest era.
+  Scenario: An instance of an earlier build has the lost configuration
+    Given 4 instances and a store of era 1 with configuration 6
+    When 5 writes of server "s1" and configuration 7 are lost by a return
+    And configuration 7 is written again
+    And configuration 8 is written
+    And the instances run for 6000 ms
+    And an instance of an earlier build offers "i3" configuration 7 with the lost number
+    And configuration 9 is written
+    Then configuration 9 is in force at all instances within 3000 ms
+    And no instance has gone back to an earlier configuration
+
   # Guards against a cancellation that is lost, so that a watch goes on without its reader.
   Scenario: A reader that was reset at its first list watches no more
     Given 4 instances and a store of era 1 with configuration 1
--- a/monsoonhoist/node/service_watcher.py
+++ b/monsoonhoist/node/service_watcher.py
@@ -3,9 +3,12 @@
 import asyncio
 import datetime
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
+
+import msgspec
 
 from monsoonhoist.node import replication, table_reader
+from monsoonhoist.protocol import messages
 
 # Interval at which an instance that is not a watcher checks whether it has become one.
 ROLE_CHECK_INTERVAL_SECONDS = 0.25
@@ -85,7 +88,7 @@
                     _log.warning("configuration service not read", extra={"error": reading.error})
                     failures += 1
                     continue
-                self._replicator.offer(reading.values, "service")
+                self._replicator.offer(self._state_eras(reading.values), "service")
                 self._replicator.store.record_listing(reading.listed_number, reading.era)
                 if reading.is_complete:
                     self.has_read_all = True
@@ -108,3 +111,8 @@
                 self._reader.reset()
                 failures += 1
                 await asyncio.sleep(table_reader.retry_delay_seconds(self._retry_delay, failures))
+
+    def _state_eras(self, values: Iterable[messages.TableValue]) -> list[messages.TableValue]:
+        """Returns values that the service sent, those without an era as of the newest one."""
+        resolve = self._replicator.store.eras.resolve
+        return [msgspec.structs.replace(value, era=resolve(value.era)) for value in values]
--- a/monsoonhoist/tables/precedence.py
+++ b/monsoonhoist/tables/precedence.py
@@ -8,7 +8,8 @@
 - Until an era is settled, it counts which value its writer made later. If the contents do not tell,
   the numbers decide: a value of the copy has a lower one than a value that the copy lacks. Of two
   values with the same number, the one of the later era was written later.
-- The value of the later era replaces the other one once the era is settled.
+- The value of the later era replaces the other one once the era is settled. A value without an era,
+  of an instance of an earlier build, is compared as if the era were not settled.
 """
 
 import enum
@@ -62,7 +63,7 @@
         return Order.NEWER if _number_key(new) > _number_key(old) else Order.OLDER
     if new.version and old.version and new.version != old.version:
         is_newer = new.version > old.version
-    elif is_settled:
+    elif is_settled and not _has_unstated_era(new, old):
         is_newer = new.era > old.era
     elif _is_told(offered, in_force):
         is_newer = offered.progress > in_force.progress
@@ -85,7 +86,8 @@
     if is_same(announced, in_force):
         return False
     has_versions = bool(announced.version and in_force.version)
-    if announced.era != in_force.era and not settled and not has_versions:
+    is_open = not settled or _has_unstated_era(announced, in_force)
+    if announced.era != in_force.era and is_open and not has_versions:
         return True
     return compare(Candidate(announced), Candidate(in_force), settled) is Order.NEWER
 
@@ -102,5 +104,9 @@
     return offered.progress != in_force.progress
 
 
+def _has_unstated_era(one: messages.Revision, other: messages.Revision) -> bool:
+    return messages.UNSTATED_ERA in (one.era, other.era)
+
+
 def _number_key(revision: messages.Revision) -> tuple[int, bytes]:
     return (revision.number, revision.digest)
--- a/monsoonhoist/tables/store.py
+++ b/monsoonhoist/tables/store.py
@@ -203,7 +203,6 @@
             the last one of its key that was rejected, it is reported as known, without its errors.
         """
         self.eras.record(value.era)
-        value = msgspec.structs.replace(value, era=self.eras.resolve(value.era))
         current = self.revision_by_key.get(value.key)
         accepted = Acceptance.ACCEPTED
         if current is None and self._is_removed_by_listing(value):
@@ -282,7 +281,7 @@
         A value of an earlier era may have been lost by the service, and be written again until the
         era is settled.
         """
-        if value.era == self._listing.era:
+        if value.era in (self._listing.era, eras.UNSTATED):
             return value.number < self._listing.number
         return value.era < self._listing.era and self.eras.is_settled()
 
@@ -367,8 +366,7 @@
         current = self.revision_by_key.get(revision.key)
         if current is None:
             return True
-        stated = msgspec.structs.replace(revision, era=self.eras.resolve(revision.era))
-        return precedence.may_be_newer(stated, current, self.eras.is_settled())
+        return precedence.may_be_newer(revision, current, self.eras.is_settled())
 
     def revisions(self, buckets: Collection[int] | None = None) -> tuple[messages.Revision, ...]:
         """Returns the current revisions in the given buckets, or in all, ordered by key."""
