Ignore reports of reads of the process before a restart

Seen in review: after a reader's restart, a late report of its process before made its latest read seem 2.4 s old, until the next report. Its number was larger. Such a number now counts only if its read is not more than a second older.

--- a/features/watcher_selection.feature
+++ b/features/watcher_selection.feature
@@ -61,3 +61,9 @@
     When "i0" reports its read 50, made at 1000 ms, at 1010 ms
     And "i0" reports its read 49, made at 900 ms, at 1020 ms
     Then the latest known read is that of 1000 ms
+
+  Scenario: A late report of the process before a restart changes nothing
+    When "i0" reports its read 50, made at 0 ms, at 100 ms
+    And "i0" reports its read 1, made at 1500 ms, at 1600 ms
+    And "i0" reports its read 50, made at 0 ms, at 1700 ms
+    Then the latest known read is that of 1500 ms
--- a/monsoonhoist/fleet/watcher_selection.py
+++ b/monsoonhoist/fleet/watcher_selection.py
@@ -132,5 +132,7 @@
 
 def _is_later(number: int, read_at: float, known: _Read) -> bool:
     """Returns whether a numbered read of an instance is later than the latest known one."""
-    is_restarted = bool(number) and read_at - known.read_at > RESTART_SECONDS
-    return number > known.number or (number < known.number and is_restarted)
+    if number > known.number:
+        # Otherwise it is one of the process before a restart.
+        return known.read_at - read_at <= RESTART_SECONDS
+    return 0 < number < known.number and read_at - known.read_at > RESTART_SECONDS
