Pass resets on in the soak's proxies

The servers' resets reached no instance: the proxy between them ended its side in order, and so made the answers ones that nothing tells from whole ones. Its fault "reset" closed in order too, unless bytes were unread.

Change: the proxy ends a connection by a reset when its other side did, and when its fault says so. A server of the stand-in whose client resets the connection no longer leaves that error to the event loop, which features/soak.feature ("close their connections in order") noticed at once.

The scenario of the proxy: 2 of 3 examples fail with the proxy as it was.

--- a/features/broken_off_messages.feature
+++ b/features/broken_off_messages.feature
@@ -42,3 +42,14 @@
       | half of a second one          | reset  |
       | half of the length of another | closed |
       | half of the length of another | reset  |
+
+  # Guards against proxies of the soak that turn a reset into an end in order, and so hide it.
+  Scenario Outline: The soak's proxy ends a connection as its other side did
+    When <side> has <ended> a connection through a proxy of the soak after some data
+    Then reading it <result>
+
+    Examples:
+      | side      | ended  | result                     |
+      | its peer  | reset  | reports data, then a reset |
+      | its peer  | closed | reports data, then its end |
+      | the proxy | reset  | reports data, then a reset |
--- a/features/steps/broken_off_messages.py
+++ b/features/steps/broken_off_messages.py
@@ -8,12 +8,14 @@
 
 from behave import given, then, when
 
+from features.steps import broken_off as broken_off_steps
 from features.steps import platform_actions, untrusted_callers
 from monsoonhoist import client, errors, metrics
 from monsoonhoist.core import data
 from monsoonhoist.node import config_service, curl, replication, streams
 from monsoonhoist.platform import reader as store_reader
 from monsoonhoist.protocol import messages
+from soak import proxy
 from standins import broken_off
 
 TIMEOUT = datetime.timedelta(seconds=5)
@@ -221,3 +223,38 @@
     """Checks what the stream has passed on."""
     assert context.received == [messages.HeartbeatReply(1)], context.received
     assert isinstance(context.loss, (OSError, errors.StreamError)), context.loss
+
+
+@when("{side} has {ended} a connection through a proxy of the soak after some data")
+def end_proxied(context, side, ended):
+    """Sends data through a proxy, ends the connection, and reads what has arrived."""
+
+    async def run():
+        accepted = asyncio.get_running_loop().create_future()
+        server = await asyncio.start_server(
+            lambda reader, writer: accepted.set_result(writer), "127.0.0.1", 0
+        )
+        running_proxy = proxy.Proxy(f"127.0.0.1:{server.sockets[0].getsockname()[1]}")
+        host, _, port = (await running_proxy.start("127.0.0.1", 0)).rpartition(":")
+        with socket.create_connection((host, int(port))) as connection:
+            connection.setblocking(False)
+            writer = await accepted
+            writer.write(b"data")
+            await asyncio.sleep(broken_off.DELAY_SECONDS)
+            if side == "the proxy":
+                running_proxy.inject_fault(ended, proxy.ANY_SOURCE)
+            elif ended == "reset":
+                broken_off.set_reset(writer.get_extra_info("socket"))
+            writer.transport.abort()
+            await asyncio.sleep(10 * broken_off.DELAY_SECONDS)
+            context.result = broken_off_steps.read_all(connection)
+        await running_proxy.close()
+        server.close()
+
+    asyncio.run(run())
+
+
+@then("reading it {result}")
+def check_result(context, result):
+    """Checks what reading the connection reported."""
+    assert context.result == result, context.result
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -5,7 +5,7 @@
 import dataclasses
 import re
 
-from standins import shards
+from standins import broken_off, shards
 
 CHUNK_BYTES = 65_536
 DELAY_SECONDS = 0.15
@@ -60,7 +60,7 @@
     def inject_fault(self, how: str, source: int) -> None:
         """Injects a fault into the connections of a source.
 
-        ``reset`` aborts the open connections. ``silence`` discards all further data of the open
+        ``reset`` resets the open connections. ``silence`` discards all further data of the open
         connections until they are closed. Until the fault is cleared, ``delay`` holds each chunk
         back for ``DELAY_SECONDS``, and ``one_way`` discards the data towards the target; from the
         first discarded chunk on, a connection stays silent in both directions.
@@ -76,8 +76,9 @@
         ]
         if how == "reset":
             for connection in affected:
-                connection.client_writer.transport.abort()
-                connection.target_writer.transport.abort()
+                for writer in (connection.client_writer, connection.target_writer):
+                    _set_reset(writer)
+                    writer.transport.abort()
         elif how == "silence":
             for connection in affected:
                 connection.is_silent = True
@@ -143,9 +144,9 @@
         connection: Connection,
         is_towards_target: bool,
     ) -> None:
-        """Relays the data of one direction, subject to the faults."""
+        """Relays the data of one direction, subject to the faults, and the reset that ends it."""
         with contextlib.suppress(ConnectionError):
-            while chunk := await reader.read(CHUNK_BYTES):
+            while chunk := await self._read_chunk(reader, writer):
                 if connection.source == ANY_SOURCE and is_towards_target:
                     match = _SOURCE_PATTERN.search(chunk)
                     connection.source = int(match[1]) if match else ANY_SOURCE
@@ -160,6 +161,21 @@
                     # Neither end can use later data once bytes of the stream are missing.
                     connection.is_silent = True
 
+    @staticmethod
+    async def _read_chunk(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> bytes:
+        """Returns data to be relayed; if a reset ends it, the writer's connection is to end so."""
+        try:
+            return await reader.read(CHUNK_BYTES)
+        except ConnectionResetError:
+            _set_reset(writer)
+            raise
+
     def _fault_for(self, connection: Connection) -> str:
         default = self.fault_by_source.get(ANY_SOURCE, "")
         return self.fault_by_source.get(connection.source, default)
+
+
+def _set_reset(writer: asyncio.StreamWriter) -> None:
+    """Makes the system reset a connection when it is closed, unless it is closed already."""
+    if not writer.transport.is_closing():
+        broken_off.set_reset(writer.get_extra_info("socket"))
--- a/standins/shards.py
+++ b/standins/shards.py
@@ -177,12 +177,12 @@
             connection_closed = asyncio.ensure_future(reader.read(1))
             await asyncio.wait({work, connection_closed}, return_when=asyncio.FIRST_COMPLETED)
             request.ended_at = asyncio.get_running_loop().time()
-            if not work.done():
-                work.cancel()
-                request.was_cancelled = True
+            request.was_cancelled = not work.done()
+            for waiting in (work, connection_closed):
+                waiting.cancel()
+            await asyncio.gather(work, connection_closed, return_exceptions=True)
+            if request.was_cancelled:
                 return False
-            connection_closed.cancel()
-            await asyncio.gather(connection_closed, return_exceptions=True)
         if fault in ("lost", "reset"):
             if fault == "reset":
                 broken_off.set_reset(writer.get_extra_info("socket"))
