Number the reads of the configuration service, so that passing on a report does not renew it

Seen: with both watchers cut off from the store and processor time short (each of six instances stopped for 50 ms of each 100 ms), a confirmed change was in force after more than 3 s at the instances that were not cut off.

Cause: a report of a read gives its age, without the time that it travels. Each instance took the most recent of the reports, and passed it on with the age that it seemed to have. A read thus became more recent with each hop: a trace of one instance (trial) shows 0.1 s in 2.4 s on an idle machine. With a dozen hops a second and 50 ms for each, the age of the last read grows at half of the pace of time, and the next instance in the order starts to watch seconds late.

Change: reads are numbered by their reader; of several reports of the same read the oldest age counts. A read that is not numbered, of an earlier build, is handled as before. The mutant of own reports follows the changed line.

What remains: a read can seem more recent by up to about three times the travel time (simulation, 60 draws each with 6 and 7 instances), since of two watchers that read at the same time each reports the other's read.

--- a/bench/mutants.py
+++ b/bench/mutants.py
@@ -365,8 +365,15 @@
     Mutant(
         "an instance mistakes its own read report for a peer's",
         "fleet/watcher_selection.py",
-        "report.reader != self._instance and read_at > self._peer_read_at",
-        "read_at > self._peer_read_at",
+        "if report.reader == self._instance:",
+        "if False:",
+        "watcher_selection",
+    ),
+    Mutant(
+        "a read is more recent wherever its report is passed on",
+        "fleet/watcher_selection.py",
+        "known.read_at = min(known.read_at, read_at)",
+        "known.read_at = max(known.read_at, read_at)",
         "watcher_selection",
     ),
     Mutant(
--- a/features/steps/generated_input.py
+++ b/features/steps/generated_input.py
@@ -62,7 +62,7 @@
 MESSAGE_EXAMPLES = tuple(
     messages.encode(message)
     for message in (
-        messages.Heartbeat(1, b"x", messages.ConfigReadReport(data.InstanceId("i"), 1)),
+        messages.Heartbeat(1, b"x", messages.ConfigReadReport(data.InstanceId("i"), 1, 2)),
         messages.Members((data.Member("i", 1, 0, data.MemberState.LIVE, "h", 1, "z"),)),
         messages.PackedTables(
             (messages.pack_table(messages.TableValue(data.TableKey("k"), 1, "t")),)
--- a/features/steps/watcher_selection.py
+++ b/features/steps/watcher_selection.py
@@ -1,5 +1,9 @@
 """Steps that test which instances watch the configuration service."""
 
+import heapq
+import itertools
+import random
+
 from behave import given, then, when
 
 from monsoonhoist.core import data
@@ -7,6 +11,8 @@
 from monsoonhoist.protocol import messages
 
 INSTANCE_COUNT = 10
+# Time for which instances pass on reports in a simulation.
+PASSING_END_SECONDS = 2.5
 
 
 def get_selections(context):
@@ -53,6 +59,42 @@
         report_read(context, age_ms, at_ms)
 
 
+@when(
+    "{count:d} instances pass on reports of a read at 0 ms each {interval_ms:d} ms"
+    " over links of {link_ms:d} ms"
+)
+def pass_on_reports(context, count, interval_ms, link_ms):
+    """Lets the two watchers read once, and each instance report the latest read to all others."""
+    selections = [
+        watcher_selection.WatcherSelection(data.InstanceId(f"i{position}"), 2, 2.0, 0.3)
+        for position in range(count)
+    ]
+    for position, selection in enumerate(selections):
+        selection.should_watch(position, -10.0)
+    for watcher in selections[:2]:
+        watcher.record_read(0.0)
+    rng = random.Random(f"{count} {link_ms}")
+    numbers = itertools.count()
+    # Each entry has the time, a number that makes entries differ, sender, receiver and report; an
+    # entry without a report is one to be sent.
+    pending = [
+        (rng.uniform(0, interval_ms / 1000), next(numbers), sender, receiver, None)
+        for sender, receiver in itertools.permutations(selections, 2)
+    ]
+    heapq.heapify(pending)
+    while pending[0][0] < PASSING_END_SECONDS:
+        now, _, sender, receiver, report = heapq.heappop(pending)
+        if report is not None:
+            receiver.record_report(report, now)
+            continue
+        report = sender.latest_report(now)
+        if report is not None:
+            arrival = (now + link_ms / 1000, next(numbers), sender, receiver, report)
+            heapq.heappush(pending, arrival)
+        heapq.heappush(pending, (now + interval_ms / 1000, next(numbers), sender, receiver, None))
+    context.selection_by_position = dict(enumerate(selections))
+
+
 @then("the instances at positions {first:d} to {last:d} watch at {at_ms:d} ms")
 def check_watching(context, first, last, at_ms):
     """Checks that the instances at a range of positions watch."""
--- a/features/watcher_selection.feature
+++ b/features/watcher_selection.feature
@@ -36,3 +36,18 @@
     Then all instances agree on the order of watchers
     And the first 2 in the order have 2.0 cores and are in different zones
     And the first 2 watchers of each zone include all of its instances with 2.0 cores
+
+  # Guards against reports that made a read more recent each time an instance passed them on.
+  Scenario Outline: A read becomes stale in time, however often it is passed on
+    A change must be in force within 3 s. Of these, 2300 ms are the age at which a read is stale,
+    250 ms the interval of its checks and 250 ms are for reading and spreading; 200 ms are left.
+    When <count> instances pass on reports of a read at 0 ms each 500 ms over links of <link> ms
+    Then the instances at positions 2 to 2 watch at 2200 ms
+    And the instances at positions 2 to 3 watch at 2500 ms
+
+    Examples:
+      | count | link |
+      | 6     | 1    |
+      | 7     | 12   |
+      | 7     | 50   |
+      | 50    | 12   |
--- a/monsoonhoist/node/node.py
+++ b/monsoonhoist/node/node.py
@@ -129,7 +129,7 @@
         self._readiness = readiness.Readiness(
             time_source, self.replicator, self._watcher, self._streams.connected_instances
         )
-        self._watcher_selection = config.spread.make_watcher_selection(self.name)
+        self._watcher_selection = config.spread.make_watcher_selection(self.name, incarnation)
         self._watcher_role = watcher_role.WatcherRole(
             config.spread,
             time_source,
--- a/monsoonhoist/protocol/messages.py
+++ b/monsoonhoist/protocol/messages.py
@@ -36,11 +36,15 @@
 
     Attributes:
         reader: Instance that read the configuration service.
-        age_ms: Time since the configuration service answered, in milliseconds.
+        age_ms: Time since the configuration service answered, in milliseconds. It lacks the time
+            that the report has travelled.
+        number: Number of the read, larger for each later one of the same reader; 0 from an instance
+            that does not number them.
     """
 
     reader: data.InstanceId
     age_ms: int
+    number: int = 0
 
 
 class Heartbeat(msgspec.Struct, frozen=True, array_like=True, tag="beat"):
--- a/monsoonhoist/settings.py
+++ b/monsoonhoist/settings.py
@@ -252,13 +252,13 @@
     stale_step_ms: datetime.timedelta = datetime.timedelta(milliseconds=300)
 
     def make_watcher_selection(
-        self, instance: data.InstanceId
+        self, instance: data.InstanceId, incarnation: data.Incarnation
     ) -> watcher_selection.WatcherSelection:
         """Returns the object that decides whether an instance watches the service."""
         stale_seconds = self.stale_ms.total_seconds()
         step_seconds = self.stale_step_ms.total_seconds()
         return watcher_selection.WatcherSelection(
-            instance, self.watchers, stale_seconds, step_seconds
+            instance, self.watchers, stale_seconds, step_seconds, incarnation
         )
 
 
