--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -4,6 +4,7 @@
 import contextlib
 import dataclasses
 import re
+from collections.abc import Callable
 
 from standins import shards
 
@@ -39,8 +40,11 @@
         target: ``host:port`` of the target.
 
     Attributes:
-        fault_by_source: ``delay`` or ``one_way``, by the number of the instance that opened a
-            connection; the fault of ``ANY_SOURCE`` is for all others.
+        fault_by_source: ``delay``, ``hold``, ``one_way`` or ``one_way_back``, by the number of the
+            instance that opened a connection; the fault of ``ANY_SOURCE`` is for all others.
+        hold_seconds: How long ``hold`` delays each chunk from the target.
+        is_discarded: Returns whether a chunk towards the target, from a source, is discarded; the
+            connection then stays silent.
     """
 
     def __init__(self, target: str):
@@ -51,6 +55,8 @@
         self._accept_tasks: set[asyncio.Task[None]] = set()
         self._server: asyncio.Server | None = None
         self.fault_by_source: dict[int, str] = {}
+        self.hold_seconds = 0.0
+        self.is_discarded: Callable[[bytes, int], bool] = lambda chunk, source: False
 
     async def start(self, host: str, port: int) -> str:
         """Starts listening and returns the address of the proxy."""
@@ -62,8 +68,9 @@
 
         ``reset`` aborts the open connections. ``silence`` discards all further data of the open
         connections until they are closed. Until the fault is cleared, ``delay`` holds each chunk
-        back for ``DELAY_SECONDS``, and ``one_way`` discards the data towards the target; from the
-        first discarded chunk on, a connection stays silent in both directions.
+        back for ``DELAY_SECONDS``, ``hold`` each chunk from the target for ``hold_seconds``,
+        ``one_way`` discards the data towards the target and ``one_way_back`` the data from it; from
+        the first discarded chunk on, a connection stays silent in both directions.
 
         Args:
             how: Kind of the fault.
@@ -152,7 +159,11 @@
                 fault = self._fault_for(connection)
                 if fault == "delay":
                     await asyncio.sleep(DELAY_SECONDS)
-                is_dropped = fault == "one_way" and is_towards_target
+                elif fault == "hold" and not is_towards_target:
+                    await asyncio.sleep(self.hold_seconds)
+                is_dropped = fault == ("one_way" if is_towards_target else "one_way_back")
+                if is_towards_target and self.is_discarded(chunk, connection.source):
+                    is_dropped = True
                 if not connection.is_silent and not is_dropped:
                     writer.write(chunk)
                     await writer.drain()
