Name the rule about replaced values, and describe eras in the field's terms

From the reading of the diff: keeps_newest said the opposite of what it decides. No change of behaviour; value_order, mutants, layers and table_log pass (95 scenarios).

--- a/monsoonhoist/node/service_belief.py
+++ b/monsoonhoist/node/service_belief.py
@@ -51,7 +51,7 @@
         revision: Revision that the latest answer to this instance itself stated; 0 for none.
         revision_age_ms: Age of that answer in milliseconds; None if there was none.
         era: Newest known era of the service; -1 if it states none.
-        settled: Whether what the service has lost in that era has been written again.
+        settled: Whether the time in which lost changes are expected to be repeated is over.
         listed_revision: Revision up to which this instance has read all keys; 0 if it has not.
         listed_era: Era of that revision.
     """
--- a/monsoonhoist/tables/eras.py
+++ b/monsoonhoist/tables/eras.py
@@ -1,9 +1,9 @@
 """Eras of the configuration service, and the time for which a new one is unsettled.
 
-The service may come back from an older copy of its values. It has then lost changes that it had
-acknowledged, and gives out the same revision numbers again. It states in its replies how often
-this has happened, as its era. Those who wrote the lost changes write them again shortly after, so
-that the copy's values mean little until then.
+The service may be restored from a backup. Changes that it had acknowledged since are then lost, and
+their revision numbers are used again. Its replies state how often this has happened, as its era.
+Operators and servers repeat the lost changes shortly after, so that the values of the backup mean
+little until then.
 """
 
 import math
@@ -13,8 +13,7 @@
 
 # Era of a value or a reply for which none is stated; it counts as of the newest known era.
 UNSTATED = messages.UNSTATED_ERA
-# Time after the first sign of an era within which those who write values have written again what
-# the service has lost.
+# Time after the first sign of an era within which lost changes are expected to be repeated.
 SETTLE_SECONDS = 2.2
 
 
@@ -51,7 +50,7 @@
         return self.newest if self.is_settled() else UNSTATED
 
     def is_settled(self) -> bool:
-        """Returns whether what the service has lost has been written again."""
+        """Returns whether the time in which lost changes are expected to be repeated is over."""
         return self._clock.monotonic() >= self.settled_at
 
     def seconds_to_settle(self) -> float:
--- a/monsoonhoist/tables/native.py
+++ b/monsoonhoist/tables/native.py
@@ -16,7 +16,7 @@
         """Returns whether a key is none of a pool, which can have many and long ones."""
         return not pools.is_pool_key(key)
 
-    def keeps_newest(self, key: data.TableKey) -> bool:
+    def bars_replaced_values(self, key: data.TableKey) -> bool:
         """Returns whether a key is that of a table, not of an evacuation."""
         return not key.startswith(EVACUATION_KEY_PREFIX)
 
--- a/monsoonhoist/tables/store.py
+++ b/monsoonhoist/tables/store.py
@@ -123,11 +123,11 @@
         """Returns whether operators write a key; its values do not wait behind those of others."""
         return False
 
-    def keeps_newest(self, key: data.TableKey) -> bool:
-        """Returns whether a replaced value of a key stays out of force after the service came back.
+    def bars_replaced_values(self, key: data.TableKey) -> bool:
+        """Returns whether a replaced value of a key never comes into force again in a later era.
 
-        The older copy of the service may still have it. Values whose contents tell their order,
-        and keys whose presence counts, need no such rule.
+        The backup of the service may still have it. Values whose contents tell their order, and
+        keys whose presence counts, need no such rule.
         """
         return False
 
@@ -246,7 +246,7 @@
         self._digests.toggle(revision)
         if current is not None:
             self._digests.toggle(current)
-            if self._format.keeps_newest(key):
+            if self._format.bars_replaced_values(key):
                 replaced = collections.deque(self._replaced(key), REPLACED_MAX)
                 replaced.append(current)
                 self._replaced_by_key[key] = replaced
