--- a/bench/mutants.py
+++ b/bench/mutants.py
@@ -864,6 +864,62 @@
         "if True:",
         "value_order",
     ),
+    Mutant(
+        "values without an era count as of an earlier one once an era is settled",
+        "tables/precedence.py",
+        "    elif is_settled and not _has_unstated_era(new, old):",
+        "    elif is_settled:",
+        "value_order",
+    ),
+    Mutant(
+        "two values with one number are not ordered by their eras",
+        "tables/precedence.py",
+        "        is_newer = new.era > old.era\n    else:",
+        "        is_newer = new.digest > old.digest\n    else:",
+        "value_order",
+    ),
+    Mutant(
+        "removals do not tell the place of the removed value",
+        "tables/store.py",
+        "progress = None if text else self._progress_by_key.get(key)",
+        "progress = None",
+        "value_order",
+    ),
+    Mutant(
+        "removals of an earlier era need no list once it is settled",
+        "tables/store.py",
+        "return any(revision.era < newest for revision in self.revision_by_key.values())",
+        "return any(self.revision_by_key[key].era < newest for key in self.nonempty_keys())",
+        "value_order",
+    ),
+    Mutant(
+        "a list that fails is not made again",
+        "node/range_reader.py",
+        "        state.revision = None\n        present_keys",
+        "        present_keys",
+        "value_order",
+    ),
+    Mutant(
+        "the number of a server's item has no bound",
+        "platform/store_format.py",
+        "    if not 0 <= server_value.seq <= store_records.NUMBER_MAX:",
+        "    if False:",
+        "value_order",
+    ),
+    Mutant(
+        "late reports of the process before a restart count",
+        "fleet/watcher_selection.py",
+        "return known.read_at - read_at <= RESTART_SECONDS",
+        "return True",
+        "watcher_selection",
+    ),
+    Mutant(
+        "SIGHUP ends a process that starts",
+        "serve.py",
+        "    signal.signal(signal.SIGHUP, signal.SIG_IGN)",
+        "    pass",
+        "draining",
+    ),
 )
 
 
--- a/features/value_order.feature
+++ b/features/value_order.feature
@@ -33,6 +33,8 @@
       | the service has given out a larger number       | 1   | 50     | 0       | none  | 2    | 51      | 0        | none   | newer           | newer           |
       | a late one of the earlier era has a larger one  | 2   | 45     | 0       | none  | 1    | 50      | 0        | none   | newer           | of_earlier_copy |
       | only the one in force tells its place           | 1   | 50     | 0       | 5.7   | 2    | 45      | 0        | none   | of_earlier_copy | newer           |
+      | an earlier build, without eras, has a later one | 2   | 50     | 0       | 5.7   | -1   | 51      | 0        | 5.8    | newer           | newer           |
+      | an earlier build has an earlier one             | 2   | 50     | 0       | 5.7   | -1   | 45      | 0        | 5.6    | of_earlier_copy | of_earlier_copy |
       | the number is given out again                   | 1   | 50     | 0       | none  | 2    | 50      | 0        | none   | newer           | newer           |
       | the number was given out before                 | 2   | 50     | 0       | none  | 1    | 50      | 0        | none   | of_earlier_copy | of_earlier_copy |
 
