--- a/features/draining.feature
+++ b/features/draining.feature
@@ -60,6 +60,11 @@
     And the backend servers have recorded 1 run of "boat 21, 07:30"
 
   # Guards against a signal that ends a process whose modules are still being loaded.
-  Scenario: A signal to read the settings again does not end a process that starts
-    When an instance without settings is started, and receives SIGHUP as soon as it runs
+  Scenario Outline: A signal to read the settings again does not end a process that starts
+    When an instance without settings is started by "<module>", and receives SIGHUP as soon as it runs
     Then it ends by itself because it has no settings
+
+    Examples:
+      | module                          |
+      | monsoonhoist.serve              |
+      | monsoonhoist serve missing.ini  |
--- a/features/steps/start_signals.py
+++ b/features/steps/start_signals.py
@@ -17,12 +17,14 @@
 POLL_SECONDS = 0.002
 
 
-@when("an instance without settings is started, and receives SIGHUP as soon as it runs")
-def start_and_signal(context):
-    """Starts the entry point of instances, whose settings file does not exist."""
+@when(
+    'an instance without settings is started by "{module}", and receives SIGHUP as soon as it runs'
+)
+def start_and_signal(context, module):
+    """Starts an entry point of instances, whose settings file does not exist."""
     environment = {**os.environ, "MONSOONHOIST_NODE_FILE": str(site.ROOT / "no-such-settings.ini")}
     context.starting = subprocess.Popen(
-        [sys.executable, "-m", "monsoonhoist.serve"],
+        [sys.executable, "-m", *module.split()],
         cwd=site.ROOT,
         env=environment,
         stdout=subprocess.DEVNULL,
